--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+CODE := src tools tests
+
+.PHONY: demo test bench capacity format clean
+
+$(STAMP): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m tools.demo
+
+test: $(STAMP)
+	$(BIN)/black --check --quiet $(CODE)
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/mypy
+	$(BIN)/carawaydoor check examples/orden-claro
+	$(BIN)/carawaydoor check examples/boekenkast
+	$(BIN)/python -m pytest tests
+
+bench: $(STAMP)
+	$(BIN)/python -m tools.bench
+
+capacity: $(STAMP)
+	$(BIN)/python -m tools.capacity
+
+format: $(STAMP)
+	$(BIN)/black $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/carawaydoor/admission.py
@@ -0,0 +1,129 @@
+"""Admits a request into the budget of its workspace."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+
+import expression
+
+from carawaydoor import budgets, errors, filters, messages
+from carawaydoor import exchange as exchanges
+from carawaydoor import gateway as gateways
+
+GRANT_LIFE_S = 0.75
+UNAVAILABLE_RETRY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """A grant with its home."""
+
+    home: str
+    message: messages.TokensGranted
+    pooled: bool
+
+
+Granting = expression.Result[Granted, errors.Refusal]
+
+
+class Admit(filters.Filter):
+    """Reserves the tokens of a request at the home of its workspace."""
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        self._gateway = gateway
+
+    def apply(self, exchange: exchanges.Exchange) -> filters.Passed:
+        """Reserve the whole cost; what is not used goes back when the request ends."""
+        if exchange.cost is None:
+            return expression.Ok(exchange)
+        result = self._reserve(exchange, pooled=True)
+        if result.is_error() and result.error.kind is not errors.Kind.BURST_EXCEEDED:
+            standing = self._reserve(exchange, pooled=False)
+            result = standing if standing.is_ok() else _worse_last(result, standing)
+        if result.is_error():
+            return expression.Error(result.error)
+        return self._start(exchange, result.ok)
+
+    def _start(self, exchange: exchanges.Exchange, granted: Granted) -> filters.Passed:
+        exchange.cleanup.callback(self._settle, exchange, granted)
+        if granted.message.start_in_s > 0.0 and exchange.cancel.wait(granted.message.start_in_s):
+            reason = exchange.cancel.reason or exchanges.Cancellation.CALLER_GONE
+            return expression.Error(exchanges.refusal_of(reason, errors.Ran.NOT_RUN))
+        return expression.Ok(exchange)
+
+    def _reserve(self, exchange: exchanges.Exchange, pooled: bool) -> Granting:
+        gateway = self._gateway
+        shares = gateway.state().shares
+        name = exchange.workspace_name
+        domain = budgets.pool_domain(shares, name) if pooled else gateway.options.failure_domain
+        owner = budgets.POOLED if pooled else domain
+        resource = budgets.Share(name, owner).resource
+        for home in gateway.homes(resource, domain)[:2]:
+            result = self._ask(exchange, home, pooled)
+            if result is not None:
+                return result
+        return expression.Error(
+            errors.Refusal(
+                errors.Kind.BUDGET_UNAVAILABLE,
+                "the budget of this workspace can't be reached",
+                retry_after_s=UNAVAILABLE_RETRY_S,
+            )
+        )
+
+    def _ask(self, exchange: exchanges.Exchange, home: str, pooled: bool) -> Granting | None:
+        """Return the answer of a home, None where it does not act as one."""
+        cost = exchange.cost
+        if cost is None:
+            return None
+        tokens = float(cost.total)
+        message = messages.ReserveTokens(
+            exchange.id, exchange.workspace_name, tokens, tokens, pooled
+        )
+        asked_s = self._gateway.clock.now_s()
+        with contextlib.suppress(errors.PeerError):
+            answer = self._gateway.ask(home, message, GRANT_LIFE_S)
+            late = self._gateway.clock.now_s() - asked_s > GRANT_LIFE_S
+            if isinstance(answer, messages.TokensGranted) and not late:
+                return expression.Ok(Granted(home, answer, pooled))
+            if isinstance(answer, messages.TokensRefused):
+                return expression.Error(_refusal(answer))
+        return None
+
+    def _settle(self, exchange: exchanges.Exchange, granted: Granted) -> None:
+        cost = exchange.cost
+        if cost is None:
+            return
+        unused = float(cost.total - exchange.tokens_used)
+        message = messages.SettleTokens(
+            exchange.id,
+            exchange.workspace_name,
+            unused,
+            granted.pooled,
+            granted.message.incarnation,
+        )
+        self._gateway.peers.tell(granted.home, message)
+        self._gateway.metrics.tokens.add(
+            exchange.tokens_used, {"workspace": exchange.workspace_name}
+        )
+
+
+def _refusal(answer: messages.TokensRefused) -> errors.Refusal:
+    if answer.retry_after_s < 0.0:
+        return errors.Refusal(
+            errors.Kind.BURST_EXCEEDED, "the request is larger than the burst of its workspace"
+        )
+    return errors.Refusal(
+        errors.Kind.RATE_EXCEEDED,
+        "the workspace has used its rate",
+        retry_after_s=max(answer.retry_after_s, 0.05),
+    )
+
+
+def _worse_last(pooled: Granting, standing: Granting) -> Granting:
+    """Return the refusal that tells the caller more: a used rate before an unreachable home."""
+    if pooled.error.kind is errors.Kind.RATE_EXCEEDED:
+        return pooled
+    if standing.error.kind is errors.Kind.BURST_EXCEEDED:
+        return pooled
+    return standing
--- /dev/null
+++ b/src/carawaydoor/authentication.py
@@ -0,0 +1,74 @@
+"""Finds the workspace whose key came with a request."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from typing import Final
+
+import expression
+
+from carawaydoor import configuration as configurations
+from carawaydoor import errors, filters, objects
+from carawaydoor import exchange as exchanges
+from carawaydoor import gateway as gateways
+
+BEARER: Final = re.compile(r"^Bearer ([\x21-\x7e]{8,512})$", re.IGNORECASE)
+
+
+def digest(secret: str) -> str:
+    """Return the digest under which a key stands in the configuration."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+class Authenticate(filters.Filter):
+    """Checks the key of a request and the right of its workspace to the route."""
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        self._gateway = gateway
+
+    def apply(self, exchange: exchanges.Exchange) -> filters.Passed:
+        """Set the workspace of the request."""
+        route = exchange.route
+        if route is None or route.open_to_all:
+            return expression.Ok(exchange)
+        header = exchange.inbound.authorization
+        if not header:
+            return _refuse(errors.Kind.KEY_MISSING, "the request carries no key")
+        match = BEARER.match(header)
+        if match is None:
+            return _refuse(errors.Kind.KEY_MALFORMED, "the key is not a bearer token")
+        return self._check_key(exchange, route, digest(match.group(1)))
+
+    def _check_key(
+        self, exchange: exchanges.Exchange, route: objects.Route, key_digest: str
+    ) -> filters.Passed:
+        configuration = self._gateway.configuration
+        key = configuration.catalog.key_by_digest.get(key_digest)
+        if key is None:
+            return _refuse(errors.Kind.KEY_UNKNOWN, "no workspace has this key")
+        if key.withdrawn or key_digest in configurations.withdrawn(configuration):
+            return _refuse(errors.Kind.KEY_WITHDRAWN, "this key was withdrawn")
+        workspace = configuration.catalog.workspace_by_name[key.workspace]
+        if route.workspaces and workspace.name not in route.workspaces:
+            return _refuse(errors.Kind.ROUTE_FORBIDDEN, "this workspace may not use this route")
+        age_s = self._gateway.clock.now_s() - self._gateway.configuration_as_of_s
+        if workspace.max_config_age_s is not None and age_s > workspace.max_config_age_s:
+            return _refuse(
+                errors.Kind.CONFIGURATION_TOO_OLD, "the configuration can't be confirmed", 1.0
+            )
+        exchange.workspace = workspace
+        exchange.key_digest = key_digest
+        return expression.Ok(exchange)
+
+
+def is_valid(configuration: configurations.Configuration, key_digest: str) -> bool:
+    """Return whether a key still works under a configuration."""
+    key = configuration.catalog.key_by_digest.get(key_digest)
+    if key is None or key.withdrawn:
+        return False
+    return key_digest not in configurations.withdrawn(configuration)
+
+
+def _refuse(kind: errors.Kind, detail: str, retry_after_s: float | None = None) -> filters.Passed:
+    return expression.Error(errors.Refusal(kind, detail, retry_after_s=retry_after_s))
--- /dev/null
+++ b/src/carawaydoor/budgets.py
@@ -0,0 +1,174 @@
+"""Token budgets of workspaces: shares, their homes and the buckets that an instance holds."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from carawaydoor import bucket as buckets
+from carawaydoor import messages, rendezvous
+
+MAX_OPEN_GRANTS = 4096
+SURPLUS_LEVEL = 0.9
+
+POOLED = "pooled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shares:
+    """How the limit of each workspace is split.
+
+    :ivar limit_by_workspace: the limit of each workspace over the whole fleet
+    :ivar standing_by_domain: the fraction of every limit that each failure domain keeps standing
+    """
+
+    limit_by_workspace: Mapping[str, buckets.Limit]
+    standing_by_domain: Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """One share of a workspace: the pooled one, or the standing one of a failure domain."""
+
+    workspace: str
+    owner: str
+
+    @property
+    def resource(self) -> str:
+        """Name under which the home of this share is chosen."""
+        return f"budget/{self.workspace}/{self.owner}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Budgets:
+    """The buckets for which an instance acts as home."""
+
+    bucket_by_share: Mapping[Share, buckets.Bucket]
+
+
+EMPTY = Budgets({})
+
+
+def pool_domain(shares: Shares, workspace: str) -> str:
+    """Return the failure domain that holds the pooled share of a workspace."""
+    return rendezvous.rank(f"pool/{workspace}", sorted(shares.standing_by_domain))[0]
+
+
+def limit_of(shares: Shares, share: Share) -> buckets.Limit | None:
+    """Return the limit of one share, None where the workspace or domain does not exist."""
+    whole = shares.limit_by_workspace.get(share.workspace)
+    if whole is None:
+        return None
+    if share.owner == POOLED:
+        fraction = 1.0 - sum(shares.standing_by_domain.values())
+    else:
+        fraction = shares.standing_by_domain.get(share.owner, 0.0)
+    if fraction <= 0.0:
+        return None
+    return buckets.Limit(whole.rate_per_s * fraction, whole.burst * fraction)
+
+
+def domain_shares(shares: Shares, failure_domain: str) -> list[Share]:
+    """Return all shares whose home lies in a failure domain."""
+    standing = [Share(each, failure_domain) for each in shares.limit_by_workspace]
+    pooled = [
+        Share(each, POOLED)
+        for each in shares.limit_by_workspace
+        if pool_domain(shares, each) == failure_domain
+    ]
+    return [each for each in (*standing, *pooled) if limit_of(shares, each) is not None]
+
+
+def sweep(
+    state: Budgets,
+    now_s: float,
+    shares: Shares,
+    failure_domain: str,
+    acts: Callable[[str], bool],
+) -> Budgets:
+    """Drop the buckets of shares that this instance does not hold, create and resize the others.
+
+    A bucket that is created starts empty: an earlier home may have granted everything.
+    """
+    kept: dict[Share, buckets.Bucket] = {}
+    for share in domain_shares(shares, failure_domain):
+        limit = limit_of(shares, share)
+        if limit is None or not acts(share.resource):
+            continue
+        current = state.bucket_by_share.get(share)
+        if current is None:
+            kept[share] = buckets.create(limit, now_s)
+        elif current.limit != limit:
+            kept[share] = buckets.resize(current, now_s, limit)
+        else:
+            kept[share] = current
+    return Budgets(kept)
+
+
+def reserve(
+    state: Budgets,
+    now_s: float,
+    share: Share,
+    asked: messages.ReserveTokens,
+    incarnation: str,
+    max_wait_s: float,
+) -> tuple[Budgets, messages.Message]:
+    """Debit the tokens of a grant and return the answer to the asker."""
+    current = state.bucket_by_share[share]
+    after, result = buckets.reserve(
+        current, now_s, asked.grant_id, asked.tokens, asked.returnable, max_wait_s
+    )
+    after = _bound_grants(after)
+    state = _with_bucket(state, share, after)
+    if result.is_ok():
+        return state, messages.TokensGranted(result.ok.start_in_s, incarnation)
+    shortage = result.error
+    retry_after_s = -1.0 if shortage.retry_after_s is None else shortage.retry_after_s
+    return state, messages.TokensRefused(retry_after_s)
+
+
+def settle(state: Budgets, now_s: float, share: Share, grant_id: str, unused: float) -> Budgets:
+    """Close a grant at this home; a share that is not held here changes nothing."""
+    current = state.bucket_by_share.get(share)
+    if current is None:
+        return state
+    return _with_bucket(state, share, buckets.settle(current, now_s, grant_id, unused))
+
+
+def deposit(state: Budgets, now_s: float, share: Share, tokens: float) -> Budgets:
+    """Add tokens that another share gave up; lost where the share is not held here."""
+    current = state.bucket_by_share.get(share)
+    if current is None:
+        return state
+    return _with_bucket(state, share, buckets.deposit(current, now_s, tokens))
+
+
+def withdraw_surplus(state: Budgets, now_s: float) -> tuple[Budgets, list[messages.TransferTokens]]:
+    """Debit what the standing shares hold beyond their working level.
+
+    :return: the state and the transfers to send to the homes of the pooled shares
+    """
+    transfers: list[messages.TransferTokens] = []
+    after = dict(state.bucket_by_share)
+    for share, current in state.bucket_by_share.items():
+        if share.owner == POOLED:
+            continue
+        keep = current.limit.burst * SURPLUS_LEVEL
+        after[share], taken = buckets.withdraw(current, now_s, keep)
+        if taken >= 1.0:
+            transfers.append(messages.TransferTokens(share.workspace, taken, POOLED))
+        else:
+            after[share] = current
+    return Budgets(after), transfers
+
+
+def _with_bucket(state: Budgets, share: Share, bucket: buckets.Bucket) -> Budgets:
+    return Budgets({**state.bucket_by_share, share: bucket})
+
+
+def _bound_grants(bucket: buckets.Bucket) -> buckets.Bucket:
+    if len(bucket.credit_by_grant) <= MAX_OPEN_GRANTS:
+        return bucket
+    credit = dict(bucket.credit_by_grant)
+    del credit[next(iter(credit))]
+    return dataclasses.replace(bucket, credit_by_grant=credit)
--- /dev/null
+++ b/src/carawaydoor/cli.py
@@ -0,0 +1,153 @@
+"""``carawaydoor``: the command-line tool for operators."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import pathlib
+import sys
+from typing import Annotated, Any
+
+import cyclopts
+
+from carawaydoor import VERSION, authentication, catalog, documents, exitcodes, objects, replay
+from carawaydoor import revision as revisions
+
+TIMEOUT_S = 5.0
+MANIFEST_NAME = "manifest.json"
+PARTS_NAME = "parts"
+
+app = cyclopts.App(name="carawaydoor", version=VERSION, help=__doc__)
+keys = cyclopts.App(name="keys", help="Work with keys of workspaces.")
+app.command(keys)
+
+Directory = Annotated[
+    pathlib.Path, cyclopts.Parameter(help="Directory with the YAML files of the set.")
+]
+Address = Annotated[str, cyclopts.Parameter(help="Operator address of an instance, HOST:PORT.")]
+
+
+@app.command
+def check(directory: Directory) -> int:
+    """Check a configuration set as a whole and report every fault."""
+    items = _read_set(directory)
+    if items is None:
+        return exitcodes.ExitCode.FAULTS_FOUND
+    print(f"{directory}: {len(items)} objects, no faults")
+    return exitcodes.ExitCode.OK
+
+
+@app.command
+def build(
+    directory: Directory,
+    *,
+    out: Annotated[
+        pathlib.Path, cyclopts.Parameter(help="Directory to write the manifest and parts to.")
+    ],
+    revision: Annotated[
+        int | None, cyclopts.Parameter(help="Number of the revision; default: one more than out.")
+    ] = None,
+) -> int:
+    """Check a configuration set and write what is to be published."""
+    items = _read_set(directory)
+    if items is None:
+        return exitcodes.ExitCode.FAULTS_FOUND
+    published = _published_revision(out)
+    number = published + 1 if revision is None else revision
+    if number <= published:
+        print(f"revision {number} is not higher than {published} in {out}", file=sys.stderr)
+        return exitcodes.ExitCode.USAGE
+    built = revisions.build(number, items)
+    write(out, built)
+    print(f"revision {number}: {len(items)} objects in {len(built.part_by_digest)} parts")
+    return exitcodes.ExitCode.OK
+
+
+@app.command
+def status(address: Address) -> int:
+    """Show the state of an instance."""
+    return _show(address, "/status")
+
+
+@app.command
+def audit(address: Address) -> int:
+    """Show the trail of changes of an instance."""
+    return _show(address, "/audit")
+
+
+@keys.command(name="digest")
+def digest_key() -> int:
+    """Read a key from standard input and print the digest for the configuration."""
+    secret = sys.stdin.readline().strip()
+    if authentication.BEARER.match(f"Bearer {secret}") is None:
+        print("a key has 8 to 512 printable ASCII characters without blanks", file=sys.stderr)
+        return exitcodes.ExitCode.USAGE
+    print(authentication.digest(secret))
+    return exitcodes.ExitCode.OK
+
+
+@app.command(name="replay")
+def replay_trace(
+    trace_file: Annotated[pathlib.Path, cyclopts.Parameter(help="Trace that a daemon recorded.")],
+) -> int:
+    """Replay a recorded trace through the decision core and compare the outcomes."""
+    result = replay.run(trace_file)
+    if result.is_error():
+        print(result.error, file=sys.stderr)
+        return exitcodes.ExitCode.OUTCOME_DIFFERS
+    print(f"{trace_file}: {result.ok} steps, every outcome as recorded")
+    return exitcodes.ExitCode.OK
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(app())
+
+
+def _read_set(directory: pathlib.Path) -> list[objects.AnyObject] | None:
+    read = documents.read_objects(directory)
+    if read.is_error():
+        _report(read.error)
+        return None
+    checked = catalog.build(read.ok)
+    if checked.is_error():
+        _report(checked.error)
+        return None
+    return [each.item for each in read.ok]
+
+
+def _report(faults: tuple[catalog.Fault, ...]) -> None:
+    for fault in faults:
+        print(fault, file=sys.stderr)
+
+
+def _published_revision(out: pathlib.Path) -> int:
+    path = out / MANIFEST_NAME
+    if not path.exists():
+        return 0
+    parsed = revisions.parse_manifest(path.read_bytes())
+    return parsed.ok.revision if parsed.is_ok() else 0
+
+
+def write(out: pathlib.Path, built: revisions.Revision) -> None:
+    """Write the parts first and the manifest last, in one step."""
+    parts = out / PARTS_NAME
+    parts.mkdir(parents=True, exist_ok=True)
+    for digest, content in built.part_by_digest.items():
+        (parts / digest).write_bytes(content)
+    draft = out / f"{MANIFEST_NAME}.new"
+    draft.write_bytes(built.manifest_bytes)
+    draft.replace(out / MANIFEST_NAME)
+
+
+def _show(address: str, path: str) -> int:
+    host, _, port = address.rpartition(":")
+    try:
+        connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+        connection.request("GET", path)
+        document: Any = json.loads(connection.getresponse().read())
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        print(f"{address}: {error!r}", file=sys.stderr)
+        return exitcodes.ExitCode.UNREACHABLE
+    print(json.dumps(document, indent=2))
+    return exitcodes.ExitCode.OK
--- /dev/null
+++ b/src/carawaydoor/core.py
@@ -0,0 +1,96 @@
+"""The task that owns the decision core of this instance."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from concurrent import futures
+from typing import Final
+
+from carawaydoor import clock as clocks
+from carawaydoor import events, messages, node, task, trace
+
+Perform = Callable[[events.Send | events.Run], None]
+Respond = Callable[[messages.Message], None]
+
+
+class Core(task.Task[tuple[events.Event, Respond | None]]):
+    """Applies events one after the other and carries out their effects."""
+
+    def __init__(self, state: node.Node, clock: clocks.Clock, recorder: trace.Recorder) -> None:
+        super().__init__("core")
+        self._state = state
+        self._clock = clock
+        self._recorder = recorder
+        self._perform: Perform = _ignore
+        self._numbers = itertools.count(1)
+        self._respond_by_number: dict[int, Respond] = {}
+
+    @property
+    def state(self) -> node.Node:
+        """The newest state; it is immutable and may be read from any thread."""
+        return self._state
+
+    def connect(self, perform: Perform) -> None:
+        """Set what carries out the effects that leave this instance."""
+        self._perform = perform
+
+    def tell(self, event: events.Event) -> None:
+        """Apply an event that needs no answer."""
+        self.post((event, None))
+
+    def receive(self, message: messages.Message, respond: Respond) -> None:
+        """Apply a message; its answer goes to ``respond`` in the thread of this task."""
+        self.post((events.Received(message), respond))
+
+    def ask(self, message: messages.Message) -> futures.Future[messages.Message]:
+        """Apply a message of this instance and return its answer to come."""
+        answer: futures.Future[messages.Message] = futures.Future()
+
+        def respond(result: messages.Message) -> None:
+            if answer.set_running_or_notify_cancel():
+                answer.set_result(result)
+
+        self.receive(message, respond)
+        return answer
+
+    def handle(self, message: tuple[events.Event, Respond | None]) -> None:
+        """Apply one event."""
+        event, respond = message
+        if isinstance(event, events.Received) and respond is not None:
+            number = next(self._numbers)
+            self._respond_by_number[number] = respond
+            event = events.Received(event.message, number)
+        now_s, wall_s = self._clock.now_s(), self._clock.wall_s()
+        self._state, effects = node.step(self._state, now_s, wall_s, event)
+        self._recorder.record(now_s, wall_s, event, effects)
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: events.Effect) -> None:
+        match effect:
+            case events.Reply():
+                respond = self._respond_by_number.pop(effect.reply_to, None)
+                if respond is not None:
+                    respond(effect.message)
+            case events.Send() | events.Run():
+                self._perform(effect)
+
+
+def _ignore(effect: events.Send | events.Run) -> None:
+    """Carry out nothing; stands in until the task is connected."""
+
+
+MAX_TICK_S: Final = 0.25
+
+
+class Ticker(task.Periodic):
+    """Tells the core that time passes."""
+
+    def __init__(self, core: Core, interval_s: float) -> None:
+        super().__init__("ticker", min(interval_s, MAX_TICK_S))
+        self._core = core
+
+    def act(self) -> None:
+        """Send one tick."""
+        self._core.tell(events.Ticked())
--- /dev/null
+++ b/src/carawaydoor/filters.py
@@ -0,0 +1,29 @@
+"""The base of the filters that a request passes in turn."""
+
+from __future__ import annotations
+
+import abc
+
+import expression
+
+from carawaydoor import errors
+from carawaydoor import exchange as exchanges
+
+Passed = expression.Result[exchanges.Exchange, errors.Refusal]
+Served = expression.Result[exchanges.Response, errors.Refusal]
+
+
+class Filter(abc.ABC):
+    """One stage of the way of a request."""
+
+    @abc.abstractmethod
+    def apply(self, exchange: exchanges.Exchange) -> Passed:
+        """Return the request for the next stage, or why it is refused."""
+
+
+class Server(abc.ABC):
+    """The last stage: it answers the request."""
+
+    @abc.abstractmethod
+    def serve(self, exchange: exchanges.Exchange) -> Served:
+        """Return the answer, or why the request is refused."""
--- /dev/null
+++ b/src/carawaydoor/front.py
@@ -0,0 +1,184 @@
+"""The WSGI application that callers reach."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import uuid
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Final
+
+import eliot
+import expression
+
+from carawaydoor import (
+    admission,
+    authentication,
+    concurrency,
+    errors,
+    filters,
+    modelserving,
+    plainserving,
+    problem,
+    reading,
+    routing,
+    suspension,
+)
+from carawaydoor import exchange as exchanges
+from carawaydoor import gateway as gateways
+from carawaydoor import supervisor as supervisors
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+DEFAULT_DEADLINE_S: Final = 60.0
+
+
+class Body:
+    """The body of a response; frees what the request holds once it is sent or given up."""
+
+    def __init__(self, chunks: Iterator[bytes], finish: Callable[[], None]) -> None:
+        self._chunks = chunks
+        self._finish = finish
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._chunks
+
+    def close(self) -> None:
+        """Free what the request holds."""
+        try:
+            close = getattr(self._chunks, "close", None)
+            if close is not None:
+                close()
+        finally:
+            self._finish()
+
+
+class Front:
+    """Leads each request through the filters and on to the server that answers it."""
+
+    def __init__(self, gateway: gateways.Gateway, supervisor: supervisors.Supervisor) -> None:
+        self._gateway = gateway
+        self._supervisor = supervisor
+        self._filters: tuple[filters.Filter, ...] = (
+            routing.MatchRoute(gateway),
+            authentication.Authenticate(gateway),
+            reading.ReadCompletion(gateway),
+            suspension.CheckStrikes(gateway),
+            concurrency.LimitModelRequests(gateway),
+            admission.Admit(gateway),
+        )
+        self._serve_model = modelserving.ServeModel(gateway)
+        self._serve_plain = plainserving.ServePlain(gateway)
+        self._serve_once = plainserving.ServeOnce(gateway)
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        exchange = self._exchange(environ)
+        self._supervisor.watch(exchange)
+        refusal: errors.Refusal | None = None
+        try:
+            result = self._lead(exchange, _total_header_bytes(environ))
+            if result.is_error():
+                refusal = result.error
+        except Exception:
+            eliot.write_traceback()
+            refusal = errors.Refusal(
+                errors.Kind.INTERNAL, "an internal error occurred", errors.Ran.UNKNOWN
+            )
+        if refusal is not None:
+            response = problem.response(refusal, exchange.id)
+            self._gateway.metrics.refusals.add(1, {"kind": refusal.kind.value})
+        else:
+            response = result.ok
+        headers = [*response.headers, *self._extra_headers(exchange)]
+        start_response(_status_line(response.status), headers)
+        return Body(response.chunks, lambda: self._finish(exchange, response.status))
+
+    def _lead(self, exchange: exchanges.Exchange, header_bytes: int) -> filters.Served:
+        early = self._refuse_early(exchange, header_bytes)
+        if early is not None:
+            return expression.Error(early)
+        for each in self._filters:
+            passed = each.apply(exchange)
+            if passed.is_error():
+                return expression.Error(passed.error)
+        return self._server(exchange).serve(exchange)
+
+    def _refuse_early(
+        self, exchange: exchanges.Exchange, header_bytes: int
+    ) -> errors.Refusal | None:
+        options = self._gateway.options
+        if self._gateway.draining:
+            return errors.Refusal(
+                errors.Kind.INSTANCE_LEAVING, "this instance is leaving", retry_after_s=1.0
+            )
+        if header_bytes > options.max_header_bytes:
+            return errors.Refusal(
+                errors.Kind.HEADERS_TOO_LARGE, f"headers exceed {options.max_header_bytes} bytes"
+            )
+        if len(exchange.inbound.body) > options.max_body_bytes:
+            return errors.Refusal(
+                errors.Kind.BODY_TOO_LARGE, f"the body exceeds {options.max_body_bytes} bytes"
+            )
+        return None
+
+    def _server(self, exchange: exchanges.Exchange) -> filters.Server:
+        route = exchange.route
+        if route is not None and route.pool is not None:
+            return self._serve_model
+        if route is not None and route.idempotent:
+            return self._serve_plain
+        return self._serve_once
+
+    def _exchange(self, environ: Environ) -> exchanges.Exchange:
+        now_s = self._gateway.clock.now_s()
+        return exchanges.Exchange(
+            uuid.uuid4().hex,
+            _inbound(environ, self._gateway.options.max_body_bytes),
+            now_s,
+            now_s + DEFAULT_DEADLINE_S,
+            exchanges.Cancel(),
+            contextlib.ExitStack(),
+        )
+
+    def _extra_headers(self, exchange: exchanges.Exchange) -> list[tuple[str, str]]:
+        headers = [(REQUEST_ID_HEADER, exchange.id)]
+        route, workspace = exchange.route, exchange.workspace
+        if route is not None and route.service is not None and workspace is not None:
+            fresh = self._gateway.issue_key(workspace.name)
+            headers.append((plainserving.NEXT_KEY_HEADER, fresh))
+        return headers
+
+    def _finish(self, exchange: exchanges.Exchange, status: int) -> None:
+        exchange.cleanup.close()
+        self._supervisor.forget(exchange)
+        route = exchange.route.name if exchange.route else ""
+        self._gateway.metrics.requests.add(1, {"route": route, "status": str(status)})
+
+
+def _inbound(environ: Environ, max_body_bytes: int) -> exchanges.Inbound:
+    body = environ["wsgi.input"].read(max_body_bytes + 1)
+    return exchanges.Inbound(
+        environ["REQUEST_METHOD"],
+        environ.get("PATH_INFO", "/"),
+        environ.get("QUERY_STRING", ""),
+        environ.get("HTTP_AUTHORIZATION"),
+        environ.get("HTTP_IDEMPOTENCY_KEY"),
+        environ.get("CONTENT_TYPE", ""),
+        body,
+        environ.get("waitress.client_disconnected", lambda: False),
+    )
+
+
+def _total_header_bytes(environ: Environ) -> int:
+    return sum(
+        len(key) + len(value)
+        for key, value in environ.items()
+        if key.startswith("HTTP_") and isinstance(value, str)
+    )
+
+
+def _status_line(status: int) -> str:
+    return f"{status} {http.client.responses.get(status, 'Unassigned')}"
--- /dev/null
+++ b/src/carawaydoor/gateway.py
@@ -0,0 +1,106 @@
+"""What all filters of one instance share."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import random
+import threading
+
+from carawaydoor import catalog, errors, idempotency, messages, metrics, node, retries, settings
+from carawaydoor import clock as clocks
+from carawaydoor import configuration as configurations
+from carawaydoor import core as cores
+from carawaydoor import membership as memberships
+from carawaydoor import peers as peer_links
+from carawaydoor import view as views
+
+ASK_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Gateway:
+    """The shared parts of one instance.
+
+    :ivar configuration: the configuration in force; replaced as a whole
+    :ivar configuration_as_of_s: when the platform or a peer last confirmed it, in seconds
+    """
+
+    options: settings.Options
+    clock: clocks.Clock
+    core: cores.Core
+    peers: peer_links.Peers
+    metrics: metrics.Metrics
+    configuration: configurations.Configuration = configurations.EMPTY
+    configuration_as_of_s: float = 0.0
+    draining: bool = False
+    random: random.Random = dataclasses.field(default_factory=random.Random)
+    retry_budget: retries.RetryBudget = dataclasses.field(default_factory=retries.RetryBudget)
+    lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+    issued_keys: int = 0
+
+    @property
+    def catalog(self) -> catalog.Catalog:
+        """The configuration objects in force."""
+        return self.configuration.catalog
+
+    @property
+    def membership(self) -> memberships.Membership:
+        """The newest view of the other instances."""
+        return self.core.state.membership
+
+    def homes(self, resource: str, failure_domain: str) -> tuple[str, ...]:
+        """Return the instances that may act as home of a resource, best first."""
+        return memberships.reachable_candidates(
+            self.membership, self.clock.now_s(), resource, failure_domain
+        )
+
+    def ask(
+        self, instance: str, message: messages.Message, timeout_s: float = ASK_TIMEOUT_S
+    ) -> messages.Message:
+        """Send a message to an instance and return its answer.
+
+        :raises PeerError: where no answer came within ``timeout_s`` seconds
+        """
+        answer = self.peers.ask(instance, message)
+        try:
+            return answer.result(timeout_s)
+        except concurrent.futures.TimeoutError as error:
+            answer.cancel()
+            raise errors.PeerUnreachableError(f"{instance} did not answer") from error
+
+    def may_retry(self) -> bool:
+        """Take a retry from the budget of this instance; return whether there was one."""
+        with self.lock:
+            self.retry_budget, allowed = retries.take(self.retry_budget)
+        self.metrics.retries.add(1, {"allowed": str(allowed).lower()})
+        return allowed
+
+    def record_attempt(self) -> None:
+        """Count a first attempt, which earns a part of a retry."""
+        with self.lock:
+            self.retry_budget = retries.record_attempt(self.retry_budget)
+
+    def issue_key(self, workspace: str) -> str:
+        """Return a fresh idempotency key that only this incarnation may run."""
+        with self.lock:
+            self.issued_keys += 1
+            sequence = self.issued_keys
+        nonce = idempotency.nonce(self.clock.now_s(), sequence)
+        incarnation = self.membership.incarnation
+        secret = self.core.state.secret
+        return idempotency.issue(self.options.instance, incarnation, nonce, workspace, secret)
+
+    def upstreams(self, group: str, role: views.Role) -> list[views.Upstream]:
+        """Return the upstreams of a group that take new work, those nearby first."""
+        every = [
+            each
+            for each in self.membership.view.upstream_by_id.values()
+            if each.group == group and each.role is role and each.presence is views.Presence.LIVE
+        ]
+        self.random.shuffle(every)
+        return sorted(every, key=lambda each: each.failure_domain != self.options.failure_domain)
+
+    def state(self) -> node.Node:
+        """Return the newest state of the decision core."""
+        return self.core.state
--- /dev/null
+++ b/src/carawaydoor/membership.py
@@ -0,0 +1,272 @@
+"""Which instance may act as the home of a resource, decided without shared state.
+
+The instances of a failure domain are ranked for each resource by rendezvous hashing. An instance
+acts as home only while every better-ranked instance is proved stopped and its own lease is
+fresh, and only after every earlier holder has surely stopped:
+
+- the lease is fresh while the platform confirmed the view within ``lease_s``, or while every
+  other instance of the domain was heard within ``lease_s`` without a newer view;
+- an instance is proved stopped while its address refused a connection within ``lease_s``;
+- after a change of holder the new home waits ``takeover_s``, unless the earlier holder is proved
+  stopped or has confirmed the newer view.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from carawaydoor import messages, rendezvous
+from carawaydoor import view as views
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Durations of the membership rules.
+
+    :ivar lease_s: how long a confirmation or a refused connection counts
+    :ivar takeover_s: how long a new home waits; longer than ``lease_s``
+    """
+
+    lease_s: float = 1.5
+    takeover_s: float = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contact:
+    """What is known of another instance; times are those of the question, not of the answer.
+
+    :ivar heard_s: time of the newest exchange, None before the first
+    :ivar refused_s: time of the newest refused connection, None after it was heard again
+    """
+
+    heard_s: float | None = None
+    refused_s: float | None = None
+    incarnation: str = ""
+    view_revision: int = 0
+    config_revision: int = 0
+    leaving: bool = False
+    loads: tuple[messages.PoolLoad, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """State of the membership rules at one instance.
+
+    :ivar held_by_resource: when this instance became the first candidate for a resource
+    :ivar confirmed_s: as of when the view is known to be the newest
+    """
+
+    instance: str
+    incarnation: str
+    failure_domain: str
+    timing: Timing
+    started_s: float
+    view: views.View
+    confirmed_s: float | None
+    contact_by_instance: Mapping[str, Contact]
+    previous_views: tuple[tuple[float, views.View], ...] = ()
+    leaving: bool = False
+
+
+def create(
+    instance: str, incarnation: str, failure_domain: str, timing: Timing, now_s: float
+) -> Membership:
+    """Return the state of an instance that has just started."""
+    return Membership(instance, incarnation, failure_domain, timing, now_s, views.EMPTY, None, {})
+
+
+def adopt(state: Membership, now_s: float, view: views.View) -> Membership:
+    """Return the state under a newer view; an older one changes nothing."""
+    if view.revision <= state.view.revision:
+        return state
+    horizon_s = now_s - state.timing.takeover_s
+    recent = [(until_s, each) for until_s, each in state.previous_views if until_s > horizon_s]
+    contacts = {
+        key: contact
+        for key, contact in state.contact_by_instance.items()
+        if key in view.instance_by_id or key in state.view.instance_by_id
+    }
+    return dataclasses.replace(
+        state,
+        view=view,
+        previous_views=(*recent, (now_s, state.view)),
+        contact_by_instance=contacts,
+    )
+
+
+def confirm(state: Membership, asked_s: float) -> Membership:
+    """Note that the platform, asked at a time, named the view in hand as the newest."""
+    if state.confirmed_s is not None and asked_s <= state.confirmed_s:
+        return state
+    return dataclasses.replace(state, confirmed_s=asked_s)
+
+
+def hear(state: Membership, asked_s: float, heartbeat: messages.Heartbeat) -> Membership:
+    """Note an exchange with another instance.
+
+    :param asked_s: when the exchange began, which is no later than the peer's answer
+    """
+    contact = Contact(
+        asked_s,
+        None,
+        heartbeat.incarnation,
+        heartbeat.view_revision,
+        heartbeat.config_revision,
+        heartbeat.leaving,
+        heartbeat.loads,
+    )
+    after = _with_contact(state, heartbeat.instance, contact)
+    same_view = heartbeat.view_revision == state.view.revision
+    if same_view and heartbeat.platform_age_s >= 0.0:
+        return confirm(after, asked_s - heartbeat.platform_age_s)
+    return after
+
+
+def be_told(state: Membership, heartbeat: messages.Heartbeat) -> Membership:
+    """Note what a heartbeat says for good, whenever it was sent: leaving, and a newer view."""
+    contact = state.contact_by_instance.get(heartbeat.instance)
+    if contact is None or contact.incarnation != heartbeat.incarnation:
+        return state
+    told = dataclasses.replace(
+        contact,
+        leaving=contact.leaving or heartbeat.leaving,
+        view_revision=max(contact.view_revision, heartbeat.view_revision),
+    )
+    return _with_contact(state, heartbeat.instance, told)
+
+
+def refuse(state: Membership, instance: str, asked_s: float) -> Membership:
+    """Note that the address of an instance refused a connection."""
+    contact = state.contact_by_instance.get(instance, Contact())
+    if contact.heard_s is not None and contact.heard_s > asked_s:
+        return state
+    return _with_contact(state, instance, dataclasses.replace(contact, refused_s=asked_s))
+
+
+def leave(state: Membership) -> Membership:
+    """Return the state of an instance that no longer acts as home of anything."""
+    return dataclasses.replace(state, leaving=True)
+
+
+def platform_age_s(state: Membership, now_s: float) -> float:
+    """Return the age of the newest confirmation in seconds, negative where there is none."""
+    if state.confirmed_s is None:
+        return -1.0
+    return max(0.0, now_s - state.confirmed_s)
+
+
+def candidates(state: Membership, resource: str, failure_domain: str) -> tuple[str, ...]:
+    """Return the instances of a domain that may hold a resource, best first."""
+    members = (
+        each.id
+        for each in state.view.instance_by_id.values()
+        if each.failure_domain == failure_domain and each.presence is views.Presence.LIVE
+    )
+    return rendezvous.rank(resource, members)
+
+
+def reachable_candidates(
+    state: Membership, now_s: float, resource: str, failure_domain: str
+) -> tuple[str, ...]:
+    """Return the candidates less those known to be stopped or leaving, best first."""
+    return tuple(
+        each
+        for each in candidates(state, resource, failure_domain)
+        if not is_stopped(state, now_s, each) and not _is_leaving(state, each)
+    )
+
+
+def is_stopped(state: Membership, now_s: float, instance: str) -> bool:
+    """Return whether an instance is proved stopped by a recently refused connection."""
+    contact = state.contact_by_instance.get(instance)
+    if contact is None or contact.refused_s is None:
+        return False
+    return now_s - contact.refused_s <= state.timing.lease_s
+
+
+def has_lease(state: Membership, now_s: float) -> bool:
+    """Return whether this instance may still act under its view."""
+    if state.leaving or state.instance not in state.view.instance_by_id:
+        return False
+    if state.confirmed_s is not None and now_s - state.confirmed_s <= state.timing.lease_s:
+        return True
+    others = [each for each in _domain_members(state) if each != state.instance]
+    return bool(others) and all(_vouches(state, now_s, each) for each in others)
+
+
+def acts_as_home(state: Membership, now_s: float, resource: str) -> messages.NotHomeReason | None:
+    """Return None where this instance may act as home of a resource, else why it may not."""
+    ranked = candidates(state, resource, state.failure_domain)
+    for better in ranked:
+        if better == state.instance:
+            break
+        if not _has_yielded(state, now_s, better):
+            return messages.NotHomeReason.OTHER_HOME
+    else:
+        return messages.NotHomeReason.OTHER_HOME
+    if not has_lease(state, now_s):
+        return messages.NotHomeReason.LEASE_LAPSED
+    if _takeover_pending(state, now_s, resource):
+        return messages.NotHomeReason.TAKEOVER_PENDING
+    return None
+
+
+def _takeover_pending(state: Membership, now_s: float, resource: str) -> bool:
+    if now_s - state.started_s <= state.timing.takeover_s:
+        return True
+    horizon_s = now_s - state.timing.takeover_s
+    for until_s, view in state.previous_views:
+        if until_s <= horizon_s:
+            continue
+        earlier = candidates(dataclasses.replace(state, view=view), resource, state.failure_domain)
+        for holder in earlier:
+            if holder == state.instance:
+                break
+            if not _has_moved_on(state, now_s, holder):
+                return True
+        else:
+            return True
+    return False
+
+
+def _has_moved_on(state: Membership, now_s: float, holder: str) -> bool:
+    if is_stopped(state, now_s, holder):
+        return True
+    contact = state.contact_by_instance.get(holder)
+    return contact is not None and contact.view_revision >= state.view.revision
+
+
+def _has_yielded(state: Membership, now_s: float, instance: str) -> bool:
+    return is_stopped(state, now_s, instance) or _is_leaving(state, instance)
+
+
+def _is_leaving(state: Membership, instance: str) -> bool:
+    if instance == state.instance:
+        return state.leaving
+    contact = state.contact_by_instance.get(instance)
+    return contact is not None and contact.leaving
+
+
+def _vouches(state: Membership, now_s: float, instance: str) -> bool:
+    if is_stopped(state, now_s, instance):
+        return True
+    contact = state.contact_by_instance.get(instance)
+    if contact is None or contact.heard_s is None:
+        return False
+    fresh = now_s - contact.heard_s <= state.timing.lease_s
+    return fresh and contact.view_revision <= state.view.revision
+
+
+def _domain_members(state: Membership) -> list[str]:
+    return [
+        each.id
+        for each in state.view.instance_by_id.values()
+        if each.failure_domain == state.failure_domain
+    ]
+
+
+def _with_contact(state: Membership, instance: str, contact: Contact) -> Membership:
+    return dataclasses.replace(
+        state, contact_by_instance={**state.contact_by_instance, instance: contact}
+    )
--- /dev/null
+++ b/src/carawaydoor/metrics.py
@@ -0,0 +1,76 @@
+"""Counters and histograms of an instance, by OpenTelemetry."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import prometheus_client
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+from opentelemetry.sdk import resources
+from opentelemetry.sdk.metrics import view as metric_views
+
+LATENCY_BOUNDS_S: Final = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.077,
+    0.1,
+    0.2,
+    0.5,
+    1.1,
+    2.0,
+    5.0,
+    20.0,
+)
+
+
+class Metrics:
+    """The instruments of one instance."""
+
+    def __init__(self, instance: str) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(registry=self._registry)
+        aggregation = metric_views.ExplicitBucketHistogramAggregation(LATENCY_BOUNDS_S)
+        provider = sdk_metrics.MeterProvider(
+            metric_readers=[reader],
+            resource=resources.Resource.create({"service.instance.id": instance}),
+            views=[metric_views.View(instrument_name="*_seconds", aggregation=aggregation)],
+        )
+        meter = provider.get_meter("carawaydoor")
+        self.requests: Final = meter.create_counter(
+            "carawaydoor_requests", description="Requests that ended, by route and outcome."
+        )
+        self.refusals: Final = meter.create_counter(
+            "carawaydoor_refusals", description="Refusals, by kind."
+        )
+        self.tokens: Final = meter.create_counter(
+            "carawaydoor_tokens", description="Tokens used, by workspace."
+        )
+        self.prefills: Final = meter.create_counter(
+            "carawaydoor_prefills", description="Prefills, by whether a decode used the result."
+        )
+        self.upstream_failures: Final = meter.create_counter(
+            "carawaydoor_upstream_failures", description="Failed calls, by upstream and error."
+        )
+        self.retries: Final = meter.create_counter(
+            "carawaydoor_retries", description="Second attempts, by outcome of the retry budget."
+        )
+        self.configuration: Final = meter.create_counter(
+            "carawaydoor_configuration_offers", description="Offered manifests, by outcome."
+        )
+        self.first_token_seconds: Final = meter.create_histogram(
+            "carawaydoor_first_token_seconds", unit="s", description="Time to the first token."
+        )
+        self.token_gap_seconds: Final = meter.create_histogram(
+            "carawaydoor_token_gap_seconds", unit="s", description="Time between two tokens."
+        )
+        self.plain_seconds: Final = meter.create_histogram(
+            "carawaydoor_plain_seconds", unit="s", description="Time of a call to a plain service."
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format that a scraper reads."""
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/src/carawaydoor/modelserving.py
@@ -0,0 +1,273 @@
+"""Serves completions: place, prefill, transfer, decode, relay."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import itertools
+import json
+from collections.abc import Iterator
+from typing import Final
+
+import expression
+
+from carawaydoor import engine, errors, filters, placement, problem, suspension, upstream
+from carawaydoor import exchange as exchanges
+from carawaydoor import gateway as gateways
+
+MAX_ATTEMPTS: Final = 2
+IDLE_TIMEOUT_S: Final = 15.0
+STREAM_HEADERS: Final = (("Content-Type", "text/event-stream"), ("Cache-Control", "no-store"))
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt to run a request at a place.
+
+    :ivar resources: frees what the attempt holds
+    :ivar failed: upstream that is at work, to be blamed where the attempt fails
+    :ivar has_failed: whether that upstream is to be avoided for a time
+    """
+
+    number: int
+    place: placement.Place
+    resources: contextlib.ExitStack
+    failed: str = ""
+    has_failed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """An attempt whose first chunk has arrived."""
+
+    attempt: Attempt
+    chunks: Iterator[engine.Chunk]
+
+
+Beginning = expression.Result[Begun, errors.Refusal]
+
+
+class ServeModel(filters.Server):
+    """Runs a completion, once more on other upstreams where the first attempt failed early."""
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        self._gateway = gateway
+        self._placement = placement.Placement(gateway)
+
+    def serve(self, exchange: exchanges.Exchange) -> filters.Served:
+        """Return the answer of the engines, streamed or whole."""
+        self._gateway.record_attempt()
+        if exchange.completion is not None and exchange.completion.stream:
+            return self._serve_stream(exchange)
+        return self._serve_whole(exchange)
+
+    def _serve_stream(self, exchange: exchanges.Exchange) -> filters.Served:
+        excluded: tuple[str, ...] = ()
+        for number in range(MAX_ATTEMPTS):
+            result = self._begin(exchange, number, excluded)
+            if result.is_ok():
+                chunks = self._relay(exchange, result.ok)
+                return expression.Ok(exchanges.Response(200, STREAM_HEADERS, chunks))
+            failed, refusal = result.error
+            if not self._may_try_again(exchange, number, failed):
+                return expression.Error(refusal)
+            excluded = (*excluded, failed)
+        return expression.Error(_upstream_failed())
+
+    def _serve_whole(self, exchange: exchanges.Exchange) -> filters.Served:
+        excluded: tuple[str, ...] = ()
+        for number in range(MAX_ATTEMPTS):
+            result = self._begin(exchange, number, excluded)
+            if result.is_ok():
+                collected = self._collect(exchange, result.ok)
+                if collected.is_ok():
+                    return expression.Ok(_whole(exchange, collected.ok))
+                failed, refusal = collected.error
+            else:
+                failed, refusal = result.error
+            if not self._may_try_again(exchange, number, failed):
+                return expression.Error(refusal)
+            excluded = (*excluded, failed)
+        return expression.Error(_upstream_failed())
+
+    def _may_try_again(self, exchange: exchanges.Exchange, number: int, failed: str) -> bool:
+        if not failed or number + 1 >= MAX_ATTEMPTS or exchange.cancel.reason is not None:
+            return False
+        if suspension.suspended(self._gateway, exchange) is not None:
+            return False
+        return self._gateway.may_retry()
+
+    def _begin(
+        self, exchange: exchanges.Exchange, number: int, excluded: tuple[str, ...]
+    ) -> expression.Result[Begun, tuple[str, errors.Refusal]]:
+        """Run an attempt up to its first chunk."""
+        placed = self._placement.place(exchange, number, excluded)
+        if placed.is_error():
+            return expression.Error(("", placed.error))
+        attempt = Attempt(number, placed.ok, contextlib.ExitStack())
+        attempt.resources.callback(self._release, attempt)
+        try:
+            chunks = self._run(exchange, attempt)
+            first = next(chunks, None)
+        except errors.UpstreamError as error:
+            refusal = self._fail(exchange, attempt, error)
+            return expression.Error((attempt.failed, refusal))
+        except BaseException:
+            attempt.resources.close()
+            raise
+        self._placement.finish_prefill(attempt.place)
+        known = () if first is None else (first,)
+        return expression.Ok(Begun(attempt, itertools.chain(known, chunks)))
+
+    def _run(self, exchange: exchanges.Exchange, attempt: Attempt) -> Iterator[engine.Chunk]:
+        completion, cost = exchange.completion, exchange.cost
+        if completion is None or cost is None:
+            raise errors.UpstreamAnswerError("the request carries no completion")
+        request_id = f"{exchange.id}-{attempt.number}"
+        attempt.failed = attempt.place.prefill.id
+        prefill_call = upstream.Call(attempt.place.prefill, _timeout_s(exchange, self._gateway))
+        with exchange.cancel.covers(prefill_call):
+            params = engine.prefill(prefill_call, request_id, completion)
+        exchange.tokens_used = cost.prompt_tokens
+        attempt.failed = attempt.place.decode.id
+        decode_call = upstream.Call(attempt.place.decode, _timeout_s(exchange, self._gateway))
+        attempt.resources.enter_context(exchange.cancel.covers(decode_call))
+        fetched = False
+        try:
+            chunks = engine.decode(decode_call, request_id, completion, cost.output_tokens, params)
+            first = next(chunks, None)
+            fetched = True
+        finally:
+            used = "yes" if fetched else "no"
+            self._gateway.metrics.prefills.add(1, {"used": used})
+            if not fetched:
+                self._free_cache(attempt, request_id, params)
+        known = () if first is None else (first,)
+        return itertools.chain(known, chunks)
+
+    def _free_cache(self, attempt: Attempt, request_id: str, params: engine.TransferParams) -> None:
+        with contextlib.suppress(errors.UpstreamError):
+            engine.release(attempt.place.prefill, request_id, params)
+
+    def _relay(self, exchange: exchanges.Exchange, begun: Begun) -> Iterator[bytes]:
+        """Yield an answer chunk by chunk; a failure ends it with an event that says so."""
+        try:
+            with begun.attempt.resources:
+                for chunk in self._timed(exchange, begun.chunks):
+                    yield engine.DATA + chunk.raw + b"\n\n"
+            yield engine.DATA + engine.DONE + b"\n\n"
+        except errors.UpstreamError as error:
+            refusal = self._fail(exchange, begun.attempt, error)
+            self._gateway.metrics.refusals.add(1, {"kind": refusal.kind.value})
+            yield problem.event(refusal, exchange.id)
+
+    def _collect(
+        self, exchange: exchanges.Exchange, begun: Begun
+    ) -> expression.Result[list[engine.Chunk], tuple[str, errors.Refusal]]:
+        try:
+            with begun.attempt.resources:
+                return expression.Ok(list(self._timed(exchange, begun.chunks)))
+        except errors.UpstreamError as error:
+            refusal = self._fail(exchange, begun.attempt, error)
+            return expression.Error((begun.attempt.failed, refusal))
+
+    def _timed(
+        self, exchange: exchanges.Exchange, chunks: Iterator[engine.Chunk]
+    ) -> Iterator[engine.Chunk]:
+        """Pass chunks on, measuring their times and counting their tokens."""
+        instruments = self._gateway.metrics
+        labels = {"workspace": exchange.workspace_name}
+        last_s: float | None = None
+        for chunk in chunks:
+            now_s = self._gateway.clock.now_s()
+            if chunk.text:
+                exchange.tokens_used += 1
+                if last_s is None:
+                    instruments.first_token_seconds.record(now_s - exchange.received_s, labels)
+                else:
+                    instruments.token_gap_seconds.record(now_s - last_s, labels)
+                last_s = now_s
+            if chunk.usage is not None:
+                exchange.tokens_used = chunk.usage.prompt_tokens + chunk.usage.completion_tokens
+            yield chunk
+
+    def _fail(
+        self, exchange: exchanges.Exchange, attempt: Attempt, error: errors.UpstreamError
+    ) -> errors.Refusal:
+        """Free an attempt that failed and return the refusal that tells why."""
+        if exchange.cancel.reason is not None:
+            attempt.failed = ""
+            attempt.resources.close()
+            return exchanges.refusal_of(exchange.cancel.reason, errors.Ran.UNKNOWN)
+        attempt.has_failed = isinstance(
+            error, errors.UpstreamBrokenError | errors.UpstreamUnreachableError
+        )
+        if isinstance(error, errors.UpstreamBrokenError):
+            suspension.strike(self._gateway, exchange, attempt.number)
+        attempt.resources.close()
+        labels = {"upstream": attempt.failed, "error": type(error).__name__}
+        self._gateway.metrics.upstream_failures.add(1, labels)
+        return _refusal(error)
+
+    def _release(self, attempt: Attempt) -> None:
+        self._placement.release(attempt.place, attempt.failed if attempt.has_failed else "")
+
+
+def _timeout_s(exchange: exchanges.Exchange, gateway: gateways.Gateway) -> float:
+    return max(0.05, min(IDLE_TIMEOUT_S, exchange.deadline_s - gateway.clock.now_s()))
+
+
+def _refusal(error: errors.UpstreamError) -> errors.Refusal:
+    match error:
+        case errors.UpstreamUnreachableError():
+            return errors.Refusal(
+                errors.Kind.UPSTREAM_UNREACHABLE,
+                "no connection to the upstream",
+                errors.Ran.UNKNOWN,
+                1.0,
+            )
+        case errors.UpstreamAnswerError():
+            return errors.Refusal(
+                errors.Kind.UPSTREAM_ANSWER_INVALID, str(error), errors.Ran.UNKNOWN, 1.0
+            )
+        case errors.UpstreamTimeoutError():
+            return errors.Refusal(
+                errors.Kind.DEADLINE_EXCEEDED,
+                "the upstream did not answer in time",
+                errors.Ran.UNKNOWN,
+                1.0,
+            )
+        case _:
+            return _upstream_failed()
+
+
+def _upstream_failed() -> errors.Refusal:
+    return errors.Refusal(
+        errors.Kind.UPSTREAM_FAILED,
+        "the upstream failed while it ran the request",
+        errors.Ran.UNKNOWN,
+        1.0,
+    )
+
+
+def _whole(exchange: exchanges.Exchange, chunks: list[engine.Chunk]) -> exchanges.Response:
+    """Return the chunks of an answer as one document."""
+    text = "".join(each.text for each in chunks)
+    finish = next((each.finish_reason for each in chunks if each.finish_reason), None)
+    usage = next((each.usage for each in reversed(chunks) if each.usage), None)
+    chat = exchange.completion is not None and exchange.completion.chat
+    choice: dict[str, object] = {"index": 0, "finish_reason": finish}
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    document = {
+        "id": chunks[0].id if chunks else exchange.id,
+        "object": "chat.completion" if chat else "text_completion",
+        "model": exchange.completion.model if exchange.completion else "",
+        "choices": [choice],
+        "usage": usage.model_dump() if usage else None,
+    }
+    body = json.dumps(document).encode()
+    headers = (("Content-Type", "application/json"), ("Content-Length", str(len(body))))
+    return exchanges.Response(200, headers, iter([body]))
--- /dev/null
+++ b/src/carawaydoor/operator_app.py
@@ -0,0 +1,106 @@
+"""The WSGI application that operators and scrapers reach."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from carawaydoor import audit, node
+from carawaydoor import configuration as configurations
+from carawaydoor import gateway as gateways
+from carawaydoor import membership as memberships
+from carawaydoor import supervisor as supervisors
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class OperatorApp:
+    """Answers ``/live``, ``/ready``, ``/metrics``, ``/status`` and ``/audit``."""
+
+    def __init__(
+        self,
+        gateway: gateways.Gateway,
+        supervisor: supervisors.Supervisor,
+        trail: audit.Trail,
+    ) -> None:
+        self._gateway = gateway
+        self._supervisor = supervisor
+        self._trail = trail
+        self._page_by_path: dict[str, Callable[[], tuple[str, str, bytes]]] = {
+            "/live": self._live,
+            "/ready": self._ready,
+            "/metrics": self._metrics,
+            "/status": self._status,
+            "/audit": self._audit,
+        }
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        page = self._page_by_path.get(environ.get("PATH_INFO", ""))
+        if page is None:
+            status, content_type, body = "404 Not Found", "text/plain", b"no such page\n"
+        else:
+            status, content_type, body = page()
+        start_response(status, [("Content-Type", content_type), ("Content-Length", str(len(body)))])
+        return [body]
+
+    def is_ready(self) -> bool:
+        """Return whether this instance should get requests."""
+        gateway = self._gateway
+        if gateway.draining or gateway.membership.leaving:
+            return False
+        now_s = gateway.clock.now_s()
+        membership = gateway.membership
+        held_back = now_s - membership.started_s <= membership.timing.takeover_s
+        return gateway.configuration.current is not None and not held_back
+
+    def _live(self) -> tuple[str, str, bytes]:
+        return "200 OK", "text/plain", b"live\n"
+
+    def _ready(self) -> tuple[str, str, bytes]:
+        if self.is_ready():
+            return "200 OK", "text/plain", b"ready\n"
+        return "503 Service Unavailable", "text/plain", b"not ready\n"
+
+    def _metrics(self) -> tuple[str, str, bytes]:
+        return "200 OK", "text/plain; version=0.0.4", self._gateway.metrics.render()
+
+    def _audit(self) -> tuple[str, str, bytes]:
+        entries = [dataclasses.asdict(each) for each in self._trail.entries()]
+        return "200 OK", "application/json", json.dumps(entries).encode()
+
+    def _status(self) -> tuple[str, str, bytes]:
+        return "200 OK", "application/json", json.dumps(self._report()).encode()
+
+    def _report(self) -> dict[str, Any]:
+        gateway = self._gateway
+        now_s = gateway.clock.now_s()
+        state = gateway.state()
+        membership = state.membership
+        return {
+            "instance": membership.instance,
+            "incarnation": membership.incarnation,
+            "failure_domain": membership.failure_domain,
+            "ready": self.is_ready(),
+            "leaving": membership.leaving,
+            "configuration_revision": configurations.number(gateway.configuration),
+            "configuration_age_s": round(now_s - gateway.configuration_as_of_s, 3),
+            "view_revision": membership.view.revision,
+            "view_age_s": round(memberships.platform_age_s(membership, now_s), 3),
+            "has_lease": memberships.has_lease(membership, now_s),
+            "requests": self._supervisor.count,
+            "held_leases": len(state.held_by_lease),
+            "budgets": {
+                each.resource: round(bucket.level, 1)
+                for each, bucket in state.budgets.bucket_by_share.items()
+            },
+            "pools": {each.pool: dataclasses.asdict(each) for each in node.loads(state, now_s)},
+            "key_partitions": len(state.tenure_by_partition),
+            "stopped_peers": [
+                each
+                for each in membership.contact_by_instance
+                if memberships.is_stopped(membership, now_s, each)
+            ],
+        }
--- /dev/null
+++ b/src/carawaydoor/peers.py
@@ -0,0 +1,109 @@
+"""Reaches the other instances: one link each, and heartbeats to all of them."""
+
+from __future__ import annotations
+
+import threading
+from concurrent import futures
+from typing import Final
+
+from carawaydoor import clock as clocks
+from carawaydoor import core as cores
+from carawaydoor import errors, events, link, messages, node, task
+from carawaydoor import view as views
+
+HEARTBEAT_S: Final = 0.25
+
+
+class Peers:
+    """The links to the other instances, by instance id."""
+
+    def __init__(self, instance: str, core: cores.Core) -> None:
+        self._instance = instance
+        self._core = core
+        self._link_by_instance: dict[str, link.Link] = {}
+        self._lock = threading.Lock()
+
+    def ask(self, instance: str, message: messages.Message) -> futures.Future[messages.Message]:
+        """Send a message to an instance, this one included, and return its answer to come."""
+        if instance == self._instance:
+            return self._core.ask(message)
+        answer: futures.Future[messages.Message] = futures.Future()
+        target = self._link(instance)
+        if target is None:
+            answer.set_exception(errors.PeerUnreachableError(f"{instance} is not in the view"))
+        else:
+            target.post(link.Outgoing(message, answer))
+        return answer
+
+    def tell(self, instance: str, message: messages.Message) -> None:
+        """Send a message that needs no answer."""
+        if instance == self._instance:
+            self._core.tell(events.Received(message))
+            return
+        target = self._link(instance)
+        if target is not None:
+            target.post(link.Outgoing(message, None))
+
+    def retain(self, view: views.View) -> None:
+        """Close the links to instances that are not in a view."""
+        with self._lock:
+            gone = [each for each in self._link_by_instance if each not in view.instance_by_id]
+            closed = [self._link_by_instance.pop(each) for each in gone]
+        for each in closed:
+            each.stop()
+
+    def stop(self) -> None:
+        """Close all links."""
+        self.retain(views.EMPTY)
+
+    def _link(self, instance: str) -> link.Link | None:
+        entry = self._core.state.membership.view.instance_by_id.get(instance)
+        with self._lock:
+            current = self._link_by_instance.get(instance)
+            if entry is None or (current and current.address == (entry.host, entry.peer_port)):
+                return current
+            if current is not None:
+                current.stop()
+            created = link.Link(entry.host, entry.peer_port)
+            created.start()
+            self._link_by_instance[instance] = created
+            return created
+
+
+class Heartbeats(task.Periodic):
+    """Exchanges heartbeats with every other instance of the view."""
+
+    def __init__(self, instance: str, core: cores.Core, peers: Peers, clock: clocks.Clock) -> None:
+        super().__init__("heartbeats", HEARTBEAT_S)
+        self._instance = instance
+        self._core = core
+        self._peers = peers
+        self._clock = clock
+        self._open: set[str] = set()
+
+    def act(self) -> None:
+        """Send one heartbeat to every peer that has answered the one before."""
+        view = self._core.state.membership.view
+        self._peers.retain(view)
+        for entry in view.instance_by_id.values():
+            if entry.id != self._instance and entry.id not in self._open:
+                self._send(entry)
+
+    def _send(self, entry: views.Instance) -> None:
+        asked_s = self._clock.now_s()
+        message = node.heartbeat(self._core.state, asked_s, entry.failure_domain)
+        self._open.add(entry.id)
+        answer = self._peers.ask(entry.id, message)
+        answer.add_done_callback(lambda done: self._conclude(entry.id, asked_s, done))
+
+    def _conclude(
+        self, instance: str, asked_s: float, done: futures.Future[messages.Message]
+    ) -> None:
+        self._open.discard(instance)
+        error = done.exception()
+        if isinstance(error, errors.PeerRefusedError):
+            self._core.tell(events.PeerRefused(instance, asked_s))
+        elif error is None:
+            answer = done.result()
+            if isinstance(answer, messages.Heartbeat):
+                self._core.tell(events.PeerHeard(asked_s, answer))
--- /dev/null
+++ b/src/carawaydoor/revision.py
@@ -0,0 +1,129 @@
+"""Published form of a configuration set: a manifest and the parts that it names by digest."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+from collections.abc import Iterable, Mapping, Sequence
+
+import expression
+import pydantic
+import xxhash
+
+from carawaydoor import catalog, objects
+
+MAX_PART_BYTES = 1_000_000
+OBJECTS_PER_PART = 64
+
+
+class PartEntry(pydantic.BaseModel):
+    """Name, digest and size of one part."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    digest: objects.Digest
+    size_bytes: int = pydantic.Field(ge=0, le=MAX_PART_BYTES)
+
+
+class Manifest(pydantic.BaseModel):
+    """Names every part of a revision.
+
+    ``withdrawn`` repeats the digests of withdrawn keys, so that a withdrawal takes effect before
+    the parts have arrived.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    revision: int = pydantic.Field(gt=0)
+    parts: tuple[PartEntry, ...]
+    withdrawn: tuple[objects.Digest, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Revision:
+    """A manifest with its parts.
+
+    :ivar manifest_bytes: the manifest exactly as published
+    """
+
+    manifest: Manifest
+    manifest_bytes: bytes
+    part_by_digest: Mapping[str, bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionFault:
+    """A published document that does not follow its model or its digest."""
+
+    detail: str
+
+
+def digest(content: bytes) -> str:
+    """Return the SHA-256 digest of a part in hexadecimal."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def build(number: int, items: Sequence[objects.AnyObject]) -> Revision:
+    """Return the revision that publishes a checked set of objects.
+
+    :param number: number of the revision, higher than that of any before
+    """
+    parts = [_encode(group) for group in _groups(items)]
+    part_by_digest = {digest(each): each for each in parts}
+    withdrawn = tuple(
+        sorted(each.sha256 for each in items if isinstance(each, objects.Key) and each.withdrawn)
+    )
+    manifest = Manifest(
+        revision=number,
+        parts=tuple(
+            PartEntry(digest=key, size_bytes=len(content))
+            for key, content in sorted(part_by_digest.items())
+        ),
+        withdrawn=withdrawn,
+    )
+    return Revision(manifest, manifest.model_dump_json(indent=1).encode(), part_by_digest)
+
+
+def parse_manifest(content: bytes) -> expression.Result[Manifest, RevisionFault]:
+    """Return the manifest in a published document, or what is wrong with it."""
+    try:
+        return expression.Ok(Manifest.model_validate_json(content))
+    except pydantic.ValidationError as error:
+        return expression.Error(RevisionFault(str(error)))
+
+
+def load(revision: Revision) -> expression.Result[catalog.Catalog, RevisionFault]:
+    """Return the catalog of a complete revision, or what is wrong with it."""
+    declared: list[catalog.Declared] = []
+    for entry in revision.manifest.parts:
+        content = revision.part_by_digest.get(entry.digest)
+        if content is None or digest(content) != entry.digest:
+            return expression.Error(RevisionFault(f"part {entry.digest} is missing or damaged"))
+        try:
+            items = [objects.ADAPTER.validate_python(each) for each in json.loads(content)]
+        except (ValueError, TypeError) as error:
+            return expression.Error(RevisionFault(f"part {entry.digest}: {error}"))
+        declared.extend(
+            catalog.Declared(item, catalog.Origin(entry.digest, position))
+            for position, item in enumerate(items)
+        )
+    result = catalog.build(declared)
+    if result.is_error():
+        return expression.Error(RevisionFault("; ".join(str(each) for each in result.error)))
+    return expression.Ok(result.ok)
+
+
+def _groups(items: Sequence[objects.AnyObject]) -> Iterable[list[objects.AnyObject]]:
+    """Group objects by a hash of their name, so that one change touches one part."""
+    count = max(1, len(items) // OBJECTS_PER_PART)
+    grouped: dict[int, list[objects.AnyObject]] = {}
+    for item in sorted(items, key=lambda each: (each.kind, each.name)):
+        place = xxhash.xxh3_64_intdigest(f"{item.kind}/{item.name}".encode()) % count
+        grouped.setdefault(place, []).append(item)
+    return grouped.values()
+
+
+def _encode(group: Iterable[objects.AnyObject]) -> bytes:
+    dumped = [each.model_dump(mode="json") for each in group]
+    return json.dumps(dumped, sort_keys=True, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/carawaydoor/routing.py
@@ -0,0 +1,46 @@
+"""Finds the route of a request by its path and method."""
+
+from __future__ import annotations
+
+import expression
+
+from carawaydoor import errors, filters, objects
+from carawaydoor import exchange as exchanges
+from carawaydoor import gateway as gateways
+
+
+class MatchRoute(filters.Filter):
+    """Chooses the route with the longest path that covers the request's path."""
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        self._gateway = gateway
+
+    def apply(self, exchange: exchanges.Exchange) -> filters.Passed:
+        """Set the route and the deadline of the request."""
+        if self._gateway.configuration.current is None:
+            return expression.Error(
+                errors.Refusal(
+                    errors.Kind.NOT_CONFIGURED, "no configuration is in force", retry_after_s=1.0
+                )
+            )
+        path = exchange.inbound.path
+        covering = [each for each in self._gateway.catalog.routes if _covers(each, path)]
+        if not covering:
+            return expression.Error(
+                errors.Refusal(errors.Kind.ROUTE_UNKNOWN, "no route covers this path")
+            )
+        allowed = [each for each in covering if exchange.inbound.method in each.methods]
+        if not allowed:
+            return expression.Error(
+                errors.Refusal(
+                    errors.Kind.METHOD_NOT_ALLOWED, "no route at this path takes this method"
+                )
+            )
+        exchange.route = allowed[0]
+        exchange.deadline_s = exchange.received_s + allowed[0].deadline_s
+        return expression.Ok(exchange)
+
+
+def _covers(route: objects.Route, path: str) -> bool:
+    base = route.path.rstrip("/")
+    return path == route.path or path == base or path.startswith(f"{base}/")
--- /dev/null
+++ b/src/carawaydoor/runner.py
@@ -0,0 +1,64 @@
+"""Runs requests that run at most once at plain upstreams, when the decision core asks for it."""
+
+from __future__ import annotations
+
+import concurrent.futures
+from typing import Final
+
+from carawaydoor import errors, events, messages, upstream
+from carawaydoor import gateway as gateways
+from carawaydoor import view as views
+
+MAX_START_DELAY_S: Final = 0.5
+MAX_CONNECTS: Final = 3
+
+
+class Runner:
+    """Runs one request per thread of an executor and reports each outcome to the core."""
+
+    def __init__(self, gateway: gateways.Gateway, threads: int) -> None:
+        self._gateway = gateway
+        self._executor = concurrent.futures.ThreadPoolExecutor(threads, "runner")
+
+    def start(self, run: events.Run) -> None:
+        """Run a request in a thread of its own."""
+        self._executor.submit(self._run, run)
+
+    def stop(self) -> None:
+        """Wait for the runs under way."""
+        self._executor.shutdown(wait=True)
+
+    def _run(self, run: events.Run) -> None:
+        try:
+            finished = self._attempt(run)
+        except Exception:
+            self._gateway.core.tell(events.RunFinished(run))
+            raise
+        self._gateway.core.tell(finished)
+
+    def _attempt(self, run: events.Run) -> events.RunFinished:
+        message = run.message
+        service = self._gateway.catalog.service_by_name.get(message.service_name)
+        timeout_s = service.timeout_s if service else 1.0
+        targets = self._gateway.upstreams(message.service_name, views.Role.PLAIN)
+        for target in targets[:MAX_CONNECTS]:
+            if self._gateway.clock.now_s() - run.decided_s > MAX_START_DELAY_S:
+                break
+            try:
+                answer = upstream.fetch(target, _request(message), timeout_s)
+            except errors.UpstreamUnreachableError:
+                continue
+            except errors.UpstreamError:
+                return events.RunFinished(run)
+            return events.RunFinished(
+                run,
+                messages.RunOnceAnswered(answer.status, answer.content_type, answer.body, False),
+            )
+        return events.RunFinished(run, not_sent=errors.Kind.UPSTREAM_UNREACHABLE)
+
+
+def _request(message: messages.RunOnce) -> upstream.Request:
+    headers = {"X-Workspace": message.workspace, "Idempotency-Key": message.key}
+    if message.content_type:
+        headers["Content-Type"] = message.content_type
+    return upstream.Request(message.key, message.method, message.path, headers, message.body)
--- /dev/null
+++ b/src/carawaydoor/scheduler.py
@@ -0,0 +1,339 @@
+"""Schedules one pool in one failure domain: decode slots, links and prefills, in that order.
+
+One instance at a time is home of a pool in a failure domain, so the three are chosen in one step
+and no two askers can take the same slot. A new home first learns the leases that earlier homes
+granted: it opens when every live instance has reported, or after the longest life of a lease.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+from typing import TypeVar
+
+from carawaydoor import affinity as affinities
+from carawaydoor import fairqueue, messages
+from carawaydoor import view as views
+
+T = TypeVar("T")
+
+DEFAULT_SLOT_S = 1.0
+SLOT_SMOOTHING = 0.1
+FAILED_PAUSE_S = 2.0
+MIN_RETRY_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Static facts about the pool.
+
+    :ivar prefill_tokens_per_s: speed of one prefill upstream, in prompt tokens per second
+    :ivar max_queue: longest queue over all workspaces
+    :ivar lease_s: life of a lease without renewal, in seconds
+    """
+
+    pool: str
+    failure_domain: str
+    prefill_tokens_per_s: float
+    max_queue: int
+    lease_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """One decode slot in use.
+
+    :ivar prefill: prefill upstream at work for this lease, empty after the prefill
+    """
+
+    id: str
+    workspace: str
+    holder: str
+    decode: str
+    prefill: str
+    prefill_tokens: int
+    granted_s: float
+    renewed_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scheduler:
+    """State of one scheduler.
+
+    :ivar asked_by_lease: the queued requests
+    :ivar failed_until_s: upstreams that are avoided for a time after a failure
+    :ivar slot_s: smoothed time in seconds that a slot is held
+    """
+
+    plan: Plan
+    upstream_by_id: Mapping[str, views.Upstream]
+    lease_by_id: Mapping[str, Lease]
+    queue: fairqueue.FairQueue
+    asked_by_lease: Mapping[str, messages.AcquireSlot]
+    affinity: affinities.Affinity
+    failed_until_s: Mapping[str, float]
+    started_s: float
+    open: bool
+    slot_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The final answer to one acquire message."""
+
+    lease_id: str
+    message: messages.SlotGranted | messages.SlotRefused
+
+
+def create(plan: Plan, now_s: float, upstreams: Sequence[views.Upstream]) -> Scheduler:
+    """Return a scheduler that knows nothing yet of leases in use."""
+    return Scheduler(
+        plan,
+        {each.id: each for each in upstreams},
+        {},
+        fairqueue.EMPTY,
+        {},
+        affinities.EMPTY,
+        {},
+        now_s,
+        False,
+        DEFAULT_SLOT_S,
+    )
+
+
+def with_upstreams(state: Scheduler, upstreams: Sequence[views.Upstream]) -> Scheduler:
+    """Return the state under a newer list of upstreams."""
+    return dataclasses.replace(state, upstream_by_id={each.id: each for each in upstreams})
+
+
+def acquire(
+    state: Scheduler, now_s: float, asked: messages.AcquireSlot, weight: float
+) -> tuple[Scheduler, list[Answer]]:
+    """Grant a slot, queue the request or refuse it."""
+    if asked.lease_id in state.lease_by_id or asked.lease_id in state.asked_by_lease:
+        return state, []
+    if not state.open or fairqueue.length(state.queue) == 0:
+        placed = _place(state, now_s, asked, 0.0)
+        if placed is not None:
+            return placed[0], [placed[1]]
+    wait_s = expected_wait_s(state, now_s)
+    full = fairqueue.length(state.queue) >= state.plan.max_queue
+    if asked.max_wait_s <= 0.0 or full or wait_s > asked.max_wait_s:
+        return state, [Answer(asked.lease_id, messages.SlotRefused(max(wait_s, MIN_RETRY_S)))]
+    expires_s = now_s + asked.max_wait_s
+    waiting = fairqueue.Waiting(asked.lease_id, asked.workspace, 1.0, weight, now_s, expires_s)
+    after = dataclasses.replace(
+        state,
+        queue=fairqueue.push(state.queue, waiting),
+        asked_by_lease={**state.asked_by_lease, asked.lease_id: asked},
+    )
+    return after, []
+
+
+def finish_prefill(state: Scheduler, now_s: float, lease_id: str) -> tuple[Scheduler, list[Answer]]:
+    """Free the prefill place and the link share of a lease."""
+    lease = state.lease_by_id.get(lease_id)
+    if lease is None:
+        return state, []
+    done = dataclasses.replace(lease, prefill="", prefill_tokens=0)
+    return serve(_with_lease(state, done), now_s)
+
+
+def release(
+    state: Scheduler, now_s: float, lease_id: str, upstream_failed: str
+) -> tuple[Scheduler, list[Answer]]:
+    """Free all that a lease holds; an upstream that failed is avoided for a time."""
+    state = _dequeue(state, {lease_id})
+    lease = state.lease_by_id.get(lease_id)
+    if lease is not None:
+        held_s = now_s - lease.granted_s
+        state = dataclasses.replace(
+            state,
+            lease_by_id=_without(state.lease_by_id, lease_id),
+            slot_s=state.slot_s + SLOT_SMOOTHING * (held_s - state.slot_s),
+        )
+    if upstream_failed:
+        failed = {**state.failed_until_s, upstream_failed: now_s + FAILED_PAUSE_S}
+        state = dataclasses.replace(
+            state,
+            failed_until_s=failed,
+            affinity=affinities.forget(state.affinity, upstream_failed),
+        )
+    return serve(state, now_s)
+
+
+def renew(
+    state: Scheduler, now_s: float, holder: str, held: Sequence[messages.HeldLease]
+) -> Scheduler:
+    """Renew the leases that a holder reports and take in those granted by an earlier home."""
+    leases = dict(state.lease_by_id)
+    for each in held:
+        lease = leases.get(each.lease_id)
+        if lease is None:
+            lease = Lease(each.lease_id, each.workspace, holder, each.decode, "", 0, now_s, now_s)
+        leases[each.lease_id] = dataclasses.replace(lease, renewed_s=now_s)
+    return dataclasses.replace(state, lease_by_id=leases)
+
+
+def tick(state: Scheduler, now_s: float, all_reported: bool) -> tuple[Scheduler, list[Answer]]:
+    """Let leases and queued requests expire, open when the leases in use are known."""
+    horizon_s = now_s - state.plan.lease_s
+    live = {key: each for key, each in state.lease_by_id.items() if each.renewed_s > horizon_s}
+    opened = state.open or all_reported or now_s - state.started_s > state.plan.lease_s
+    state = dataclasses.replace(state, lease_by_id=live, open=opened)
+    expired = [
+        each.id
+        for waiting in state.queue.queue_by_workspace.values()
+        for each in waiting
+        if each.expires_s <= now_s
+    ]
+    state = _dequeue(state, set(expired))
+    retry_s = max(expected_wait_s(state, now_s), MIN_RETRY_S)
+    refused = [Answer(each, messages.SlotRefused(retry_s)) for each in expired]
+    state, served = serve(state, now_s)
+    return state, [*refused, *served]
+
+
+def serve(state: Scheduler, now_s: float) -> tuple[Scheduler, list[Answer]]:
+    """Give free slots to queued requests in fair order."""
+    answers: list[Answer] = []
+    while state.asked_by_lease:
+        queue, waiting = fairqueue.pop(state.queue)
+        if waiting is None:
+            break
+        asked = state.asked_by_lease[waiting.id]
+        placed = _place(state, now_s, asked, now_s - waiting.queued_s)
+        if placed is None:
+            break
+        state = dataclasses.replace(
+            placed[0], queue=queue, asked_by_lease=_without(state.asked_by_lease, waiting.id)
+        )
+        answers.append(placed[1])
+    return state, answers
+
+
+def free_slots(state: Scheduler, now_s: float) -> int:
+    """Return the number of free decode slots."""
+    if not state.open:
+        return 0
+    used = _used_by_decode(state)
+    return sum(
+        each.slots - used.get(each.id, 0) for each in _usable(state, now_s, views.Role.DECODE)
+    )
+
+
+def queued(state: Scheduler) -> int:
+    """Return the number of queued requests."""
+    return fairqueue.length(state.queue)
+
+
+def expected_wait_s(state: Scheduler, now_s: float) -> float:
+    """Return how long a request that is queued now will probably wait, in seconds."""
+    if not state.open:
+        return max(0.0, state.started_s + state.plan.lease_s - now_s)
+    slots = sum(each.slots for each in _usable(state, now_s, views.Role.DECODE))
+    if slots == 0:
+        return FAILED_PAUSE_S
+    return (fairqueue.length(state.queue) + 1) * state.slot_s / slots
+
+
+def _place(
+    state: Scheduler, now_s: float, asked: messages.AcquireSlot, queued_s: float
+) -> tuple[Scheduler, Answer] | None:
+    decode = _choose_decode(state, now_s, asked)
+    if decode is None:
+        return None
+    prefill = _choose_prefill(state, now_s, asked)
+    if prefill is None:
+        return None
+    lease = Lease(
+        asked.lease_id,
+        asked.workspace,
+        asked.holder,
+        decode,
+        prefill,
+        asked.prompt_tokens,
+        now_s,
+        now_s,
+    )
+    state = _with_lease(state, lease)
+    noted = affinities.note(state.affinity, prefill, asked.prefixes)
+    granted = messages.SlotGranted(decode, prefill, queued_s)
+    return dataclasses.replace(state, affinity=noted), Answer(asked.lease_id, granted)
+
+
+def _choose_decode(state: Scheduler, now_s: float, asked: messages.AcquireSlot) -> str | None:
+    if not state.open:
+        return None
+    used = _used_by_decode(state)
+    free = [
+        each
+        for each in _usable(state, now_s, views.Role.DECODE)
+        if used.get(each.id, 0) < each.slots and each.id not in asked.excluded
+    ]
+    if not free:
+        return None
+    return min(free, key=lambda each: (used.get(each.id, 0) / each.slots, each.id)).id
+
+
+def _choose_prefill(state: Scheduler, now_s: float, asked: messages.AcquireSlot) -> str | None:
+    """Choose the prefill upstream that will finish first, counting cached prefixes."""
+    busy: dict[str, int] = {}
+    work: dict[str, int] = {}
+    for lease in state.lease_by_id.values():
+        if lease.prefill:
+            busy[lease.prefill] = busy.get(lease.prefill, 0) + 1
+            work[lease.prefill] = work.get(lease.prefill, 0) + lease.prefill_tokens
+
+    def finish_s(upstream: views.Upstream) -> float:
+        cached = affinities.cached_tokens(state.affinity, upstream.id, asked.prefixes)
+        compute = work.get(upstream.id, 0) + max(0, asked.prompt_tokens - cached)
+        sending = work.get(upstream.id, 0) + asked.prompt_tokens
+        compute_s = compute / state.plan.prefill_tokens_per_s
+        return max(compute_s, sending / upstream.link_tokens_per_s)
+
+    free = [
+        each
+        for each in _usable(state, now_s, views.Role.PREFILL)
+        if busy.get(each.id, 0) < each.slots and each.id not in asked.excluded
+    ]
+    if not free:
+        return None
+    return min(free, key=lambda each: (finish_s(each), each.id)).id
+
+
+def _usable(state: Scheduler, now_s: float, role: views.Role) -> list[views.Upstream]:
+    return [
+        each
+        for each in state.upstream_by_id.values()
+        if each.role is role
+        and each.presence is views.Presence.LIVE
+        and state.failed_until_s.get(each.id, 0.0) <= now_s
+    ]
+
+
+def _used_by_decode(state: Scheduler) -> dict[str, int]:
+    used: dict[str, int] = {}
+    for lease in state.lease_by_id.values():
+        used[lease.decode] = used.get(lease.decode, 0) + 1
+    return used
+
+
+def _with_lease(state: Scheduler, lease: Lease) -> Scheduler:
+    return dataclasses.replace(state, lease_by_id={**state.lease_by_id, lease.id: lease})
+
+
+def _dequeue(state: Scheduler, lease_ids: set[str]) -> Scheduler:
+    if not any(each in state.asked_by_lease for each in lease_ids):
+        return state
+    return dataclasses.replace(
+        state,
+        queue=fairqueue.remove(state.queue, lambda each: each.id in lease_ids),
+        asked_by_lease={
+            key: asked for key, asked in state.asked_by_lease.items() if key not in lease_ids
+        },
+    )
+
+
+def _without(mapping: Mapping[str, T], key: str) -> dict[str, T]:
+    return {each: value for each, value in mapping.items() if each != key}
--- /dev/null
+++ b/src/carawaydoor/settings.py
@@ -0,0 +1,90 @@
+"""Settings of a process, read from a YAML file and checked."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+
+import expression
+import pydantic
+
+from carawaydoor import catalog, documents
+
+
+class SettingsModel(pydantic.BaseModel):
+    """Settings as written."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    instance: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
+    failure_domain: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
+    host: str = "127.0.0.1"
+    caller_port: int = pydantic.Field(ge=1, le=65535)
+    peer_port: int = pydantic.Field(ge=1, le=65535)
+    operator_port: int = pydantic.Field(ge=1, le=65535)
+    platform_host: str
+    platform_port: int = pydantic.Field(ge=1, le=65535)
+    seeds: tuple[str, ...] = pydantic.Field(default=(), strict=False)
+    threads: int = pydantic.Field(default=64, ge=4, le=1024)
+    max_model_requests: int = pydantic.Field(default=40, ge=1, le=1000)
+    max_body_bytes: int = pydantic.Field(default=1_000_000, ge=1024)
+    max_header_bytes: int = pydantic.Field(default=32_768, ge=1024)
+    drain_grace_s: float = pydantic.Field(default=1.0, ge=0.0, strict=False)
+    withdrawal_grace_s: float = pydantic.Field(default=3.0, ge=0.0, strict=False)
+    log_file: str | None = None
+    trace_file: str | None = None
+
+    @pydantic.model_validator(mode="after")
+    def _leave_threads_for_plain_requests(self) -> SettingsModel:
+        if self.max_model_requests >= self.threads:
+            raise ValueError("max_model_requests must be lower than threads")
+        return self
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Options of one daemon.
+
+    :ivar seeds: peer addresses, ``host:port``, asked for the view while the platform is down
+    :ivar threads: threads that serve callers
+    :ivar max_model_requests: model requests at work at once; the other threads serve the rest
+    :ivar drain_grace_s: time in seconds for which new requests are still taken when draining
+    :ivar withdrawal_grace_s: time in seconds for which an answer outlives its withdrawn key
+    """
+
+    instance: str
+    failure_domain: str
+    host: str
+    caller_port: int
+    peer_port: int
+    operator_port: int
+    platform_host: str
+    platform_port: int
+    seeds: tuple[str, ...]
+    threads: int
+    max_model_requests: int
+    max_body_bytes: int
+    max_header_bytes: int
+    drain_grace_s: float
+    withdrawal_grace_s: float
+    log_file: str | None
+    trace_file: str | None
+
+
+def read(path: pathlib.Path) -> expression.Result[Options, tuple[catalog.Fault, ...]]:
+    """Return the options in a settings file, or every fault in it.
+
+    :param path: YAML file with one document
+    """
+    result = documents.read(path)
+    if result.is_error():
+        return expression.Error((result.error,))
+    if len(result.ok) != 1:
+        origin = catalog.Origin(str(path), 1)
+        return expression.Error((catalog.Fault(origin, "document", "one document is needed"),))
+    document = result.ok[0]
+    try:
+        model = SettingsModel.model_validate(document.value)
+    except pydantic.ValidationError as error:
+        return expression.Error(tuple(documents.model_faults(document, error)))
+    return expression.Ok(Options(**model.model_dump()))
--- /dev/null
+++ b/src/carawaydoor/strikes.py
@@ -0,0 +1,66 @@
+"""Strikes against requests whose upstream failed while it ran them."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+from collections.abc import Mapping
+
+MAX_STRIKES = 2
+SUSPENSION_S = 300.0
+MAX_FINGERPRINTS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Strike:
+    """One failure of an upstream.
+
+    :ivar id: names the failure, so that a repeated message counts once
+    """
+
+    id: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Strikes:
+    """Strikes by fingerprint of the request, oldest fingerprint first."""
+
+    strikes_by_fingerprint: Mapping[str, tuple[Strike, ...]]
+
+
+EMPTY = Strikes({})
+
+
+def fingerprint(workspace: str, body: bytes) -> str:
+    """Return the fingerprint of a request of a workspace."""
+    digest = hashlib.blake2b(workspace.encode(), digest_size=16)
+    digest.update(b"\x00")
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def add(state: Strikes, now_s: float, request: str, strike_id: str) -> Strikes:
+    """Add a strike; one that is known already changes nothing."""
+    before = _current(state, now_s, request)
+    if any(each.id == strike_id for each in before):
+        return state
+    after = {key: each for key, each in state.strikes_by_fingerprint.items() if key != request}
+    after[request] = (*before, Strike(strike_id, now_s))
+    if len(after) > MAX_FINGERPRINTS:
+        del after[next(iter(after))]
+    return Strikes(after)
+
+
+def suspended_for_s(state: Strikes, now_s: float, request: str) -> float:
+    """Return for how many more seconds a request is suspended, zero where it is not."""
+    current = _current(state, now_s, request)
+    if len(current) < MAX_STRIKES:
+        return 0.0
+    return current[-1].at_s + SUSPENSION_S - now_s
+
+
+def _current(state: Strikes, now_s: float, request: str) -> tuple[Strike, ...]:
+    horizon_s = now_s - SUSPENSION_S
+    known = state.strikes_by_fingerprint.get(request, ())
+    return tuple(each for each in known if each.at_s > horizon_s)
--- /dev/null
+++ b/src/carawaydoor/supervisor.py
@@ -0,0 +1,66 @@
+"""Breaks off requests whose caller has gone, whose deadline passed or whose key was withdrawn."""
+
+from __future__ import annotations
+
+import threading
+from typing import Final
+
+from carawaydoor import authentication, task
+from carawaydoor import exchange as exchanges
+from carawaydoor import gateway as gateways
+
+INTERVAL_S: Final = 0.1
+
+
+class Supervisor(task.Periodic):
+    """Watches every request at work."""
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        super().__init__("supervisor", INTERVAL_S)
+        self._gateway = gateway
+        self._exchange_by_id: dict[str, exchanges.Exchange] = {}
+        self._withdrawn_since_by_id: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def count(self) -> int:
+        """The number of requests at work."""
+        return len(self._exchange_by_id)
+
+    def watch(self, exchange: exchanges.Exchange) -> None:
+        """Begin to watch a request."""
+        with self._lock:
+            self._exchange_by_id[exchange.id] = exchange
+
+    def forget(self, exchange: exchanges.Exchange) -> None:
+        """Stop watching a request that has ended."""
+        with self._lock:
+            self._exchange_by_id.pop(exchange.id, None)
+            self._withdrawn_since_by_id.pop(exchange.id, None)
+
+    def act(self) -> None:
+        """Check every request once."""
+        now_s = self._gateway.clock.now_s()
+        with self._lock:
+            watched = list(self._exchange_by_id.values())
+        for exchange in watched:
+            reason = self._reason(exchange, now_s)
+            if reason is not None:
+                exchange.cancel.set(reason)
+
+    def _reason(self, exchange: exchanges.Exchange, now_s: float) -> exchanges.Cancellation | None:
+        if exchange.inbound.is_gone():
+            return exchanges.Cancellation.CALLER_GONE
+        if now_s > exchange.deadline_s:
+            return exchanges.Cancellation.DEADLINE
+        if self._is_withdrawn(exchange, now_s):
+            return exchanges.Cancellation.KEY_WITHDRAWN
+        return None
+
+    def _is_withdrawn(self, exchange: exchanges.Exchange, now_s: float) -> bool:
+        if not exchange.key_digest:
+            return False
+        if authentication.is_valid(self._gateway.configuration, exchange.key_digest):
+            return False
+        since_s = self._withdrawn_since_by_id.setdefault(exchange.id, now_s)
+        return now_s - since_s >= self._gateway.options.withdrawal_grace_s
--- /dev/null
+++ b/src/carawaydoor/suspension.py
@@ -0,0 +1,60 @@
+"""Refuses requests that have brought down upstreams."""
+
+from __future__ import annotations
+
+import concurrent.futures
+
+import expression
+
+from carawaydoor import errors, events, filters, messages, strikes
+from carawaydoor import exchange as exchanges
+from carawaydoor import gateway as gateways
+from carawaydoor import view as views
+
+BROADCAST_TIMEOUT_S = 0.3
+
+
+class CheckStrikes(filters.Filter):
+    """Refuses a request that is suspended."""
+
+    def __init__(self, gateway: gateways.Gateway) -> None:
+        self._gateway = gateway
+
+    def apply(self, exchange: exchanges.Exchange) -> filters.Passed:
+        """Pass a request that is not suspended."""
+        inbound = exchange.inbound
+        line = f"{inbound.method} {inbound.path}?{inbound.query}\n".encode()
+        exchange.fingerprint = strikes.fingerprint(exchange.workspace_name, line + inbound.body)
+        refusal = suspended(self._gateway, exchange)
+        if refusal is not None:
+            return expression.Error(refusal)
+        return expression.Ok(exchange)
+
+
+def suspended(gateway: gateways.Gateway, exchange: exchanges.Exchange) -> errors.Refusal | None:
+    """Return the refusal of a request that is suspended, else None."""
+    if not exchange.fingerprint:
+        return None
+    known = gateway.state().strikes
+    seconds = strikes.suspended_for_s(known, gateway.clock.now_s(), exchange.fingerprint)
+    if seconds <= 0.0:
+        return None
+    detail = "upstreams failed each time they ran this request"
+    return errors.Refusal(errors.Kind.REQUEST_SUSPENDED, detail, retry_after_s=seconds)
+
+
+def strike(gateway: gateways.Gateway, exchange: exchanges.Exchange, attempt: int) -> None:
+    """Tell every reachable instance that an upstream failed while it ran a request.
+
+    Returns when all have acknowledged, or after ``BROADCAST_TIMEOUT_S``: a caller that sends the
+    request again through another instance must meet the strike there.
+    """
+    message = messages.AddStrike(exchange.fingerprint, f"{exchange.id}-{attempt}")
+    gateway.core.tell(events.Received(message))
+    others = [
+        each.id
+        for each in gateway.membership.view.instance_by_id.values()
+        if each.id != gateway.options.instance and each.presence is views.Presence.LIVE
+    ]
+    answers = [gateway.peers.ask(each, message) for each in others]
+    concurrent.futures.wait(answers, BROADCAST_TIMEOUT_S)
--- /dev/null
+++ b/src/carawaydoor/task.py
@@ -0,0 +1,87 @@
+"""Tasks: a thread that owns its state and is reached only by messages."""
+
+from __future__ import annotations
+
+import abc
+import queue
+import threading
+from typing import Generic, TypeVar
+
+import eliot
+
+M = TypeVar("M")
+
+
+class Task(abc.ABC, Generic[M]):
+    """A thread with a mailbox."""
+
+    def __init__(self, name: str) -> None:
+        self._mailbox: queue.SimpleQueue[M | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._loop, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Begin to handle messages."""
+        self._thread.start()
+
+    def post(self, message: M) -> None:
+        """Put a message into the mailbox."""
+        self._mailbox.put(message)
+
+    def stop(self) -> None:
+        """Ask the task to end after the messages that are already in its mailbox."""
+        self._mailbox.put(None)
+
+    def join(self, timeout_s: float) -> None:
+        """Wait for the task to end.
+
+        :param timeout_s: longest wait in seconds
+        """
+        self._thread.join(timeout_s)
+
+    @abc.abstractmethod
+    def handle(self, message: M) -> None:
+        """Handle one message."""
+
+    def close(self) -> None:
+        """Free what the task owns; called in its own thread as it ends."""
+
+    def _loop(self) -> None:
+        while (message := self._mailbox.get()) is not None:
+            try:
+                self.handle(message)
+            except Exception:
+                eliot.write_traceback()
+        self.close()
+
+
+class Periodic(abc.ABC):
+    """A thread that acts at a fixed interval."""
+
+    def __init__(self, name: str, interval_s: float) -> None:
+        self._interval_s = interval_s
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._loop, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Begin to act."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask the thread to end."""
+        self._stopped.set()
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the thread was asked to end."""
+        return self._stopped.is_set()
+
+    @abc.abstractmethod
+    def act(self) -> None:
+        """Act once."""
+
+    def _loop(self) -> None:
+        while not self._stopped.wait(self._interval_s):
+            try:
+                self.act()
+            except Exception:
+                eliot.write_traceback()
--- /dev/null
+++ b/src/carawaydoor/upstream.py
@@ -0,0 +1,170 @@
+"""HTTP calls to upstreams: one request to a connection, cancelled by closing it."""
+
+from __future__ import annotations
+
+import dataclasses
+import http.client
+import socket
+import threading
+from collections.abc import Iterator, Mapping
+from typing import Final
+
+from carawaydoor import errors
+from carawaydoor import view as views
+
+CONNECT_TIMEOUT_S: Final = 0.5
+MAX_ANSWER_BYTES: Final = 8_000_000
+MAX_LINE_BYTES: Final = 1_000_000
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request to an upstream.
+
+    :ivar id: echoed by the upstream, so that a crossed answer is noticed
+    """
+
+    id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer of an upstream."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Call:
+    """One request on its own connection to an upstream."""
+
+    def __init__(self, target: views.Upstream, timeout_s: float) -> None:
+        self.target: Final = target
+        self._timeout_s = timeout_s
+        self._connection = http.client.HTTPConnection(
+            target.host, target.port, timeout=CONNECT_TIMEOUT_S
+        )
+        self._socket: socket.socket | None = None
+        self._response: http.client.HTTPResponse | None = None
+        self._lock = threading.Lock()
+        self._cancelled = False
+
+    def send(self, request: Request) -> int:
+        """Send a request and return the status of its answer.
+
+        :raises UpstreamUnreachableError: where no connection was made, so nothing was sent
+        :raises UpstreamTimeoutError: where the answer did not begin in time
+        :raises UpstreamBrokenError: where the connection broke after the request was sent
+        :raises UpstreamAnswerError: where the answer belongs to another request
+        """
+        self._connect()
+        try:
+            headers = {**request.headers, REQUEST_ID_HEADER: request.id}
+            self._connection.request(request.method, request.path, request.body or None, headers)
+            self._response = self._connection.getresponse()
+        except TimeoutError as error:
+            raise errors.UpstreamTimeoutError(self.target.id) from error
+        except (OSError, http.client.HTTPException) as error:
+            raise errors.UpstreamBrokenError(f"{self.target.id}: {error!r}") from error
+        echoed = self._response.getheader(REQUEST_ID_HEADER)
+        if echoed is not None and echoed != request.id:
+            raise errors.UpstreamAnswerError("the answer belongs to another request")
+        return self._response.status
+
+    @property
+    def content_type(self) -> str:
+        """Content type of the answer, empty before it begins."""
+        if self._response is None:
+            return ""
+        return self._response.getheader("Content-Type") or "application/octet-stream"
+
+    def read(self) -> bytes:
+        """Return the whole body of the answer.
+
+        :raises UpstreamBrokenError: where the body ends early
+        :raises UpstreamTimeoutError: where the body takes too long
+        :raises UpstreamAnswerError: where the body is too large
+        """
+        if self._response is None:
+            raise errors.UpstreamBrokenError(self.target.id)
+        try:
+            body = self._response.read(MAX_ANSWER_BYTES + 1)
+            complete = self._response.isclosed() or not self._response.length
+        except TimeoutError as error:
+            raise errors.UpstreamTimeoutError(self.target.id) from error
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise errors.UpstreamBrokenError(f"{self.target.id}: {error!r}") from error
+        if len(body) > MAX_ANSWER_BYTES:
+            raise errors.UpstreamAnswerError("the answer is too large", self._response.status)
+        if not complete or self._cancelled:
+            raise errors.UpstreamBrokenError(f"{self.target.id}: the body ended early")
+        return body
+
+    def lines(self) -> Iterator[bytes]:
+        """Yield the lines of a streamed answer until it ends.
+
+        :raises UpstreamBrokenError: where the stream breaks
+        :raises UpstreamTimeoutError: where the next line takes too long
+        """
+        if self._response is None:
+            return
+        while True:
+            try:
+                line = self._response.readline(MAX_LINE_BYTES)
+            except TimeoutError as error:
+                raise errors.UpstreamTimeoutError(self.target.id) from error
+            except (OSError, http.client.HTTPException, ValueError, AttributeError) as error:
+                raise errors.UpstreamBrokenError(f"{self.target.id}: {error!r}") from error
+            if not line:
+                return
+            yield line
+
+    def cancel(self) -> None:
+        """Break the call off from another thread; the upstream sees its caller go."""
+        with self._lock:
+            self._cancelled = True
+            if self._socket is not None:
+                try:
+                    self._socket.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def close(self) -> None:
+        """Close the connection."""
+        with self._lock:
+            self._socket = None
+            if self._response is not None:
+                self._response.close()
+            self._connection.close()
+
+    def _connect(self) -> None:
+        try:
+            self._connection.connect()
+        except OSError as error:
+            raise errors.UpstreamUnreachableError(self.target.id) from error
+        with self._lock:
+            self._socket = self._connection.sock
+            if self._cancelled:
+                raise errors.UpstreamUnreachableError(self.target.id)
+        self._connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._connection.sock.settimeout(self._timeout_s)
+
+
+def fetch(target: views.Upstream, request: Request, timeout_s: float) -> Answer:
+    """Send a request and return its whole answer.
+
+    :param timeout_s: longest time in seconds without a byte from the upstream
+    :raises UpstreamError: where there is no whole answer
+    """
+    call = Call(target, timeout_s)
+    try:
+        status = call.send(request)
+        return Answer(status, call.content_type, call.read())
+    finally:
+        call.close()
--- /dev/null
+++ b/src/standins/server.py
@@ -0,0 +1,54 @@
+"""Runs a WSGI application of a stand-in until its process is told to stop."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import waitress.server
+
+SWITCH_INTERVAL_S = 0.001
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+App = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+def run(app: App, port: int, threads: int) -> None:
+    """Serve on loopback until SIGTERM or SIGINT."""
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    server = waitress.server.create_server(
+        app,
+        host="127.0.0.1",
+        port=port,
+        threads=threads,
+        channel_request_lookahead=1,
+        connection_limit=4 * threads,
+        max_request_body_size=64_000_000,
+        send_bytes=1,
+        ident=None,
+        clear_untrusted_proxy_headers=True,
+    )
+    threading.Thread(target=server.run, daemon=True).start()
+    stopping.wait()
+
+
+def reply(
+    start_response: StartResponse,
+    status: str,
+    body: bytes,
+    *headers: tuple[str, str],
+    content_type: str = "application/json",
+) -> list[bytes]:
+    """Start a whole response and return its body."""
+    start_response(
+        status,
+        [("Content-Type", content_type), ("Content-Length", str(len(body))), *headers],
+    )
+    return [body]
--- /dev/null
+++ b/src/standins/service.py
@@ -0,0 +1,94 @@
+"""Stand-in of a plain service: status reads and bookings, counted by idempotency key."""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import json
+import threading
+import time
+from collections.abc import Iterable
+
+from standins import server
+
+THREADS = 32
+
+
+class Service:
+    """Counts what it ran, and which credentials it saw."""
+
+    def __init__(self, delay_s: float) -> None:
+        self._delay_s = delay_s
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._credentials_seen = 0
+        self._reads = 0
+        self._fault = ""
+        self._lock = threading.Lock()
+
+    def __call__(
+        self, environ: server.Environ, start_response: server.StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        body = environ["wsgi.input"].read()
+        if path == "/control":
+            return self._control(environ, body, start_response)
+        with self._lock:
+            if "HTTP_AUTHORIZATION" in environ or "HTTP_COOKIE" in environ:
+                self._credentials_seen += 1
+        echo = ("X-Request-Id", environ.get("HTTP_X_REQUEST_ID", ""))
+        if environ["REQUEST_METHOD"] in ("GET", "HEAD"):
+            return self._read(path, start_response, echo)
+        return self._book(environ, body, start_response, echo)
+
+    def _read(
+        self, path: str, start_response: server.StartResponse, echo: tuple[str, str]
+    ) -> Iterable[bytes]:
+        with self._lock:
+            self._reads += 1
+        if self._fault == "crossed":
+            echo = ("X-Request-Id", "another-request")
+        document = {"path": path, "state": "open"}
+        return server.reply(start_response, "200 OK", json.dumps(document).encode(), echo)
+
+    def _book(
+        self,
+        environ: server.Environ,
+        body: bytes,
+        start_response: server.StartResponse,
+        echo: tuple[str, str],
+    ) -> Iterable[bytes]:
+        booking = json.loads(body or b"{}").get("booking", "")
+        with self._lock:
+            self._runs[str(booking)] += 1
+            number = sum(self._runs.values())
+        time.sleep(self._delay_s)
+        document = {"booking": booking, "number": number}
+        return server.reply(start_response, "201 Created", json.dumps(document).encode(), echo)
+
+    def _control(
+        self, environ: server.Environ, body: bytes, start_response: server.StartResponse
+    ) -> Iterable[bytes]:
+        if environ["REQUEST_METHOD"] == "POST":
+            wanted = json.loads(body)
+            self._delay_s = wanted.get("delay_s", self._delay_s)
+            self._fault = wanted.get("fault", self._fault)
+        report = {
+            "runs": dict(self._runs),
+            "reads": self._reads,
+            "credentials_seen": self._credentials_seen,
+        }
+        return server.reply(start_response, "200 OK", json.dumps(report).encode())
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--delay-s", type=float, default=0.02)
+    options = parser.parse_args()
+    server.run(Service(options.delay_s), options.port, THREADS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, benchmark and capacity programs of the repository."""
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,297 @@
+"""Brings up a deployment as processes on loopback, and ends them."""
+
+from __future__ import annotations
+
+import dataclasses
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from types import TracebackType
+from typing import Any
+
+import yaml
+
+from carawaydoor import authentication, cli, documents
+from carawaydoor import revision as revisions
+from tools import deployments
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+LOOPBACK = "127.0.0.1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Ports of one instance."""
+
+    caller: int
+    peer: int
+    operator: int
+
+
+class Fleet:
+    """A running deployment; every process is a child of this one and is ended by its id."""
+
+    def __init__(self, deployment: deployments.Deployment, lag_s: float = 0.0) -> None:
+        self.deployment = deployment
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="carawaydoor-"))
+        self._lag_s = lag_s
+        self._free_ports = _free_ports(
+            3 * len(deployment.instances) + len(deployment.upstreams) + 40
+        )
+        self.platform_port = self._free_ports.pop()
+        self.ports_by_instance: dict[str, Ports] = {}
+        self.port_by_upstream: dict[str, int] = {}
+        self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self._domain_by_instance = dict(deployment.instances)
+        self._leaving: set[str] = set()
+        self._view_revision = 0
+        self._config_revision = 0
+
+    def __enter__(self) -> Fleet:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start every process and wait until all instances are ready."""
+        for each in self.deployment.upstreams:
+            self.start_upstream(each.id)
+        for instance, _ in self.deployment.instances:
+            self.ports_by_instance[instance] = Ports(
+                self._free_ports.pop(), self._free_ports.pop(), self._free_ports.pop()
+            )
+        self.publish_configuration()
+        self.publish_view()
+        self._spawn(
+            "platform",
+            "-m",
+            "standins.platform",
+            *("--port", str(self.platform_port)),
+            *("--directory", str(self.directory)),
+            *("--lag-s", str(self._lag_s)),
+        )
+        for instance, _ in self.deployment.instances:
+            self.start_instance(instance)
+        self.wait_ready(START_TIMEOUT_S)
+
+    def wait_ready(self, timeout_s: float) -> None:
+        """Wait until every instance of the view that runs is ready."""
+        until_s = time.monotonic() + timeout_s
+        waiting = set(self.ports_by_instance)
+        while waiting:
+            waiting = {each for each in waiting if not self.is_ready(each)}
+            if waiting and time.monotonic() > until_s:
+                raise TimeoutError(f"not ready: {sorted(waiting)}")
+            time.sleep(0.1)
+
+    def is_ready(self, instance: str) -> bool:
+        """Return whether an instance says that it is ready."""
+        try:
+            status, _ = get(self.ports_by_instance[instance].operator, "/ready")
+        except OSError:
+            return False
+        return status == 200
+
+    def start_upstream(self, upstream: str) -> None:
+        """Start the stand-in of an upstream."""
+        each = next(back for back in self.deployment.upstreams if back.id == upstream)
+        port = self.port_by_upstream.setdefault(upstream, self._free_ports.pop())
+        if each.role == "plain":
+            self._spawn(upstream, "-m", "standins.service", "--port", str(port))
+            return
+        self._spawn(
+            upstream,
+            "-m",
+            "standins.engine",
+            *("--id", upstream, "--port", str(port), "--role", each.role),
+        )
+
+    def start_instance(self, instance: str) -> None:
+        """Start the daemon of an instance."""
+        ports = self.ports_by_instance[instance]
+        path = self.directory / f"{instance}.yaml"
+        settings = {
+            "instance": instance,
+            "failure_domain": self._domain_by_instance[instance],
+            "host": LOOPBACK,
+            "caller_port": ports.caller,
+            "peer_port": ports.peer,
+            "operator_port": ports.operator,
+            "platform_host": LOOPBACK,
+            "platform_port": self.platform_port,
+            "log_file": str(self.directory / f"{instance}.log"),
+            "seeds": [
+                f"{LOOPBACK}:{each.peer}"
+                for name, each in self.ports_by_instance.items()
+                if name != instance
+            ],
+        }
+        path.write_text(yaml.safe_dump(settings))
+        self._spawn(instance, "-m", "carawaydoor", "--settings", str(path))
+
+    def add_instance(self, instance: str, failure_domain: str) -> None:
+        """Start an instance that the view does not know yet, and publish it."""
+        self._domain_by_instance[instance] = failure_domain
+        self.ports_by_instance[instance] = Ports(
+            self._free_ports.pop(), self._free_ports.pop(), self._free_ports.pop()
+        )
+        self.start_instance(instance)
+        self.publish_view()
+
+    def remove(self, name: str) -> None:
+        """Take an instance or upstream that has ended out of the view."""
+        self.ports_by_instance.pop(name, None)
+        self.port_by_upstream.pop(name, None)
+        self.publish_view()
+
+    def mark_leaving(self, name: str) -> None:
+        """Publish an instance or upstream as leaving."""
+        self._leaving.add(name)
+        self.publish_view()
+
+    def publish_view(self) -> None:
+        """Publish the list of instances and upstreams."""
+        self._view_revision += 1
+        view = {
+            "revision": self._view_revision,
+            "instances": [
+                {
+                    "id": name,
+                    "failure_domain": self._domain_by_instance[name],
+                    "host": LOOPBACK,
+                    "peer_port": ports.peer,
+                    "presence": self._presence(name),
+                }
+                for name, ports in self.ports_by_instance.items()
+            ],
+            "upstreams": [
+                {
+                    "id": each.id,
+                    "failure_domain": each.failure_domain,
+                    "host": LOOPBACK,
+                    "port": self.port_by_upstream[each.id],
+                    "role": each.role,
+                    "group": each.group,
+                    "slots": 4 if each.role == "prefill" else 20,
+                    "presence": self._presence(each.id),
+                }
+                for each in self.deployment.upstreams
+                if each.id in self.port_by_upstream
+            ],
+        }
+        _write_whole(self.directory / "view.json", json.dumps(view).encode())
+
+    def publish_configuration(self, withdrawn: tuple[str, ...] = ()) -> int:
+        """Publish the configuration set with the keys of some workspaces withdrawn."""
+        self._config_revision += 1
+        digests = {authentication.digest(self.deployment.key(each)) for each in withdrawn}
+        declared = documents.read_objects(self.deployment.config_directory).ok
+        items = [
+            (
+                each.item.model_copy(update={"withdrawn": True})
+                if getattr(each.item, "sha256", "") in digests
+                else each.item
+            )
+            for each in declared
+        ]
+        cli.write(self.directory / "config", revisions.build(self._config_revision, items))
+        return self._config_revision
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.process_by_name.pop(name)
+        process.kill()
+        process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a process from running until :meth:`resume`."""
+        self.process_by_name[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process run again."""
+        self.process_by_name[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Ask a process to end and return its exit code."""
+        process = self.process_by_name.pop(name)
+        process.terminate()
+        return process.wait(60.0)
+
+    def stop(self) -> None:
+        """End every process that is left."""
+        processes = list(self.process_by_name.values())
+        self.process_by_name.clear()
+        for each in processes:
+            each.send_signal(signal.SIGCONT)
+            each.terminate()
+        until_s = time.monotonic() + STOP_TIMEOUT_S
+        for each in processes:
+            try:
+                each.wait(max(0.1, until_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                each.kill()
+                each.wait()
+
+    def control(self, name: str, **wanted: Any) -> dict[str, Any]:
+        """Set faults of a stand-in and return its report."""
+        port = self.platform_port if name == "platform" else self.port_by_upstream[name]
+        connection = http.client.HTTPConnection(LOOPBACK, port, timeout=5.0)
+        connection.request("POST" if wanted else "GET", "/control", json.dumps(wanted))
+        report: dict[str, Any] = json.loads(connection.getresponse().read())
+        connection.close()
+        return report
+
+    def _presence(self, name: str) -> str:
+        return "leaving" if name in self._leaving else "live"
+
+    def _spawn(self, name: str, *arguments: str) -> None:
+        with (self.directory / f"{name}.out").open("ab") as out:
+            self.process_by_name[name] = subprocess.Popen(
+                [sys.executable, *arguments], stdout=out, stderr=out, stdin=subprocess.DEVNULL
+            )
+
+
+def get(port: int, path: str, timeout_s: float = 2.0) -> tuple[int, bytes]:
+    """Return status and body of a GET request on loopback."""
+    connection = http.client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+def _write_whole(path: pathlib.Path, content: bytes) -> None:
+    draft = path.with_suffix(".new")
+    draft.write_bytes(content)
+    draft.replace(path)
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind((LOOPBACK, 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
