Keep slots of unreachable holders, open schedulers on reports

Cause: a lease ended 1.5 s after its last renewal, but the engine of a paused or cut-off instance still ran the request, so the slot was given twice. And a scheduler never opened on reports, only by time, because it waited for a report from its own instance. Ruled out: trusting engine load reports for this, which lag and would keep slots idle. Conclusion: a lease ends by release, by a report without it or by proof that its holder stopped; else it stays 30 s. A takeover while a holder can't be heard for 5 s may still overbook; the engine's own limit is then the guard.

--- a/src/carawaydoor/node.py
+++ b/src/carawaydoor/node.py
@@ -19,7 +19,6 @@
 
 KEY_PARTITIONS = 64
 SWEEP_S = 0.25
-SLOT_LEASE_S = 1.5
 RESERVE_WAIT_S = 0.5
 ISSUED_KEY_LIFE_S = 900.0
 RECORD_LIFE_S = 3600.0
@@ -300,7 +299,6 @@
         state.membership.failure_domain,
         model.prefill_tokens_per_s,
         declared.max_queue,
-        SLOT_LEASE_S,
     )
     return schedulers.create(plan, now_s, _pool_upstreams(state, pool))
 
@@ -346,7 +344,12 @@
 
 def _hear(state: Node, asked_s: float, now_s: float, heard: messages.Heartbeat) -> Node:
     after = memberships.hear(state.membership, asked_s, heard)
-    return _renew(dataclasses.replace(state, membership=after), now_s, heard)
+    state = _renew(dataclasses.replace(state, membership=after), now_s, heard)
+    reported = {
+        pool: schedulers.drop_unreported(each, asked_s, heard.instance, heard.leases)
+        for pool, each in state.scheduler_by_pool.items()
+    }
+    return dataclasses.replace(state, scheduler_by_pool=reported)
 
 
 def _renew(state: Node, now_s: float, heard: messages.Heartbeat) -> Node:
@@ -359,9 +362,16 @@
 
 def _tick(state: Node, now_s: float) -> Step:
     effects: list[events.Effect] = []
+    stopped = frozenset(
+        each
+        for each in state.membership.contact_by_instance
+        if memberships.is_stopped(state.membership, now_s, each)
+    )
     for pool, scheduler in state.scheduler_by_pool.items():
         reported = _all_reported(state, now_s, scheduler.started_s)
-        act = functools.partial(schedulers.tick, now_s=now_s, all_reported=reported)
+        act = functools.partial(
+            schedulers.tick, now_s=now_s, all_reported=reported, stopped=stopped
+        )
         state, answered = _at_scheduler(state, pool, act)
         effects.extend(answered)
     if not state.membership.leaving:
@@ -388,6 +398,8 @@
 def _all_reported(state: Node, now_s: float, since_s: float) -> bool:
     membership = state.membership
     for instance in membership.view.instance_by_id:
+        if instance == membership.instance:
+            continue
         contact = membership.contact_by_instance.get(instance, memberships.Contact())
         heard = contact.heard_s is not None and contact.heard_s > since_s
         if not heard and not memberships.is_stopped(membership, now_s, instance):
--- a/src/carawaydoor/scheduler.py
+++ b/src/carawaydoor/scheduler.py
@@ -2,13 +2,16 @@
 
 One instance at a time is home of a pool in a failure domain, so the three are chosen in one step
 and no two askers can take the same slot. A new home first learns the leases that earlier homes
-granted: it opens when every live instance has reported, or after the longest life of a lease.
+granted: it opens when every instance has reported or is proved stopped, or after ``OPEN_WAIT_S``.
+
+A lease ends when its holder gives it up, reports without it or is proved stopped. While its
+holder can't be heard the engine may still run the request, so the lease stays for ``HOLD_S``.
 """
 
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import TypeVar
 
 from carawaydoor import affinity as affinities
@@ -21,6 +24,9 @@
 SLOT_SMOOTHING = 0.1
 FAILED_PAUSE_S = 2.0
 MIN_RETRY_S = 0.1
+OPEN_WAIT_S = 5.0
+HOLD_S = 30.0
+REPORT_GRACE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,14 +35,12 @@
 
     :ivar prefill_tokens_per_s: speed of one prefill upstream, in prompt tokens per second
     :ivar max_queue: longest queue over all workspaces
-    :ivar lease_s: life of a lease without renewal, in seconds
     """
 
     pool: str
     failure_domain: str
     prefill_tokens_per_s: float
     max_queue: int
-    lease_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,7 +169,7 @@
 def renew(
     state: Scheduler, now_s: float, holder: str, held: Sequence[messages.HeldLease]
 ) -> Scheduler:
-    """Renew the leases that a holder reports and take in those granted by an earlier home."""
+    """Renew the leases that a holder names and take in those granted by an earlier home."""
     leases = dict(state.lease_by_id)
     for each in held:
         lease = leases.get(each.lease_id)
@@ -175,12 +179,35 @@
     return dataclasses.replace(state, lease_by_id=leases)
 
 
-def tick(state: Scheduler, now_s: float, all_reported: bool) -> tuple[Scheduler, list[Answer]]:
-    """Let leases and queued requests expire, open when the leases in use are known."""
-    horizon_s = now_s - state.plan.lease_s
-    live = {key: each for key, each in state.lease_by_id.items() if each.renewed_s > horizon_s}
-    opened = state.open or all_reported or now_s - state.started_s > state.plan.lease_s
-    state = dataclasses.replace(state, lease_by_id=live, open=opened)
+def drop_unreported(
+    state: Scheduler, asked_s: float, holder: str, held: Sequence[messages.HeldLease]
+) -> Scheduler:
+    """Free the leases that a holder, asked at ``asked_s``, no longer names.
+
+    A lease granted shortly before may not have reached its holder yet, so it stays.
+    """
+    named = {each.lease_id for each in held}
+    return _keep(
+        state,
+        lambda each: (
+            each.holder != holder or each.id in named or each.granted_s > asked_s - REPORT_GRACE_S
+        ),
+    )
+
+
+def tick(
+    state: Scheduler, now_s: float, all_reported: bool, stopped: frozenset[str]
+) -> tuple[Scheduler, list[Answer]]:
+    """Free leases of stopped holders, expire queued requests, open once leases are known.
+
+    :param all_reported: whether every instance has reported or is proved stopped
+    :param stopped: instances that are proved stopped
+    """
+    state = _keep(
+        state, lambda each: each.holder not in stopped and each.renewed_s > now_s - HOLD_S
+    )
+    opened = state.open or all_reported or now_s - state.started_s > OPEN_WAIT_S
+    state = dataclasses.replace(state, open=opened)
     expired = [
         each.id
         for waiting in state.queue.queue_by_workspace.values()
@@ -230,7 +257,7 @@
 def expected_wait_s(state: Scheduler, now_s: float) -> float:
     """Return how long a request that is queued now will probably wait, in seconds."""
     if not state.open:
-        return max(0.0, state.started_s + state.plan.lease_s - now_s)
+        return max(0.0, state.started_s + OPEN_WAIT_S - now_s)
     slots = sum(each.slots for each in _usable(state, now_s, views.Role.DECODE))
     if slots == 0:
         return FAILED_PAUSE_S
@@ -323,6 +350,11 @@
     return dataclasses.replace(state, lease_by_id={**state.lease_by_id, lease.id: lease})
 
 
+def _keep(state: Scheduler, wanted: Callable[[Lease], bool]) -> Scheduler:
+    kept = {key: each for key, each in state.lease_by_id.items() if wanted(each)}
+    return dataclasses.replace(state, lease_by_id=kept)
+
+
 def _dequeue(state: Scheduler, lease_ids: set[str]) -> Scheduler:
     if not any(each in state.asked_by_lease for each in lease_ids):
         return state
--- a/tools/load.py
+++ b/tools/load.py
@@ -192,7 +192,10 @@
     """Book with one key, again through other instances until an answer says what became of it."""
     stream = arrival.stream
     booking = f"{stream.workspace}-{arrival.number}"
-    headers = {**_headers(stream), "Idempotency-Key": keys.uuid7(time.time(), random.SystemRandom())}
+    headers = {
+        **_headers(stream),
+        "Idempotency-Key": keys.uuid7(time.time(), random.SystemRandom()),
+    }
     outcome = Outcome(
         kind=stream.kind, workspace=stream.workspace, at_s=arrival.at_s, booking=booking
     )
