Prove the promises on real processes; say unknown after a failed attempt

Cause: focused failure tests with real processes found three faults: a completion whose first attempt had run on an engine was refused as not_run when its second attempt found no place; an instance that is alone in its failure domain lost its lease when the platform was down for all; readiness came before schedulers and budgets stood. Ruled out: counting the platform's last answer longer, which would let an old home go on. Conclusion: a later attempt's refusal says unknown; a lone instance may take the instances of all other domains as witnesses.

--- a/src/carawaydoor/membership.py
+++ b/src/carawaydoor/membership.py
@@ -5,7 +5,8 @@
 fresh, and only after every earlier holder has surely stopped:
 
 - the lease is fresh while the platform confirmed the view within ``lease_s``, or while every
-  other instance of the domain was heard within ``lease_s`` without a newer view;
+  other instance of the domain was heard within ``lease_s`` without a newer view; an instance
+  that is alone in its domain needs every instance of the other domains for that;
 - an instance is proved stopped while its address refused a connection within ``lease_s``;
 - after a change of holder the new home waits ``takeover_s``, unless the earlier holder is proved
   stopped or has confirmed the newer view.
@@ -191,8 +192,8 @@
         return False
     if state.confirmed_s is not None and now_s - state.confirmed_s <= state.timing.lease_s:
         return True
-    others = [each for each in _domain_members(state) if each != state.instance]
-    return bool(others) and all(_vouches(state, now_s, each) for each in others)
+    witnesses = _witnesses(state)
+    return bool(witnesses) and all(_vouches(state, now_s, each) for each in witnesses)
 
 
 def acts_as_home(state: Membership, now_s: float, resource: str) -> messages.NotHomeReason | None:
@@ -258,12 +259,11 @@
     return fresh and contact.view_revision <= state.view.revision
 
 
-def _domain_members(state: Membership) -> list[str]:
-    return [
-        each.id
-        for each in state.view.instance_by_id.values()
-        if each.failure_domain == state.failure_domain
-    ]
+def _witnesses(state: Membership) -> list[str]:
+    """Return the other instances of the domain, or of all domains where there are none."""
+    others = [each for each in state.view.instance_by_id.values() if each.id != state.instance]
+    near = [each.id for each in others if each.failure_domain == state.failure_domain]
+    return near or [each.id for each in others]
 
 
 def _with_contact(state: Membership, instance: str, contact: Contact) -> Membership:
--- a/src/carawaydoor/modelserving.py
+++ b/src/carawaydoor/modelserving.py
@@ -103,7 +103,8 @@
         """Run an attempt up to its first chunk."""
         placed = self._placement.place(exchange, number, excluded)
         if placed.is_error():
-            return expression.Error(("", placed.error))
+            ran = errors.Ran.UNKNOWN if number > 0 else placed.error.ran
+            return expression.Error(("", dataclasses.replace(placed.error, ran=ran)))
         attempt = Attempt(number, placed.ok, contextlib.ExitStack())
         attempt.resources.callback(self._release, attempt)
         try:
--- a/src/carawaydoor/operator_app.py
+++ b/src/carawaydoor/operator_app.py
@@ -13,6 +13,8 @@
 from carawaydoor import membership as memberships
 from carawaydoor import supervisor as supervisors
 
+SETTLE_S = 1.0
+
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
@@ -53,7 +55,7 @@
             return False
         now_s = gateway.clock.now_s()
         membership = gateway.membership
-        held_back = now_s - membership.started_s <= membership.timing.takeover_s
+        held_back = now_s - membership.started_s <= membership.timing.takeover_s + SETTLE_S
         return gateway.configuration.current is not None and not held_back
 
     def _live(self) -> tuple[str, str, bytes]:
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,193 @@
+"""Failures of real processes: what must always hold, seen by callers and upstreams."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from standins import engine
+from tests import caller
+from tools import deployments, fleet
+
+PROMPT = "hello " * 1500
+
+
+@pytest.fixture
+def running() -> Iterator[fleet.Fleet]:
+    """A small deployment of its own for each test."""
+    with fleet.Fleet(deployments.SMALL) as started:
+        assert caller.eventually(lambda: caller.Caller(started).complete().status == 200)
+        yield started
+
+
+def test_nothing_stays_held_when_callers_go(running: fleet.Fleet) -> None:
+    """A caller that goes at any stage leaves no slot, KV cache, lease or request behind."""
+    sender = caller.Caller(running)
+    for wait_s in (0.0, 0.05, 0.2, 0.4, 0.6):
+        connection = sender.stream(PROMPT, max_tokens=400)
+        time.sleep(wait_s)
+        connection.close()
+    reading = sender.stream("short", max_tokens=400)
+    reading.getresponse().readline()
+    reading.sock.close() if reading.sock else reading.close()
+    assert caller.eventually(lambda: caller.holds_nothing(running))
+
+
+def test_withdrawn_key_stops_working(running: fleet.Fleet) -> None:
+    """A withdrawn key stops within seconds, on new requests and on an open stream."""
+    sender = caller.Caller(running, workspace="rosario")
+    open_stream = sender.stream(max_tokens=400)
+    response = open_stream.getresponse()
+    assert response.status == 200
+    response.readline()
+    running.publish_configuration(withdrawn=("rosario",))
+    assert caller.eventually(lambda: sender.send("GET", "/orders/1").problem == "key-withdrawn")
+    rest = response.read()
+    assert b"key-withdrawn" in rest
+    assert b"[DONE]" not in rest
+    assert caller.Caller(running, workspace="salta").send("GET", "/orders/1").status == 200
+    assert caller.eventually(lambda: caller.holds_nothing(running))
+
+
+def test_withdrawal_reaches_instances_cut_off_from_the_platform(running: fleet.Fleet) -> None:
+    """A revision that one instance has seen comes in force at all; none goes back."""
+    running.control("platform", stale=True)
+    running.publish_configuration(withdrawn=("rosario",))
+    sender = caller.Caller(running, workspace="rosario")
+    time.sleep(1.0)
+    assert sender.send("GET", "/orders/1").status == 200
+    running.control("platform", stale=False)
+    assert caller.eventually(lambda: sender.send("GET", "/orders/1").status == 401)
+
+
+def test_restart_under_a_stale_platform_keeps_the_revision(running: fleet.Fleet) -> None:
+    """An instance that starts while the platform shows an old revision serves the newest."""
+    stale = (running.directory / "config" / "manifest.json").read_bytes()
+    number = running.publish_configuration(withdrawn=("rosario",))
+    assert caller.eventually(
+        lambda: all(
+            caller.status(running, each)["configuration_revision"] == number
+            for each in running.ports_by_instance
+        )
+    )
+    (running.directory / "config" / "manifest.json").write_bytes(stale)
+    running.kill("oc-i2")
+    running.start_instance("oc-i2")
+    running.wait_ready(fleet.START_TIMEOUT_S)
+    assert caller.status(running, "oc-i2")["configuration_revision"] == number
+    sender = caller.Caller(running, "oc-i2", "rosario")
+    assert sender.send("GET", "/orders/1").problem == "key-withdrawn"
+
+
+def test_graceful_shutdown_cuts_off_no_request(running: fleet.Fleet) -> None:
+    """An instance that is told to stop finishes its answers and refuses the rest truly."""
+    sender = caller.Caller(running, "oc-i2")
+    bodies: list[bytes] = []
+
+    def read() -> None:
+        response = sender.stream(max_tokens=60).getresponse()
+        bodies.append(response.read())
+
+    readers = [threading.Thread(target=read) for _ in range(8)]
+    for each in readers:
+        each.start()
+    time.sleep(0.3)
+    assert running.terminate("oc-i2") == 0
+    for each in readers:
+        each.join()
+    assert [each.count(b'"text"') for each in bodies] == [60] * 8
+    assert all(b"[DONE]" in each for each in bodies)
+    assert caller.eventually(lambda: caller.Caller(running).complete().status == 200)
+    assert caller.eventually(lambda: caller.engines_hold(running) == 0)
+
+
+def test_leaving_upstream_gets_nothing_new(running: fleet.Fleet) -> None:
+    """An upstream that is published as leaving gets no new work after a few seconds."""
+    running.mark_leaving("planning-3")
+    running.mark_leaving("booking-1")
+    time.sleep(2.0)
+    before = running.control("planning-3")["counts"].get("decodes", 0)
+    reads = running.control("booking-1")["reads"]
+    sender = caller.Caller(running)
+    assert all(sender.complete().status == 200 for _ in range(6))
+    assert all(sender.send("GET", "/orders/1").status == 200 for _ in range(6))
+    assert running.control("planning-3")["counts"].get("decodes", 0) == before
+    assert running.control("booking-1")["reads"] == reads
+
+
+def test_request_that_kills_takes_down_two_upstreams_at_most(running: fleet.Fleet) -> None:
+    """A request that crashes upstreams, sent again through all instances, is suspended."""
+    problems: list[str] = []
+    for _ in range(2):
+        for instance in running.ports_by_instance:
+            sender = caller.Caller(running, instance)
+            problems.append(sender.complete(engine.POISON).problem)
+    down = [name for name, each in running.process_by_name.items() if each.poll() is not None]
+    assert 1 <= len(down) <= 2
+    assert problems[-1] == "request-suspended"
+
+
+def test_booking_repeated_after_its_home_died_runs_once(running: fleet.Fleet) -> None:
+    """A booking whose instance dies while it runs is not run again elsewhere."""
+    for each in ("booking-1", "booking-2"):
+        running.control(each, delay_s=1.0)
+    key = caller.Caller(running, "oc-i1").fresh_key()
+    errors: list[Exception] = []
+
+    def book() -> None:
+        try:
+            caller.Caller(running, "oc-i2").book("once", key)
+        except (OSError, http.client.HTTPException) as error:
+            errors.append(error)
+
+    first = threading.Thread(target=book)
+    first.start()
+    time.sleep(0.3)
+    running.kill("oc-i1")
+    first.join()
+    again = caller.Caller(running, "oc-i3").book("once", key)
+    assert (again.ran, again.status) != ("not_run", 200)
+    assert again.ran == "unknown"
+    runs = [running.control(each)["runs"].get("once", 0) for each in ("booking-1", "booking-2")]
+    assert sum(runs) == 1
+
+
+def test_booking_is_replayed_through_every_instance(running: fleet.Fleet) -> None:
+    """A repeated booking gets the first answer, through whichever instance it comes."""
+    key = caller.Caller(running, "oc-i1").fresh_key()
+    replies = [
+        caller.Caller(running, each).book("twice", key) for each in ("oc-i1", "oc-i2", "oc-i3")
+    ]
+    assert [each.status for each in replies] == [201, 201, 201]
+    assert len({json.loads(each.body)["number"] for each in replies}) == 1
+    other = caller.Caller(running).book("other", key)
+    assert other.problem == "idempotency-key-reused"
+    stranger = caller.Caller(running, workspace="salta").book("twice", key)
+    assert stranger.problem == "idempotency-key-unverifiable"
+
+
+def test_engine_death_ends_streams_truly(running: fleet.Fleet) -> None:
+    """A stream whose engine dies ends with a refusal, never as if it were whole."""
+    streams = [caller.Caller(running).stream(max_tokens=300) for _ in range(4)]
+    responses = [each.getresponse() for each in streams]
+    assert [each.status for each in responses] == [200] * 4
+    for each in responses:
+        each.readline()
+    running.kill("planning-3")
+    running.kill("planning-4")
+    bodies = [each.read() for each in responses]
+    assert all(b"upstream-failed" in each and b"[DONE]" not in each for each in bodies)
+
+
+def test_platform_outage_stops_nothing(running: fleet.Fleet) -> None:
+    """While the platform is down for all, every instance goes on serving."""
+    running.control("platform", down=True)
+    time.sleep(4.0)
+    for each in running.ports_by_instance:
+        assert caller.Caller(running, each).complete().status == 200
+        assert caller.Caller(running, each).send("GET", "/orders/1").status == 200
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,85 @@
+"""Bad input and bad upstreams: a typed refusal, a true statement on the run, nothing held."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+import pytest
+import yaml
+
+from tests import caller
+from tools import fleet
+
+CASES = yaml.safe_load(pathlib.Path(__file__).with_name("refusals.yaml").read_text())
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case["name"])
+def test_bad_request(running: fleet.Fleet, case: dict[str, object]) -> None:
+    """The request gets the stated refusal, which is true, and leaves nothing held."""
+    body = str(case.get("body", "")) * int(str(case.get("repeat", 1)))
+    headers = {str(key): str(value) for key, value in dict(case.get("headers", {})).items()}
+    sender = caller.Caller(running, workspace=str(case.get("workspace", "head-office")))
+    reply = sender.send(str(case["method"]), str(case["path"]), body.encode(), **headers)
+    assert (reply.status, reply.problem) == (case["status"], case["problem"])
+    assert reply.ran == "not_run"
+    assert caller.eventually(lambda: caller.holds_nothing(running))
+
+
+def test_headers_over_the_limit(running: fleet.Fleet) -> None:
+    """Headers over the limit get a typed refusal."""
+    reply = caller.Caller(running).send("GET", "/orders/17", X_Padding="y" * 40_000)
+    assert (reply.status, reply.problem) == (431, "headers-too-large")
+
+
+@pytest.mark.parametrize("fault", ["rubbish", "crossed", "half"])
+def test_bad_engine(running: fleet.Fleet, fault: str) -> None:
+    """An engine that answers wrongly never reaches the caller as an answer."""
+    engines = [each.id for each in running.deployment.upstreams if each.role != "plain"]
+    for each in engines:
+        running.control(each, fault=fault)
+    try:
+        reply = caller.Caller(running).complete()
+        streamed = caller.Caller(running).complete(stream=True)
+    finally:
+        for each in engines:
+            running.control(each, fault="")
+    assert reply.status in (502, 503)
+    assert reply.ran == "unknown"
+    assert b"[DONE]" not in streamed.body
+    assert caller.eventually(lambda: caller.holds_nothing(running))
+
+
+def test_crossed_answer_of_a_plain_service(running: fleet.Fleet) -> None:
+    """An answer that belongs to another request is not passed on."""
+    services = [each.id for each in running.deployment.upstreams if each.role == "plain"]
+    for each in services:
+        running.control(each, fault="crossed")
+    try:
+        reply = caller.Caller(running).send("GET", "/orders/17")
+    finally:
+        for each in services:
+            running.control(each, fault="")
+    assert reply.problem == "upstream-answer-invalid"
+
+
+def test_whole_answer(running: fleet.Fleet) -> None:
+    """A whole answer carries every token and the usage."""
+    reply = caller.Caller(running).complete(max_tokens=4)
+    document = json.loads(reply.body)
+    assert document["choices"][0]["text"] == "w0 w1 w2 w3 "
+    assert document["usage"]["completion_tokens"] == 4
+
+
+def test_no_upstream_sees_a_key(running: fleet.Fleet) -> None:
+    """No upstream has seen a credential of a caller."""
+    sender = caller.Caller(running)
+    sender.send("GET", "/orders/17", Cookie="session=1")
+    sender.complete()
+    sender.book("key-check", sender.fresh_key())
+    reports = [running.control(each) for each in running.port_by_upstream]
+    seen = [
+        each.get("credentials_seen", each.get("counts", {}).get("credentials_seen", 0))
+        for each in reports
+    ]
+    assert sum(seen) == 0
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -94,3 +94,21 @@
     ("gent", "brugge", "leuven", "kortrijk", "oostende"),
     "bk",
 )
+
+SMALL: Final = Deployment(
+    "orden-claro",
+    _instances("oc", "aab", 3),
+    (
+        Back("planning-1", "oc-a", "prefill", "planning"),
+        Back("planning-2", "oc-b", "prefill", "planning"),
+        Back("planning-3", "oc-a", "decode", "planning"),
+        Back("planning-4", "oc-b", "decode", "planning"),
+        Back("booking-1", "oc-a", "plain", "booking"),
+        Back("booking-2", "oc-b", "plain", "booking"),
+    ),
+    "planning",
+    "/orders/17",
+    "/bookings",
+    ("head-office", "rosario", "cordoba", "mendoza", "salta"),
+    "oc",
+)
