Record and replay traces of the decision core; add benchmark and baselines

Cause: the replay command was a stub, and the measures had nothing to be compared with. Ruled out: recording the instance's secret or caller bodies; issued keys are signed anew with a public secret, so a replay takes the same decisions without them. Figures: a recorded run of over 100 steps replays step by step; with a planted change of the bucket or of the key check the replay reports the difference.

--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -57,8 +57,9 @@
         self._options = options
         self._clock = clock
         self._trail = audit.Trail(options.instance, clock)
-        self._recorder = trace.open_recorder(options.trace_file)
-        self._core = cores.Core(self._first_state(), clock, self._recorder)
+        state = self._first_state()
+        self._recorder = trace.open_recorder(options.trace_file, state.membership, state.secret)
+        self._core = cores.Core(state, clock, self._recorder)
         self._peers = peers.Peers(options.instance, self._core)
         self._gateway = gateway.Gateway(
             options, clock, self._core, self._peers, metrics.Metrics(options.instance)
--- a/src/carawaydoor/replay.py
+++ b/src/carawaydoor/replay.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import pathlib
 
 import expression
 
+from carawaydoor import membership as memberships
+from carawaydoor import node, trace
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Difference:
@@ -20,5 +24,39 @@
 
 
 def run(path: pathlib.Path) -> expression.Result[int, Difference]:
-    """Replay a trace and return the number of its steps, or the first difference."""
-    return expression.Error(Difference(0, f"{path}: not a trace"))
+    """Replay a trace and return the number of its steps, or the first difference.
+
+    :param path: trace that a daemon recorded
+    """
+    number = 0
+    try:
+        with path.open(encoding="utf-8") as lines:
+            state = _first_state(next(lines))
+            for number, line in enumerate(lines, start=1):
+                state, difference = _step(state, line)
+                if difference:
+                    return expression.Error(Difference(number + 1, difference))
+    except (OSError, StopIteration, ValueError, KeyError, TypeError) as error:
+        return expression.Error(Difference(number + 1, f"not a trace: {error!r}"))
+    return expression.Ok(number)
+
+
+def _first_state(line: str) -> node.Node:
+    origin = trace.Origin(**json.loads(line))
+    timing = memberships.Timing(origin.lease_s, origin.takeover_s)
+    member = memberships.create(
+        origin.instance, origin.incarnation, origin.failure_domain, timing, origin.started_s
+    )
+    return node.create(member, trace.REPLAY_SECRET)
+
+
+def _step(state: node.Node, line: str) -> tuple[node.Node, str]:
+    """Return the next state and how its effects differ from the recorded ones, if they do."""
+    document = json.loads(line)
+    event = trace.decode(document["event"])
+    state, effects = node.step(state, document["now_s"], document["wall_s"], event)
+    got = [trace.encode(trace.redact(each, trace.REPLAY_SECRET)) for each in effects]
+    recorded = json.loads(json.dumps(got))
+    if recorded != document["effects"]:
+        return state, f"recorded {document['effects']}, got {recorded}"
+    return state, ""
--- a/src/carawaydoor/trace.py
+++ b/src/carawaydoor/trace.py
@@ -1,14 +1,51 @@
-"""Records the events and effects of a decision core, and replays them.
+"""Records the steps of a decision core as lines of JSON.
 
-A trace holds no keys, bodies or answers: idempotency keys and bodies are replaced by digests.
+A trace holds no credentials, no bodies and no secret: bodies are left out, issued idempotency
+keys are signed anew with a public secret, and keys of workspaces are not recorded.
 """
 
 from __future__ import annotations
 
 import abc
-from collections.abc import Sequence
+import dataclasses
+import enum
+import json
+import pathlib
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, TextIO
 
-from carawaydoor import events
+import pydantic
+
+from carawaydoor import bucket, budgets, catalog, errors, events, idempotency, messages, objects
+from carawaydoor import membership as memberships
+from carawaydoor import view as views
+
+REPLAY_SECRET: Final = b"replay"
+FORGED_MAC: Final = "0" * 24
+TYPE: Final = "@"
+ITEMS: Final = "@items"
+BYTES: Final = "@bytes"
+VALUE: Final = "@value"
+
+_MODULES: Final = (bucket, budgets, catalog, errors, events, memberships, messages, objects, views)
+_CLASS_BY_NAME: Final[dict[str, type[Any]]] = {
+    name: each
+    for module in _MODULES
+    for name, each in vars(module).items()
+    if isinstance(each, type)
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a trace begins: an instance that has just started."""
+
+    instance: str
+    incarnation: str
+    failure_domain: str
+    lease_s: float
+    takeover_s: float
+    started_s: float
 
 
 class Recorder(abc.ABC):
@@ -33,9 +70,126 @@
         """Drop the step."""
 
 
-def open_recorder(path: str | None) -> Recorder:
+class FileRecorder(Recorder):
+    """Writes each step as a line of a file."""
+
+    def __init__(self, out: TextIO, membership: memberships.Membership, secret: bytes) -> None:
+        self._out = out
+        self._secret = secret
+        origin = Origin(
+            membership.instance,
+            membership.incarnation,
+            membership.failure_domain,
+            membership.timing.lease_s,
+            membership.timing.takeover_s,
+            membership.started_s,
+        )
+        self._write(dataclasses.asdict(origin))
+
+    def record(
+        self, now_s: float, wall_s: float, event: events.Event, effects: Sequence[events.Effect]
+    ) -> None:
+        """Write the step without what must not be recorded."""
+        self._write(
+            {
+                "now_s": now_s,
+                "wall_s": wall_s,
+                "event": encode(redact(event, self._secret)),
+                "effects": [encode(redact(each, self._secret)) for each in effects],
+            }
+        )
+
+    def close(self) -> None:
+        """Close the file."""
+        self._out.close()
+
+    def _write(self, document: Mapping[str, Any]) -> None:
+        self._out.write(json.dumps(document) + "\n")
+
+
+def open_recorder(path: str | None, membership: memberships.Membership, secret: bytes) -> Recorder:
     """Return the recorder that the settings ask for.
 
     :param path: file to write to, None where nothing is to be recorded
     """
-    return NullRecorder()
+    if path is None:
+        return NullRecorder()
+    return FileRecorder(pathlib.Path(path).open("w", encoding="utf-8"), membership, secret)
+
+
+def redact(value: Any, secret: bytes) -> Any:
+    """Return an event or effect without bodies, credentials and signatures."""
+    match value:
+        case messages.RunOnce():
+            key = _sign_anew(value, secret)
+            return dataclasses.replace(value, key=key, body=b"")
+        case messages.RunOnceAnswered():
+            return dataclasses.replace(value, body=b"")
+        case messages.KeyRecord():
+            return dataclasses.replace(value, body=b"")
+        case events.CatalogInForce():
+            without_keys = dataclasses.replace(value.catalog, key_by_digest={})
+            return dataclasses.replace(value, catalog=without_keys)
+        case tuple():
+            return tuple(redact(each, secret) for each in value)
+        case events.Event() | events.Effect() | messages.HandOverKeys():
+            changed = {
+                field.name: redact(getattr(value, field.name), secret)
+                for field in dataclasses.fields(value)
+            }
+            return dataclasses.replace(value, **changed)
+        case _:
+            return value
+
+
+def encode(value: Any) -> Any:
+    """Return a value of the decision core as JSON can hold it."""
+    if isinstance(value, pydantic.BaseModel):
+        return {TYPE: type(value).__name__, VALUE: value.model_dump(mode="json")}
+    if dataclasses.is_dataclass(value):
+        fields = {
+            each.name: encode(getattr(value, each.name)) for each in dataclasses.fields(value)
+        }
+        return {TYPE: type(value).__name__, **fields}
+    if isinstance(value, enum.Enum):
+        return {TYPE: type(value).__name__, VALUE: value.value}
+    if isinstance(value, Mapping):
+        return {ITEMS: [[key, encode(each)] for key, each in value.items()]}
+    if isinstance(value, tuple | list):
+        return [encode(each) for each in value]
+    if isinstance(value, bytes):
+        return {BYTES: value.hex()}
+    return value
+
+
+def decode(value: Any) -> Any:
+    """Return the value that :func:`encode` made JSON of.
+
+    :raises KeyError: where a type is not one of the decision core
+    """
+    if isinstance(value, list):
+        return tuple(decode(each) for each in value)
+    if not isinstance(value, dict):
+        return value
+    if BYTES in value:
+        return bytes.fromhex(value[BYTES])
+    if ITEMS in value:
+        return {key: decode(each) for key, each in value[ITEMS]}
+    wanted = _CLASS_BY_NAME[value[TYPE]]
+    if issubclass(wanted, pydantic.BaseModel):
+        return wanted.model_validate(value[VALUE])
+    if issubclass(wanted, enum.Enum):
+        return wanted(value[VALUE])
+    return wanted(**{key: decode(each) for key, each in value.items() if key != TYPE})
+
+
+def _sign_anew(message: messages.RunOnce, secret: bytes) -> str:
+    issued = idempotency.parse_issued(message.key)
+    if issued is None:
+        return message.key
+    if not idempotency.is_genuine(issued, message.workspace, secret):
+        parts = dataclasses.replace(issued, mac=FORGED_MAC)
+        return ".".join((idempotency.ISSUED_PREFIX, *dataclasses.astuple(parts)))
+    return idempotency.issue(
+        issued.instance, issued.incarnation, issued.nonce, message.workspace, REPLAY_SECRET
+    )
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -18,6 +18,7 @@
 from tools import keys
 
 DOMAIN = worlds.INSTANCES["i1"]
+BODY = b"a body that must not be recorded"
 RETRY_S = worlds.SERVICE.retry_window_s
 
 
@@ -74,7 +75,7 @@
         if now_s - booking.first_sent_s > RETRY_S - 1.0:
             return
         message = messages.RunOnce(
-            booking.key, "acme", worlds.SERVICE.name, "POST", "/b", "", b"", booking.name
+            booking.key, "acme", worlds.SERVICE.name, "POST", "/b", "", BODY, booking.name
         )
         for home in self._homes(entry, booking.key):
             self.world.ask(entry, home, message, lambda each: self._answer(booking, each))
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,83 @@
+"""Traces replay to the stated outcomes and hold nothing that must not be recorded."""
+
+from __future__ import annotations
+
+import io
+import pathlib
+
+import pytest
+
+from carawaydoor import bucket, cli, exitcodes, idempotency, replay, trace
+from tests import test_at_most_once
+from tests import world as worlds
+
+TRACES = sorted((pathlib.Path(__file__).parent / "traces").glob("*.jsonl"))
+BODY = test_at_most_once.BODY
+
+
+def _recorded(out: io.StringIO) -> worlds.World:
+    """Run requests and bookings while an instance is killed; record what one instance does."""
+    machine = test_at_most_once.AtMostOnce()
+    recorded = "i2"
+    machine.world.record(recorded, out)
+    machine.advance(6.0)
+    for number in range(10):
+        worlds.reserve(machine.world, "i3", f"g{number}", 5.0, 0.0)
+        machine.book_with_time(0.0)
+        machine.book_with_issued_key(recorded)
+        for which in range(2):
+            machine.send("i3", which)
+            machine.run_one(0, "done")
+            machine.send("i4", which)
+        machine.advance(0.5)
+        if number == 5:
+            machine.kill("i1")
+    return machine.world
+
+
+def test_recorded_run_replays(tmp_path: pathlib.Path) -> None:
+    """Every step of an instance replays to the recorded effects."""
+    out = io.StringIO()
+    world = _recorded(out)
+    path = tmp_path / "trace.jsonl"
+    path.write_text(out.getvalue())
+    result = replay.run(path)
+    assert result.is_ok(), result
+    assert result.ok > 100
+    secret = world.machine_by_id["i2"].state.secret
+    assert secret.hex() not in out.getvalue()
+    assert BODY.hex() not in out.getvalue()
+
+
+@pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
+def test_kept_trace_replays(path: pathlib.Path) -> None:
+    """A trace of a fault found earlier has its stated outcome."""
+    assert cli.replay_trace(path) == exitcodes.ExitCode.OK
+
+
+def test_other_outcome_is_reported(tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A core that decides otherwise than recorded is found out."""
+    out = io.StringIO()
+    _recorded(out)
+    path = tmp_path / "trace.jsonl"
+    path.write_text(out.getvalue())
+    create = bucket.create
+    monkeypatch.setattr(
+        bucket, "create", lambda limit, now_s, level=0.0: create(limit, now_s, limit.burst)
+    )
+    monkeypatch.setattr(idempotency, "vouches", lambda *_: None)
+    assert cli.replay_trace(path) == exitcodes.ExitCode.OUTCOME_DIFFERS
+
+
+def test_redaction() -> None:
+    """Bodies go, issued keys are signed anew, forged ones stay forged."""
+    key = idempotency.issue("i1", "n1", "5-1", "acme", b"secret")
+    message = worlds.messages.RunOnce(key, "acme", "booking", "POST", "/b", "", BODY, "op")
+    redacted = trace.redact(message, b"secret")
+    issued = idempotency.parse_issued(redacted.key)
+    assert redacted.body == b""
+    assert issued is not None
+    assert idempotency.is_genuine(issued, "acme", trace.REPLAY_SECRET)
+    forged = idempotency.parse_issued(trace.redact(message, b"another").key)
+    assert forged is not None
+    assert not idempotency.is_genuine(forged, "acme", trace.REPLAY_SECRET)
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,8 +4,19 @@
 
 import dataclasses
 from collections.abc import Callable, Iterator
-
-from carawaydoor import admission, budgets, catalog, events, membership, messages, node, objects
+from typing import TextIO
+
+from carawaydoor import (
+    admission,
+    budgets,
+    catalog,
+    events,
+    membership,
+    messages,
+    node,
+    objects,
+    trace,
+)
 from carawaydoor import view as views
 
 STEP_S = 0.5
@@ -70,6 +81,8 @@
         self.runs: list[tuple[str, str, events.Run]] = []
         self.late: list[Question] = []
         self._incarnations = 0
+        self._recorded = ""
+        self._recorder: trace.Recorder = trace.NullRecorder()
         self._numbers = 0
         self._waiting: dict[tuple[str, int], Callable[[messages.Message], None]] = {}
         self.view = self._make_view(1, set(INSTANCES))
@@ -81,6 +94,25 @@
         """Wall time in seconds."""
         return FIRST_WALL_S + self.now_s
 
+    def record(self, instance: str, out: TextIO) -> None:
+        """Start an instance anew and record every step that it takes."""
+        self.boot(instance)
+        state = self.machine_by_id[instance].state
+        self._recorded = instance
+        self._recorder = trace.FileRecorder(out, state.membership, state.secret)
+        first = node.create(
+            membership.create(
+                instance,
+                state.membership.incarnation,
+                state.membership.failure_domain,
+                self.timing,
+                self.now_s,
+            ),
+            state.secret,
+        )
+        self.machine_by_id[instance].state = first
+        self.apply(instance, events.CatalogInForce(1, CATALOG))
+
     def boot(self, instance: str) -> None:
         """Start a new incarnation of an instance."""
         self._incarnations += 1
@@ -105,6 +137,8 @@
             return
         wall_s = self.wall_s + SKEW_S[instance]
         machine.state, effects = node.step(machine.state, self.now_s, wall_s, event)
+        if instance == self._recorded:
+            self._recorder.record(self.now_s, wall_s, event, effects)
         for effect in effects:
             self._carry_out(instance, effect)
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -5,6 +5,7 @@
 import dataclasses
 import http.client
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -36,10 +37,22 @@
 
 
 class Fleet:
-    """A running deployment; every process is a child of this one and is ended by its id."""
+    """A running deployment; every process is a child of this one and is ended by its id.
 
-    def __init__(self, deployment: deployments.Deployment, lag_s: float = 0.0) -> None:
+    :ivar baseline: baseline policy that runs in place of the daemon, None for the daemon itself
+    :ivar source: checkout whose daemon runs, None for this one
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        lag_s: float = 0.0,
+        baseline: str | None = None,
+        source: pathlib.Path | None = None,
+    ) -> None:
         self.deployment = deployment
+        self._baseline = baseline
+        self._source = source
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="carawaydoor-"))
         self._lag_s = lag_s
         self._free_ports = _free_ports(
@@ -126,6 +139,9 @@
 
     def start_instance(self, instance: str) -> None:
         """Start the daemon of an instance."""
+        if self._baseline is not None:
+            self._start_baseline(instance, self._baseline)
+            return
         ports = self.ports_by_instance[instance]
         path = self.directory / f"{instance}.yaml"
         settings = {
@@ -145,7 +161,23 @@
             ],
         }
         path.write_text(yaml.safe_dump(settings))
-        self._spawn(instance, "-m", "carawaydoor", "--settings", str(path))
+        environment = dict(os.environ)
+        if self._source is not None:
+            environment["PYTHONPATH"] = str(self._source / "src")
+        self._spawn(instance, "-m", "carawaydoor", "--settings", str(path), env=environment)
+
+    def _start_baseline(self, instance: str, policy: str) -> None:
+        ports = Ports(*(3 * [self.ports_by_instance[instance].caller]))
+        self.ports_by_instance[instance] = ports
+        self._spawn(
+            instance,
+            "-m",
+            "tools.baselines",
+            *("--policy", policy, "--port", str(ports.caller)),
+            *("--number", str(list(self.ports_by_instance).index(instance))),
+            *("--view", str(self.directory / "view.json")),
+            *("--config", str(self.deployment.config_directory)),
+        )
 
     def add_instance(self, instance: str, failure_domain: str) -> None:
         """Start an instance that the view does not know yet, and publish it."""
@@ -262,10 +294,14 @@
     def _presence(self, name: str) -> str:
         return "leaving" if name in self._leaving else "live"
 
-    def _spawn(self, name: str, *arguments: str) -> None:
+    def _spawn(self, name: str, *arguments: str, env: dict[str, str] | None = None) -> None:
         with (self.directory / f"{name}.out").open("ab") as out:
             self.process_by_name[name] = subprocess.Popen(
-                [sys.executable, *arguments], stdout=out, stderr=out, stdin=subprocess.DEVNULL
+                [sys.executable, *arguments],
+                stdout=out,
+                stderr=out,
+                stdin=subprocess.DEVNULL,
+                env=env,
             )
 
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -191,11 +191,9 @@
 def _book(arrival: Arrival, ports: list[int]) -> Outcome:
     """Book with one key, again through other instances until an answer says what became of it."""
     stream = arrival.stream
-    booking = f"{stream.workspace}-{arrival.number}"
-    headers = {
-        **_headers(stream),
-        "Idempotency-Key": keys.uuid7(time.time(), random.SystemRandom()),
-    }
+    key = keys.uuid7(time.time(), random.SystemRandom())
+    booking = f"{stream.workspace}-{key}"
+    headers = {**_headers(stream), "Idempotency-Key": key}
     outcome = Outcome(
         kind=stream.kind, workspace=stream.workspace, at_s=arrival.at_s, booking=booking
     )
