Let pooled shares and idempotency keys move between domains; resume streams

Cause: the pooled share of a workspace (80% and more of its rate) belonged to one failure domain by configuration, so it was lost with that domain; found as a test deployment whose pool domain had no instance refused nearly everything. A stream whose engine died after its first token always ended in a refusal. Equal requests that ran on one failing engine counted as several strikes. Ruled out: moving the pooled share on a domain's own word, since a domain that is cut off would go on granting it; majorities of instances, which come close to the consensus group that the users exclude. Conclusion: resources of the fleet need the platform's word or all instances as witnesses; standing shares need only their domain, and carry a domain that is cut off.

--- a/src/carawaydoor/admission.py
+++ b/src/carawaydoor/admission.py
@@ -13,6 +13,8 @@
 
 GRANT_LIFE_S = 0.75
 UNAVAILABLE_RETRY_S = 1.0
+MAX_SEARCHES = 4
+SEARCH_PAUSE_S = 0.15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,14 +39,25 @@
         """Reserve the whole cost; what is not used goes back when the request ends."""
         if exchange.cost is None:
             return expression.Ok(exchange)
-        result = self._reserve(exchange, pooled=True)
-        if result.is_error() and result.error.kind is not errors.Kind.BURST_EXCEEDED:
-            standing = self._reserve(exchange, pooled=False)
-            result = standing if standing.is_ok() else _worse_last(result, standing)
+        result = self._reserve_any(exchange)
+        for _ in range(MAX_SEARCHES - 1):
+            if result.is_ok() or result.error.kind is not errors.Kind.BUDGET_UNAVAILABLE:
+                break
+            if exchange.cancel.wait(SEARCH_PAUSE_S):
+                break
+            result = self._reserve_any(exchange)
         if result.is_error():
             return expression.Error(result.error)
         return self._start(exchange, result.ok)
 
+    def _reserve_any(self, exchange: exchanges.Exchange) -> Granting:
+        """Reserve from the pooled share, else from the standing share of this domain."""
+        pooled = self._reserve(exchange, pooled=True)
+        if pooled.is_ok() or pooled.error.kind is errors.Kind.BURST_EXCEEDED:
+            return pooled
+        standing = self._reserve(exchange, pooled=False)
+        return standing if standing.is_ok() else _more_telling(pooled, standing)
+
     def _start(self, exchange: exchanges.Exchange, granted: Granted) -> filters.Passed:
         exchange.cleanup.callback(self._settle, exchange, granted)
         if granted.message.start_in_s > 0.0 and exchange.cancel.wait(granted.message.start_in_s):
@@ -54,12 +67,9 @@
 
     def _reserve(self, exchange: exchanges.Exchange, pooled: bool) -> Granting:
         gateway = self._gateway
-        shares = gateway.state().shares
-        name = exchange.workspace_name
-        domain = budgets.pool_domain(shares, name) if pooled else gateway.options.failure_domain
-        owner = budgets.POOLED if pooled else domain
-        resource = budgets.Share(name, owner).resource
-        for home in gateway.homes(resource, domain)[:2]:
+        owner = budgets.POOLED if pooled else gateway.options.failure_domain
+        share = budgets.Share(exchange.workspace_name, owner)
+        for home in gateway.homes(share.resource)[:2]:
             result = self._ask(exchange, home, pooled)
             if result is not None:
                 return result
@@ -120,7 +130,7 @@
     )
 
 
-def _worse_last(pooled: Granting, standing: Granting) -> Granting:
+def _more_telling(pooled: Granting, standing: Granting) -> Granting:
     """Return the refusal that tells the caller more: a used rate before an unreachable home."""
     if pooled.error.kind is errors.Kind.RATE_EXCEEDED:
         return pooled
--- a/src/carawaydoor/budgets.py
+++ b/src/carawaydoor/budgets.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 
 from carawaydoor import bucket as buckets
-from carawaydoor import messages, rendezvous
+from carawaydoor import membership, messages
 
 MAX_OPEN_GRANTS = 4096
 SURPLUS_LEVEL = 0.9
@@ -34,9 +34,10 @@
     owner: str
 
     @property
-    def resource(self) -> str:
-        """Name under which the home of this share is chosen."""
-        return f"budget/{self.workspace}/{self.owner}"
+    def resource(self) -> membership.Resource:
+        """The resource by which the home of this share is chosen."""
+        domain = "" if self.owner == POOLED else self.owner
+        return membership.Resource(f"budget/{self.workspace}/{self.owner}", domain)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,11 +50,6 @@
 EMPTY = Budgets({})
 
 
-def pool_domain(shares: Shares, workspace: str) -> str:
-    """Return the failure domain that holds the pooled share of a workspace."""
-    return rendezvous.rank(f"pool/{workspace}", sorted(shares.standing_by_domain))[0]
-
-
 def limit_of(shares: Shares, share: Share) -> buckets.Limit | None:
     """Return the limit of one share, None where the workspace or domain does not exist."""
     whole = shares.limit_by_workspace.get(share.workspace)
@@ -68,15 +64,17 @@
     return buckets.Limit(whole.rate_per_s * fraction, whole.burst * fraction)
 
 
-def domain_shares(shares: Shares, failure_domain: str) -> list[Share]:
-    """Return all shares whose home lies in a failure domain."""
-    standing = [Share(each, failure_domain) for each in shares.limit_by_workspace]
-    pooled = [
-        Share(each, POOLED)
-        for each in shares.limit_by_workspace
-        if pool_domain(shares, each) == failure_domain
-    ]
-    return [each for each in (*standing, *pooled) if limit_of(shares, each) is not None]
+def held_shares(shares: Shares, failure_domain: str) -> list[Share]:
+    """Return all shares whose home may lie in a failure domain."""
+    owners = (POOLED, failure_domain)
+    every = [Share(name, owner) for name in shares.limit_by_workspace for owner in owners]
+    return [each for each in every if limit_of(shares, each) is not None]
+
+
+def without_pooled(state: Budgets) -> Budgets:
+    """Return the state without the pooled shares."""
+    kept = {key: each for key, each in state.bucket_by_share.items() if key.owner != POOLED}
+    return Budgets(kept)
 
 
 def sweep(
@@ -84,14 +82,14 @@
     now_s: float,
     shares: Shares,
     failure_domain: str,
-    acts: Callable[[str], bool],
+    acts: Callable[[membership.Resource], bool],
 ) -> Budgets:
     """Drop the buckets of shares that this instance does not hold, create and resize the others.
 
     A bucket that is created starts empty: an earlier home may have granted everything.
     """
     kept: dict[Share, buckets.Bucket] = {}
-    for share in domain_shares(shares, failure_domain):
+    for share in held_shares(shares, failure_domain):
         limit = limit_of(shares, share)
         if limit is None or not acts(share.resource):
             continue
--- a/src/carawaydoor/gateway.py
+++ b/src/carawaydoor/gateway.py
@@ -7,7 +7,17 @@
 import random
 import threading
 
-from carawaydoor import catalog, errors, idempotency, messages, metrics, node, retries, settings
+from carawaydoor import (
+    catalog,
+    errors,
+    events,
+    idempotency,
+    messages,
+    metrics,
+    node,
+    retries,
+    settings,
+)
 from carawaydoor import clock as clocks
 from carawaydoor import configuration as configurations
 from carawaydoor import core as cores
@@ -49,11 +59,9 @@
         """The newest view of the other instances."""
         return self.core.state.membership
 
-    def homes(self, resource: str, failure_domain: str) -> tuple[str, ...]:
+    def homes(self, resource: memberships.Resource) -> tuple[str, ...]:
         """Return the instances that may act as home of a resource, best first."""
-        return memberships.reachable_candidates(
-            self.membership, self.clock.now_s(), resource, failure_domain
-        )
+        return memberships.reachable_candidates(self.membership, self.clock.now_s(), resource)
 
     def ask(
         self, instance: str, message: messages.Message, timeout_s: float = ASK_TIMEOUT_S
@@ -62,9 +70,13 @@
 
         :raises PeerError: where no answer came within ``timeout_s`` seconds
         """
+        asked_s = self.clock.now_s()
         answer = self.peers.ask(instance, message)
         try:
             return answer.result(timeout_s)
+        except errors.PeerRefusedError:
+            self.core.tell(events.PeerRefused(instance, asked_s))
+            raise
         except concurrent.futures.TimeoutError as error:
             answer.cancel()
             raise errors.PeerUnreachableError(f"{instance} did not answer") from error
--- a/src/carawaydoor/membership.py
+++ b/src/carawaydoor/membership.py
@@ -1,12 +1,14 @@
 """Which instance may act as the home of a resource, decided without shared state.
 
-The instances of a failure domain are ranked for each resource by rendezvous hashing. An instance
-acts as home only while every better-ranked instance is proved stopped and its own lease is
-fresh, and only after every earlier holder has surely stopped:
-
-- the lease is fresh while the platform confirmed the view within ``lease_s``, or while every
-  other instance of the domain was heard within ``lease_s`` without a newer view; an instance
-  that is alone in its domain needs every instance of the other domains for that;
+A resource belongs to a failure domain or to the whole fleet. Its candidates are ranked by
+rendezvous hashing: the instances of its domain, or those of all domains, domain by domain. An
+instance acts as home only while every better-ranked instance is proved stopped and its own lease
+is fresh, and only after every earlier holder has surely stopped:
+
+- the lease is fresh while the platform confirmed the view within ``lease_s``, or while all
+  witnesses were heard within ``lease_s`` without a newer view; the witnesses are the other
+  instances of the domain, or of the fleet for a resource of the fleet and for an instance that
+  is alone in its domain;
 - an instance is proved stopped while its address refused a connection within ``lease_s``;
 - after a change of holder the new home waits ``takeover_s``, unless the earlier holder is proved
   stopped or has confirmed the newer view.
@@ -33,6 +35,17 @@
     takeover_s: float = 3.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resource:
+    """What one instance at a time is home of.
+
+    :ivar failure_domain: domain to which it belongs, empty where it is the whole fleet's
+    """
+
+    name: str
+    failure_domain: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Contact:
     """What is known of another instance; times are those of the question, not of the answer.
@@ -157,23 +170,28 @@
     return max(0.0, now_s - state.confirmed_s)
 
 
-def candidates(state: Membership, resource: str, failure_domain: str) -> tuple[str, ...]:
-    """Return the instances of a domain that may hold a resource, best first."""
-    members = (
-        each.id
-        for each in state.view.instance_by_id.values()
-        if each.failure_domain == failure_domain and each.presence is views.Presence.LIVE
+def candidates(state: Membership, resource: Resource) -> tuple[str, ...]:
+    """Return the instances that may hold a resource, best first."""
+    members_by_domain: dict[str, list[str]] = {}
+    for each in state.view.instance_by_id.values():
+        if each.presence is views.Presence.LIVE:
+            members_by_domain.setdefault(each.failure_domain, []).append(each.id)
+    if resource.failure_domain:
+        domains: tuple[str, ...] = (resource.failure_domain,)
+    else:
+        domains = rendezvous.rank(resource.name, members_by_domain)
+    return tuple(
+        instance
+        for domain in domains
+        for instance in rendezvous.rank(resource.name, members_by_domain.get(domain, ()))
     )
-    return rendezvous.rank(resource, members)
 
 
-def reachable_candidates(
-    state: Membership, now_s: float, resource: str, failure_domain: str
-) -> tuple[str, ...]:
+def reachable_candidates(state: Membership, now_s: float, resource: Resource) -> tuple[str, ...]:
     """Return the candidates less those known to be stopped or leaving, best first."""
     return tuple(
         each
-        for each in candidates(state, resource, failure_domain)
+        for each in candidates(state, resource)
         if not is_stopped(state, now_s, each) and not _is_leaving(state, each)
     )
 
@@ -186,19 +204,24 @@
     return now_s - contact.refused_s <= state.timing.lease_s
 
 
-def has_lease(state: Membership, now_s: float) -> bool:
-    """Return whether this instance may still act under its view."""
+def has_lease(state: Membership, now_s: float, fleet_wide: bool = False) -> bool:
+    """Return whether this instance may still act under its view.
+
+    :param fleet_wide: whether it is to act for the whole fleet, not only for its domain
+    """
     if state.leaving or state.instance not in state.view.instance_by_id:
         return False
     if state.confirmed_s is not None and now_s - state.confirmed_s <= state.timing.lease_s:
         return True
-    witnesses = _witnesses(state)
+    witnesses = _witnesses(state, fleet_wide)
     return bool(witnesses) and all(_vouches(state, now_s, each) for each in witnesses)
 
 
-def acts_as_home(state: Membership, now_s: float, resource: str) -> messages.NotHomeReason | None:
+def acts_as_home(
+    state: Membership, now_s: float, resource: Resource
+) -> messages.NotHomeReason | None:
     """Return None where this instance may act as home of a resource, else why it may not."""
-    ranked = candidates(state, resource, state.failure_domain)
+    ranked = candidates(state, resource)
     for better in ranked:
         if better == state.instance:
             break
@@ -206,21 +229,21 @@
             return messages.NotHomeReason.OTHER_HOME
     else:
         return messages.NotHomeReason.OTHER_HOME
-    if not has_lease(state, now_s):
+    if not has_lease(state, now_s, fleet_wide=not resource.failure_domain):
         return messages.NotHomeReason.LEASE_LAPSED
     if _takeover_pending(state, now_s, resource):
         return messages.NotHomeReason.TAKEOVER_PENDING
     return None
 
 
-def _takeover_pending(state: Membership, now_s: float, resource: str) -> bool:
+def _takeover_pending(state: Membership, now_s: float, resource: Resource) -> bool:
     if now_s - state.started_s <= state.timing.takeover_s:
         return True
     horizon_s = now_s - state.timing.takeover_s
     for until_s, view in state.previous_views:
         if until_s <= horizon_s:
             continue
-        earlier = candidates(dataclasses.replace(state, view=view), resource, state.failure_domain)
+        earlier = candidates(dataclasses.replace(state, view=view), resource)
         for holder in earlier:
             if holder == state.instance:
                 break
@@ -259,11 +282,13 @@
     return fresh and contact.view_revision <= state.view.revision
 
 
-def _witnesses(state: Membership) -> list[str]:
-    """Return the other instances of the domain, or of all domains where there are none."""
+def _witnesses(state: Membership, fleet_wide: bool) -> list[str]:
+    """Return the instances that must be heard where the platform is not."""
     others = [each for each in state.view.instance_by_id.values() if each.id != state.instance]
     near = [each.id for each in others if each.failure_domain == state.failure_domain]
-    return near or [each.id for each in others]
+    if near and not fleet_wide:
+        return near
+    return [each.id for each in others]
 
 
 def _with_contact(state: Membership, instance: str, contact: Contact) -> Membership:
--- a/src/carawaydoor/modelserving.py
+++ b/src/carawaydoor/modelserving.py
@@ -11,7 +11,16 @@
 
 import expression
 
-from carawaydoor import engine, errors, filters, placement, problem, suspension, upstream
+from carawaydoor import (
+    engine,
+    errors,
+    filters,
+    placement,
+    problem,
+    resumption,
+    suspension,
+    upstream,
+)
 from carawaydoor import exchange as exchanges
 from carawaydoor import gateway as gateways
 
@@ -151,16 +160,42 @@
             engine.release(attempt.place.prefill, request_id, params)
 
     def _relay(self, exchange: exchanges.Exchange, begun: Begun) -> Iterator[bytes]:
-        """Yield an answer chunk by chunk; a failure ends it with an event that says so."""
-        try:
-            with begun.attempt.resources:
-                for chunk in self._timed(exchange, begun.chunks):
-                    yield engine.DATA + chunk.raw + b"\n\n"
-            yield engine.DATA + engine.DONE + b"\n\n"
-        except errors.UpstreamError as error:
-            refusal = self._fail(exchange, begun.attempt, error)
-            self._gateway.metrics.refusals.add(1, {"kind": refusal.kind.value})
-            yield problem.event(refusal, exchange.id)
+        """Yield an answer chunk by chunk.
+
+        An answer whose engine fails is continued by another one, once; where it can't be, it ends
+        with an event that says so.
+        """
+        stream_id = ""
+        progress = resumption.Progress()
+        current: Begun | None = begun
+        while current is not None:
+            try:
+                with current.attempt.resources:
+                    for chunk in self._timed(exchange, current.chunks):
+                        stream_id = stream_id or chunk.id
+                        progress = resumption.advance(progress, chunk)
+                        raw = resumption.renamed(chunk, stream_id, progress)
+                        yield engine.DATA + raw + b"\n\n"
+                yield engine.DATA + engine.DONE + b"\n\n"
+                return
+            except errors.UpstreamError as error:
+                refusal = self._fail(exchange, current.attempt, error)
+            current, progress = self._resume(exchange, current.attempt, progress)
+        self._gateway.metrics.refusals.add(1, {"kind": refusal.kind.value})
+        yield problem.event(refusal, exchange.id)
+
+    def _resume(
+        self, exchange: exchanges.Exchange, attempt: Attempt, progress: resumption.Progress
+    ) -> tuple[Begun | None, resumption.Progress]:
+        """Continue an answer on other upstreams, where that is possible."""
+        rest = resumption.remainder(exchange, progress)
+        if rest is None or not self._may_try_again(exchange, attempt.number, attempt.failed):
+            return None, progress
+        exchange.completion, exchange.cost = rest
+        begun = self._begin(exchange, attempt.number + 1, (attempt.failed,))
+        if begun.is_error():
+            return None, progress
+        return begun.ok, resumption.restart(progress)
 
     def _collect(
         self, exchange: exchanges.Exchange, begun: Begun
@@ -204,7 +239,7 @@
             error, errors.UpstreamBrokenError | errors.UpstreamUnreachableError
         )
         if isinstance(error, errors.UpstreamBrokenError):
-            suspension.strike(self._gateway, exchange, attempt.number)
+            suspension.strike(self._gateway, exchange, attempt.failed)
         attempt.resources.close()
         labels = {"upstream": attempt.failed, "error": type(error).__name__}
         self._gateway.metrics.upstream_failures.add(1, labels)
--- a/src/carawaydoor/node.py
+++ b/src/carawaydoor/node.py
@@ -76,20 +76,14 @@
     return f"{rendezvous.weight('key', key) % KEY_PARTITIONS:02d}"
 
 
-def key_resource(partition: str) -> str:
-    """Return the resource name of a partition of idempotency keys."""
-    return f"keys/{partition}"
+def key_resource(partition: str) -> memberships.Resource:
+    """Return the resource of a partition of idempotency keys."""
+    return memberships.Resource(f"keys/{partition}")
 
 
-def key_domain(shares: budgets.Shares, partition: str) -> str | None:
-    """Return the failure domain that holds a partition, None before there is a configuration."""
-    ranked = rendezvous.rank(key_resource(partition), sorted(shares.standing_by_domain))
-    return ranked[0] if ranked else None
-
-
-def pool_resource(pool: str) -> str:
-    """Return the resource name of the scheduler of a pool."""
-    return f"pool/{pool}"
+def pool_resource(pool: str, failure_domain: str) -> memberships.Resource:
+    """Return the resource of the scheduler of a pool in a failure domain."""
+    return memberships.Resource(f"pool/{pool}", failure_domain)
 
 
 def step(state: Node, now_s: float, wall_s: float, event: events.Event) -> Step:
@@ -98,8 +92,7 @@
     :param now_s: time in seconds on the clock of this instance
     :param wall_s: seconds since the Unix epoch
     """
-    if not memberships.has_lease(state.membership, now_s):
-        state = _drop_homes(state)
+    state = _drop_homes(state, now_s)
     evidence = _evidence(state, now_s)
     state, effects = _apply(state, now_s, wall_s, event)
     changed = _evidence(state, now_s) != evidence
@@ -230,17 +223,19 @@
     return membership.view.revision, stopped, leaving, membership.leaving
 
 
-def _drop_homes(state: Node) -> Node:
-    if not (state.budgets.bucket_by_share or state.scheduler_by_pool or state.tenure_by_partition):
+def _drop_homes(state: Node, now_s: float) -> Node:
+    """Give up what this instance held before its lease lapsed; another may hold it by now."""
+    membership = state.membership
+    if membership.leaving or memberships.has_lease(membership, now_s, fleet_wide=True):
         return state
-    if state.membership.leaving:
+    kept = budgets.without_pooled(state.budgets)
+    state = dataclasses.replace(state, budgets=kept, tenure_by_partition={})
+    if memberships.has_lease(membership, now_s):
         return state
-    return dataclasses.replace(
-        state, budgets=budgets.EMPTY, scheduler_by_pool={}, tenure_by_partition={}
-    )
+    return dataclasses.replace(state, budgets=budgets.EMPTY, scheduler_by_pool={})
 
 
-def _acts(state: Node, now_s: float, resource: str) -> bool:
+def _acts(state: Node, now_s: float, resource: memberships.Resource) -> bool:
     return memberships.acts_as_home(state.membership, now_s, resource) is None
 
 
@@ -264,9 +259,6 @@
     tenures: dict[str, Tenure] = {}
     for number in range(KEY_PARTITIONS):
         partition = f"{number:02d}"
-        domain = key_domain(state.shares, partition)
-        if domain != state.membership.failure_domain:
-            continue
         if not _acts(state, now_s, key_resource(partition)):
             continue
         tenures[partition] = state.tenure_by_partition.get(partition, Tenure(now_s, now_s))
@@ -277,7 +269,7 @@
     running: dict[str, schedulers.Scheduler] = {}
     effects: list[events.Effect] = []
     for pool in state.catalog.pool_by_name:
-        if not _acts(state, now_s, pool_resource(pool)):
+        if not _acts(state, now_s, pool_resource(pool, state.membership.failure_domain)):
             continue
         current = state.scheduler_by_pool.get(pool)
         running[pool] = current or _new_scheduler(state, now_s, pool)
@@ -409,8 +401,7 @@
 
 def _pooled_home(state: Node, now_s: float, workspace: str) -> str | None:
     share = budgets.Share(workspace, budgets.POOLED)
-    domain = budgets.pool_domain(state.shares, workspace)
-    ranked = memberships.reachable_candidates(state.membership, now_s, share.resource, domain)
+    ranked = memberships.reachable_candidates(state.membership, now_s, share.resource)
     return ranked[0] if ranked else None
 
 
@@ -440,7 +431,9 @@
 
 
 def _acquire(state: Node, now_s: float, asked: messages.AcquireSlot, reply_to: int | None) -> Step:
-    reason = memberships.acts_as_home(state.membership, now_s, pool_resource(asked.pool))
+    reason = memberships.acts_as_home(
+        state.membership, now_s, pool_resource(asked.pool, asked.failure_domain)
+    )
     if reason is not None:
         return state, _not_home(state, reason, reply_to)
     if asked.pool not in state.scheduler_by_pool:
@@ -590,11 +583,9 @@
     return state, effects
 
 
-def _next_home(state: Node, now_s: float, resource: str) -> str | None:
+def _next_home(state: Node, now_s: float, resource: memberships.Resource) -> str | None:
     membership = state.membership
-    ranked = memberships.reachable_candidates(
-        membership, now_s, resource, membership.failure_domain
-    )
+    ranked = memberships.reachable_candidates(membership, now_s, resource)
     others = [each for each in ranked if each != membership.instance]
     return others[0] if others else None
 
--- a/src/carawaydoor/operator_app.py
+++ b/src/carawaydoor/operator_app.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from carawaydoor import audit, node
+from carawaydoor import bucket as buckets
 from carawaydoor import configuration as configurations
 from carawaydoor import gateway as gateways
 from carawaydoor import membership as memberships
@@ -95,8 +96,8 @@
             "requests": self._supervisor.count,
             "held_leases": len(state.held_by_lease),
             "budgets": {
-                each.resource: round(bucket.level, 1)
-                for each, bucket in state.budgets.bucket_by_share.items()
+                each.resource.name: round(buckets.refill(held, now_s).level, 1)
+                for each, held in state.budgets.bucket_by_share.items()
             },
             "pools": {each.pool: dataclasses.asdict(each) for each in node.loads(state, now_s)},
             "key_partitions": len(state.tenure_by_partition),
--- a/src/carawaydoor/plainserving.py
+++ b/src/carawaydoor/plainserving.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from carawaydoor import errors, filters, idempotency, messages, node, objects, upstream
+from carawaydoor import errors, filters, idempotency, messages, node, objects, suspension, upstream
 from carawaydoor import exchange as exchanges
 from carawaydoor import gateway as gateways
 from carawaydoor import view as views
@@ -47,6 +47,8 @@
     def _may_repeat(self, exchange: exchanges.Exchange) -> bool:
         if exchange.cancel.reason is not None:
             return False
+        if suspension.suspended(self._gateway, exchange) is not None:
+            return False
         return exchange.inbound.method in IDEMPOTENT_METHODS and self._gateway.may_retry()
 
     def _call(
@@ -80,6 +82,8 @@
         self._gateway.metrics.upstream_failures.add(1, labels)
         if exchange.cancel.reason is not None:
             return exchanges.refusal_of(exchange.cancel.reason, errors.Ran.UNKNOWN)
+        if isinstance(error, errors.UpstreamBrokenError):
+            suspension.strike(self._gateway, exchange, target.id)
         return refusal_of(error)
 
 
@@ -121,10 +125,7 @@
         if issued is not None:
             return (issued.instance,)
         partition = node.key_partition(key)
-        domain = node.key_domain(self._gateway.state().shares, partition)
-        if domain is None:
-            return ()
-        return self._gateway.homes(node.key_resource(partition), domain)[:2]
+        return self._gateway.homes(node.key_resource(partition))[:2]
 
     def _ask(
         self, home: str, message: messages.RunOnce, service: objects.Service
--- a/src/carawaydoor/suspension.py
+++ b/src/carawaydoor/suspension.py
@@ -12,6 +12,7 @@
 from carawaydoor import view as views
 
 BROADCAST_TIMEOUT_S = 0.3
+SAME_FAILURE_S = 5.0
 
 
 class CheckStrikes(filters.Filter):
@@ -43,13 +44,15 @@
     return errors.Refusal(errors.Kind.REQUEST_SUSPENDED, detail, retry_after_s=seconds)
 
 
-def strike(gateway: gateways.Gateway, exchange: exchanges.Exchange, attempt: int) -> None:
+def strike(gateway: gateways.Gateway, exchange: exchanges.Exchange, upstream: str) -> None:
     """Tell every reachable instance that an upstream failed while it ran a request.
 
-    Returns when all have acknowledged, or after ``BROADCAST_TIMEOUT_S``: a caller that sends the
-    request again through another instance must meet the strike there.
+    Equal requests that one upstream ran as it failed count as one strike. Returns when all have
+    acknowledged, or after ``BROADCAST_TIMEOUT_S``: a caller that sends the request again through
+    another instance must meet the strike there.
     """
-    message = messages.AddStrike(exchange.fingerprint, f"{exchange.id}-{attempt}")
+    period = int(gateway.clock.wall_s() / SAME_FAILURE_S)
+    message = messages.AddStrike(exchange.fingerprint, f"{upstream}@{period}")
     gateway.core.tell(events.Received(message))
     others = [
         each.id
--- a/tests/caller.py
+++ b/tests/caller.py
@@ -113,6 +113,13 @@
     return document
 
 
+def budget(running: fleet.Fleet, workspace: str) -> float:
+    """Return the tokens in the pooled share of a workspace."""
+    name = f"budget/{workspace}/pooled"
+    levels = [status(running, each)["budgets"].get(name, 0.0) for each in running.ports_by_instance]
+    return float(max(levels))
+
+
 def holds_nothing(running: fleet.Fleet) -> bool:
     """Return whether no engine and no instance holds anything of a request."""
     instances = [each for each in running.ports_by_instance if each in running.process_by_name]
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -12,7 +12,16 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from carawaydoor import errors, events, idempotency, messages, node, plainserving, runner
+from carawaydoor import (
+    errors,
+    events,
+    idempotency,
+    membership,
+    messages,
+    node,
+    plainserving,
+    runner,
+)
 from tests import faults
 from tests import world as worlds
 from tools import keys
@@ -38,6 +47,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.chance = random.Random(1)
+        self.first_view = self.world.view
         self.bookings: list[Booking] = []
         self.ran: collections.Counter[str] = collections.Counter()
         self.world.advance(2.0)
@@ -117,7 +127,7 @@
     def _add_key(self, make: Callable[[], str]) -> None:
         """Add a booking whose key belongs to the domain with several instances."""
         key = make()
-        while node.key_domain(worlds.CATALOG.shares, node.key_partition(key)) != DOMAIN:
+        while worlds.INSTANCES[self._home(key)] != DOMAIN:
             key = make()
         self._add(key)
 
@@ -129,8 +139,12 @@
         if issued is not None:
             return [issued.instance]
         partition = node.key_partition(key)
-        domain = node.key_domain(worlds.CATALOG.shares, partition) or ""
-        return list(self.world.homes(entry, node.key_resource(partition), domain))
+        return list(self.world.homes(entry, node.key_resource(partition)))
+
+    def _home(self, key: str) -> str:
+        member = self.world.machine_by_id["i1"].state.membership
+        view = dataclasses.replace(member, view=self.first_view)
+        return membership.candidates(view, node.key_resource(node.key_partition(key)))[0]
 
     def _answer(self, booking: Booking, answer: messages.Message) -> None:
         if isinstance(answer, messages.RunOnceAnswered):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,6 +14,7 @@
 from tests import caller
 from tools import deployments, fleet
 
+ENOUGH_TOKENS = 8000
 PROMPT = "hello " * 1500
 
 
@@ -21,7 +22,10 @@
 def running() -> Iterator[fleet.Fleet]:
     """A small deployment of its own for each test."""
     with fleet.Fleet(deployments.SMALL) as started:
-        assert caller.eventually(lambda: caller.Caller(started).complete().status == 200)
+        assert caller.eventually(
+            lambda: caller.budget(started, "head-office") > ENOUGH_TOKENS
+            and caller.budget(started, "rosario") > ENOUGH_TOKENS
+        )
         yield started
 
 
@@ -184,6 +188,25 @@
     assert all(b"upstream-failed" in each and b"[DONE]" not in each for each in bodies)
 
 
+def test_streams_outlive_one_engine(running: fleet.Fleet) -> None:
+    """A stream whose engine dies goes on at another one, under one id and with true usage."""
+    streams = [caller.Caller(running).stream(f"prompt {n}", max_tokens=120) for n in range(6)]
+    responses = [each.getresponse() for each in streams]
+    assert [each.status for each in responses] == [200] * 6
+    for each in responses:
+        each.readline()
+    running.kill("planning-3")
+    for each in responses:
+        body = each.read()
+        events = [json.loads(line[6:]) for line in body.split(b"\n\n") if b'"id"' in line]
+        texts = [event for event in events if event["choices"]]
+        assert body.endswith(b"data: [DONE]\n\n")
+        assert len({event["id"] for event in events}) == 1
+        assert len(texts) == 119, "one event was read before"
+        assert events[-1]["usage"]["completion_tokens"] == 120
+    assert caller.eventually(lambda: caller.engines_hold(running) == 0)
+
+
 def test_platform_outage_stops_nothing(running: fleet.Fleet) -> None:
     """While the platform is down for all, every instance goes on serving."""
     running.control("platform", down=True)
--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -24,12 +24,12 @@
 
 def no_lease(patch: pytest.MonkeyPatch) -> None:
     """A home goes on although it can't know whether its view is current."""
-    patch.setattr(membership, "has_lease", lambda state, now_s: not state.leaving)
+    patch.setattr(membership, "has_lease", lambda state, now_s, fleet_wide=False: not state.leaving)
 
 
 def no_drop_after_lapse(patch: pytest.MonkeyPatch) -> None:
     """A home that lost its lease keeps its buckets, and their refill, for when it is back."""
-    patch.setattr(node, "_drop_homes", lambda state: state)
+    patch.setattr(node, "_drop_homes", lambda state, now_s: state)
 
 
 def full_at_start(patch: pytest.MonkeyPatch) -> None:
@@ -148,7 +148,7 @@
     machine.never_more_than_rate_and_burst()
 
 
-DOMAIN = budgets.pool_domain(worlds.CATALOG.shares, worlds.WORKSPACE.name)
+DOMAIN = worlds.INSTANCES["i1"]
 CASES: tuple[tuple[Plant, Scenario], ...] = (
     (no_takeover_wait, home_is_cut_off),
     (no_lease, home_is_cut_off),
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -104,3 +104,26 @@
     limits = [budgets.limit_of(shares, budgets.Share("acme", each)) for each in owners]
     assert sum(each.rate_per_s for each in limits if each) <= RATE + EPSILON_TOKENS
     assert sum(each.burst for each in limits if each) <= BURST + EPSILON_TOKENS
+
+
+def test_pooled_share_outlives_its_domain() -> None:
+    """When every instance of a domain has died, another domain holds the pooled share."""
+    machine = RateLimit()
+    for instance, domain in worlds.INSTANCES.items():
+        if domain == worlds.INSTANCES["i1"]:
+            machine.kill(instance)
+    machine.advance(40.0)
+    machine.request("i4", 200.0, 0.0, 1)
+    assert [each.pooled for each in machine.admissions] == [True]
+    machine.never_more_than_rate_and_burst()
+
+
+def test_domain_that_is_cut_off_keeps_its_standing_share() -> None:
+    """A domain cut off from the platform and the others serves what its own share allows."""
+    machine = RateLimit()
+    machine.cut_domains()
+    for domain in worlds.DOMAINS:
+        machine.platform(domain, False)
+    machine.advance(5.0)
+    machine.request("i1", 50.0, 0.0, 1)
+    assert [each.pooled for each in machine.admissions] == [False]
--- a/tests/world.py
+++ b/tests/world.py
@@ -219,10 +219,10 @@
             if share in machine.state.budgets.bucket_by_share
         )
 
-    def homes(self, instance: str, resource: str, domain: str) -> Iterator[str]:
+    def homes(self, instance: str, resource: membership.Resource) -> Iterator[str]:
         """Yield the instances that a request on an instance would ask, best first."""
         member = self.machine_by_id[instance].state.membership
-        ranked = membership.reachable_candidates(member, self.now_s, resource, domain)
+        ranked = membership.reachable_candidates(member, self.now_s, resource)
         yield from ranked[:2]
 
     def _heartbeat(self, instance: str, peer: str) -> None:
@@ -307,13 +307,11 @@
 
     :param delay_s: how long the answer takes to be acted on
     """
-    shares = world.machine_by_id[entry].state.shares
     own = INSTANCES[entry]
     for pooled in (True, False):
-        domain = budgets.pool_domain(shares, WORKSPACE.name) if pooled else own
         owner = budgets.POOLED if pooled else own
         share = budgets.Share(WORKSPACE.name, owner)
-        for home in world.homes(entry, share.resource, domain):
+        for home in world.homes(entry, share.resource):
             asked_s = world.now_s
             answers: list[messages.Message] = []
             message = messages.ReserveTokens(grant_id, WORKSPACE.name, tokens, tokens, pooled)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -8,6 +8,7 @@
 import argparse
 import dataclasses
 import json
+import os
 import pathlib
 import time
 from collections.abc import Callable, Iterator, Mapping, Sequence
@@ -18,15 +19,15 @@
 
 OUT: Final = pathlib.Path("build/bench")
 SEED: Final = 7
-DURATION_S: Final = 10.0
+DURATION_S: Final = 8.0
 WARM_UP_S: Final = 3.0
-SETTLE_S: Final = 3.0
-FAULT_AT_S: Final = 4.0
+SETTLE_S: Final = 2.0
+FAULT_AT_S: Final = 3.0
 PROMPT_TOKENS: Final = (200, 2000)
 MAX_TOKENS: Final = (30, 90)
 PEAK_LOAD: Final = 0.9
 NOISY_FACTOR: Final = 5.0
-STATUS_PER_S: Final = 20.0
+STATUS_PER_S: Final = 60.0
 BOOKINGS_PER_S: Final = 4.0
 STEP_S: Final = 0.04
 PREFILL_TOKENS_PER_S: Final = 20_000.0
@@ -151,13 +152,22 @@
         streams=tuple(_streams(deployment, scenario, limits, policy)),
     )
     before = session.inspect(running)
+    stolen_s = _stolen_s()
     sending = session.start(running, plan)
     mend = _fail(running, scenario)
     outcomes = sending.outcomes()
     mend()
     time.sleep(SETTLE_S)
     after = session.inspect(running)
-    return _row(deployment, scenario, policy, outcomes, limits, before, after)
+    row = _row(deployment, scenario, policy, outcomes, limits, before, after)
+    row["machine_stolen_s"] = round(_stolen_s() - stolen_s, 2)
+    return row
+
+
+def _stolen_s() -> float:
+    """Return the processor time in seconds that the machine's host has taken away so far."""
+    fields = pathlib.Path("/proc/stat").read_text().split("\n", 1)[0].split()
+    return int(fields[8]) / os.sysconf("SC_CLK_TCK")
 
 
 def _fail(running: fleet.Fleet, scenario: Scenario) -> Callable[[], None]:
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -59,6 +59,29 @@
     return admitted
 
 
+def refused_within_rate(
+    outcomes: Sequence[load.Outcome], limits: Mapping[str, buckets.Limit]
+) -> int:
+    """Return how many completions were refused although their workspace had room for them.
+
+    The room is that of a bucket with the workspace's whole rate and burst, debited with what was
+    really admitted.
+    """
+    state = {name: buckets.create(limit, 0.0, limit.burst) for name, limit in limits.items()}
+    wrongful = 0
+    for outcome in sorted(outcomes, key=lambda each: each.at_s):
+        if outcome.kind != "completion":
+            continue
+        current = buckets.refill(state[outcome.workspace], outcome.at_s)
+        cost = float(outcome.cost_tokens)
+        if outcome.status == 200:
+            level = current.level - cost
+            state[outcome.workspace] = dataclasses.replace(current, level=level)
+        elif current.level >= cost:
+            wrongful += 1
+    return wrongful
+
+
 def measure(
     outcomes: Sequence[load.Outcome], limits: Mapping[str, buckets.Limit], duration_s: float
 ) -> Measures:
@@ -82,7 +105,7 @@
         len(good) / duration_s,
         worst,
         ratios.get(worst, 1.0),
-        sum(1 for index in within if not outcomes[index].whole),
+        refused_within_rate(outcomes, limits),
         collections.Counter(each.problem for each in outcomes if each.problem),
         percentile(status, 0.5),
         percentile(status, 0.99),
