Rank the candidates of a resource lazily and per domain

Ruled out: sweeping less often, which would let a home act on old evidence for longer. The cost now grows with the shares an instance may hold, not with the fleet.

--- a/src/carawaydoor/admission.py
+++ b/src/carawaydoor/admission.py
@@ -69,7 +69,7 @@
         gateway = self._gateway
         owner = budgets.POOLED if pooled else gateway.options.failure_domain
         share = budgets.Share(exchange.workspace_name, owner)
-        for home in gateway.homes(share.resource)[:2]:
+        for home in gateway.homes(share.resource):
             result = self._ask(exchange, home, pooled)
             if result is not None:
                 return result
--- a/src/carawaydoor/engine.py
+++ b/src/carawaydoor/engine.py
@@ -169,7 +169,7 @@
             if not finished:
                 raise errors.UpstreamAnswerError("the stream ended without a finish reason")
             return
-        chunk = _chunk(raw)
+        chunk = parse_chunk(raw)
         first_id = first_id or chunk.id
         if chunk.id != first_id:
             raise errors.UpstreamAnswerError("the stream carries another request's chunk")
@@ -178,7 +178,11 @@
     raise errors.UpstreamBrokenError(f"{call.target.id}: the stream ended early")
 
 
-def _chunk(raw: bytes) -> Chunk:
+def parse_chunk(raw: bytes) -> Chunk:
+    """Return a chunk in its parts.
+
+    :raises UpstreamAnswerError: where it does not follow its model
+    """
     try:
         body = ChunkBody.model_validate_json(raw)
     except pydantic.ValidationError as error:
--- a/src/carawaydoor/gateway.py
+++ b/src/carawaydoor/gateway.py
@@ -4,6 +4,7 @@
 
 import concurrent.futures
 import dataclasses
+import itertools
 import random
 import threading
 
@@ -26,6 +27,7 @@
 from carawaydoor import view as views
 
 ASK_TIMEOUT_S = 1.0
+HOMES_ASKED = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,8 +62,10 @@
         return self.core.state.membership
 
     def homes(self, resource: memberships.Resource) -> tuple[str, ...]:
-        """Return the instances that may act as home of a resource, best first."""
-        return memberships.reachable_candidates(self.membership, self.clock.now_s(), resource)
+        """Return the instances to ask for a resource: its likely home and the next one."""
+        now_s = self.clock.now_s()
+        ranked = memberships.reachable_candidates(self.membership, now_s, resource)
+        return tuple(itertools.islice(ranked, HOMES_ASKED))
 
     def ask(
         self, instance: str, message: messages.Message, timeout_s: float = ASK_TIMEOUT_S
--- a/src/carawaydoor/membership.py
+++ b/src/carawaydoor/membership.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from carawaydoor import messages, rendezvous
 from carawaydoor import view as views
@@ -170,30 +170,20 @@
     return max(0.0, now_s - state.confirmed_s)
 
 
-def candidates(state: Membership, resource: Resource) -> tuple[str, ...]:
-    """Return the instances that may hold a resource, best first."""
-    members_by_domain: dict[str, list[str]] = {}
-    for each in state.view.instance_by_id.values():
-        if each.presence is views.Presence.LIVE:
-            members_by_domain.setdefault(each.failure_domain, []).append(each.id)
-    if resource.failure_domain:
-        domains: tuple[str, ...] = (resource.failure_domain,)
-    else:
-        domains = rendezvous.rank(resource.name, members_by_domain)
-    return tuple(
-        instance
-        for domain in domains
-        for instance in rendezvous.rank(resource.name, members_by_domain.get(domain, ()))
-    )
+def candidates(view: views.View, resource: Resource) -> Iterator[str]:
+    """Yield the instances that may hold a resource, best first."""
+    domains: Iterable[str] = (resource.failure_domain,)
+    if not resource.failure_domain:
+        domains = rendezvous.rank(resource.name, view.live_by_domain)
+    for domain in domains:
+        yield from rendezvous.rank(resource.name, view.live_by_domain.get(domain, ()))
 
 
-def reachable_candidates(state: Membership, now_s: float, resource: Resource) -> tuple[str, ...]:
-    """Return the candidates less those known to be stopped or leaving, best first."""
-    return tuple(
-        each
-        for each in candidates(state, resource)
-        if not is_stopped(state, now_s, each) and not _is_leaving(state, each)
-    )
+def reachable_candidates(state: Membership, now_s: float, resource: Resource) -> Iterator[str]:
+    """Yield the candidates less those known to be stopped or leaving, best first."""
+    for each in candidates(state.view, resource):
+        if not is_stopped(state, now_s, each) and not _is_leaving(state, each):
+            yield each
 
 
 def is_stopped(state: Membership, now_s: float, instance: str) -> bool:
@@ -221,8 +211,7 @@
     state: Membership, now_s: float, resource: Resource
 ) -> messages.NotHomeReason | None:
     """Return None where this instance may act as home of a resource, else why it may not."""
-    ranked = candidates(state, resource)
-    for better in ranked:
+    for better in candidates(state.view, resource):
         if better == state.instance:
             break
         if not _has_yielded(state, now_s, better):
@@ -243,8 +232,7 @@
     for until_s, view in state.previous_views:
         if until_s <= horizon_s:
             continue
-        earlier = candidates(dataclasses.replace(state, view=view), resource)
-        for holder in earlier:
+        for holder in candidates(view, resource):
             if holder == state.instance:
                 break
             if not _has_moved_on(state, now_s, holder):
--- a/src/carawaydoor/node.py
+++ b/src/carawaydoor/node.py
@@ -401,8 +401,7 @@
 
 def _pooled_home(state: Node, now_s: float, workspace: str) -> str | None:
     share = budgets.Share(workspace, budgets.POOLED)
-    ranked = memberships.reachable_candidates(state.membership, now_s, share.resource)
-    return ranked[0] if ranked else None
+    return next(memberships.reachable_candidates(state.membership, now_s, share.resource), None)
 
 
 def _reserve(
@@ -586,8 +585,7 @@
 def _next_home(state: Node, now_s: float, resource: memberships.Resource) -> str | None:
     membership = state.membership
     ranked = memberships.reachable_candidates(membership, now_s, resource)
-    others = [each for each in ranked if each != membership.instance]
-    return others[0] if others else None
+    return next((each for each in ranked if each != membership.instance), None)
 
 
 def _take_over_keys(state: Node, now_s: float, message: messages.HandOverKeys) -> Node:
--- a/src/carawaydoor/placement.py
+++ b/src/carawaydoor/placement.py
@@ -132,7 +132,7 @@
         wait_s: float,
     ) -> Place | messages.SlotRefused | None:
         pool = exchange.route.pool if exchange.route and exchange.route.pool else ""
-        for home in self._gateway.homes(node.pool_resource(pool, domain))[:2]:
+        for home in self._gateway.homes(node.pool_resource(pool, domain)):
             message = self._message(exchange, pool, domain, attempt, excluded, wait_s)
             try:
                 answer = self._gateway.ask(home, message, wait_s + ASK_MARGIN_S)
--- a/src/carawaydoor/plainserving.py
+++ b/src/carawaydoor/plainserving.py
@@ -125,7 +125,7 @@
         if issued is not None:
             return (issued.instance,)
         partition = node.key_partition(key)
-        return self._gateway.homes(node.key_resource(partition))[:2]
+        return self._gateway.homes(node.key_resource(partition))
 
     def _ask(
         self, home: str, message: messages.RunOnce, service: objects.Service
--- a/src/carawaydoor/trace.py
+++ b/src/carawaydoor/trace.py
@@ -148,7 +148,9 @@
         return {TYPE: type(value).__name__, VALUE: value.model_dump(mode="json")}
     if dataclasses.is_dataclass(value):
         fields = {
-            each.name: encode(getattr(value, each.name)) for each in dataclasses.fields(value)
+            each.name: encode(getattr(value, each.name))
+            for each in dataclasses.fields(value)
+            if each.init
         }
         return {TYPE: type(value).__name__, **fields}
     if isinstance(value, enum.Enum):
--- a/src/carawaydoor/view.py
+++ b/src/carawaydoor/view.py
@@ -96,11 +96,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
-    """One revision of the list."""
+    """One revision of the list.
+
+    :ivar live_by_domain: ids of the live instances of each failure domain
+    """
 
     revision: int
     instance_by_id: Mapping[str, Instance]
     upstream_by_id: Mapping[str, Upstream]
+    live_by_domain: Mapping[str, tuple[str, ...]] = dataclasses.field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        live: dict[str, tuple[str, ...]] = {}
+        for each in self.instance_by_id.values():
+            if each.presence is Presence.LIVE:
+                live[each.failure_domain] = (*live.get(each.failure_domain, ()), each.id)
+        object.__setattr__(self, "live_by_domain", live)
 
 
 EMPTY = View(0, {}, {})
--- a/src/carawaydoor/wire.py
+++ b/src/carawaydoor/wire.py
@@ -48,10 +48,8 @@
 
         :raises WireError: where the connection is gone
         """
-        body = _IDL.Body()
-        setattr(body, type(frame.message).__name__, _encode(frame.message))
         try:
-            self._protocol.write_struct(_IDL.Frame(correlation=frame.correlation, body=body))
+            self._protocol.write_struct(to_thrift(frame))
             self._transport.flush()
         except (OSError, TException) as error:
             raise WireError(str(error)) from error
@@ -77,6 +75,13 @@
         self._connection.close()
 
 
+def to_thrift(frame: Frame) -> Any:
+    """Return the thrift struct of a frame."""
+    body = _IDL.Body()
+    setattr(body, type(frame.message).__name__, _encode(frame.message))
+    return _IDL.Frame(correlation=frame.correlation, body=body)
+
+
 def _encode(message: messages.Message) -> Any:
     struct = getattr(_IDL, type(message).__name__)()
     for field in dataclasses.fields(message):
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -142,9 +142,8 @@
         return list(self.world.homes(entry, node.key_resource(partition)))
 
     def _home(self, key: str) -> str:
-        member = self.world.machine_by_id["i1"].state.membership
-        view = dataclasses.replace(member, view=self.first_view)
-        return membership.candidates(view, node.key_resource(node.key_partition(key)))[0]
+        resource = node.key_resource(node.key_partition(key))
+        return next(membership.candidates(self.first_view, resource))
 
     def _answer(self, booking: Booking, answer: messages.Message) -> None:
         if isinstance(answer, messages.RunOnceAnswered):
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from collections.abc import Callable, Iterator
 from typing import TextIO
 
@@ -11,6 +12,7 @@
     budgets,
     catalog,
     events,
+    gateway,
     membership,
     messages,
     node,
@@ -223,7 +225,7 @@
         """Yield the instances that a request on an instance would ask, best first."""
         member = self.machine_by_id[instance].state.membership
         ranked = membership.reachable_candidates(member, self.now_s, resource)
-        yield from ranked[:2]
+        yield from itertools.islice(ranked, gateway.HOMES_ASKED)
 
     def _heartbeat(self, instance: str, peer: str) -> None:
         asked_s = self.now_s
--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,241 @@
+"""Measures the slopes behind docs/CAPACITY.md, each at three sizes, on one processor.
+
+Prints one line per measurement: what, size, microseconds, bytes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator, Sequence
+from typing import Final
+
+from thriftpy2 import utils as thrift_utils
+
+from carawaydoor import bucket as buckets
+from carawaydoor import budgets, catalog, engine, events, membership, messages, node, objects, wire
+from carawaydoor import revision as revisions
+from carawaydoor import scheduler as schedulers
+from carawaydoor import view as views
+
+SIZES_WORKSPACES: Final = (1_000, 5_000, 30_000)
+SIZES_INSTANCES: Final = (8, 100, 710)
+SIZES_LEASES: Final = (20, 100, 500)
+SIZES_SHARES: Final = (100, 1_000, 3_000)
+INSTANCES_PER_DOMAIN: Final = 23
+REPEATS: Final = 200
+START_S: Final = 100.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Point:
+    """One measurement."""
+
+    name: str
+    size: int
+    microseconds: float
+    octets: float = 0.0
+
+
+def main() -> None:
+    """Measure every slope and print it."""
+    print(f"{'what':<44}{'size':>8}{'us each':>12}{'bytes':>12}")
+    for point in _points():
+        print(
+            f"{point.name:<44}{point.size:>8}{point.microseconds:>12.1f}{point.octets:>12.0f}",
+            flush=True,
+        )
+
+
+def _points() -> Iterator[Point]:
+    yield from _configuration()
+    yield from _bucket_state()
+    yield from _steps_by_instances()
+    yield from _scheduler()
+    yield from _frames()
+    yield from _chunks()
+
+
+def _time_us(act: Callable[[], object], repeats: int = REPEATS) -> float:
+    act()
+    gc.collect()
+    began = time.process_time()
+    for _ in range(repeats):
+        act()
+    return (time.process_time() - began) / repeats * 1e6
+
+
+def _size(make: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    octets, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(octets)
+
+
+def _items(count: int) -> list[objects.AnyObject]:
+    workspaces = [
+        objects.Workspace(
+            kind="workspace", name=f"w{number}", rate_tokens_per_s=900.0, burst_tokens=9000.0
+        )
+        for number in range(count)
+    ]
+    keys = [
+        objects.Key(kind="key", name=f"k{number}", workspace=f"w{number}", sha256=f"{number:064x}")
+        for number in range(count)
+    ]
+    domain = objects.FailureDomain(kind="failure_domain", name="fd0", standing_share=0.02)
+    return [domain, *workspaces, *keys]
+
+
+def _configuration() -> Iterator[Point]:
+    for size in SIZES_WORKSPACES:
+        revision = revisions.build(1, _items(size))
+        load_us = _time_us(functools.partial(revisions.load, revision), 1)
+        state = _size(functools.partial(revisions.load, revision))
+        yield Point("configuration: load, and catalog state", size, load_us, state)
+        manifest = len(revision.manifest_bytes)
+        yield Point("configuration: manifest on the wire", size, 0.0, manifest)
+        part = sum(map(len, revision.part_by_digest.values())) / len(revision.part_by_digest)
+        yield Point("configuration: one part on the wire", size, 0.0, part)
+
+
+def _bucket_state() -> Iterator[Point]:
+    for size in SIZES_WORKSPACES:
+        octets = _size(functools.partial(_buckets, size))
+        yield Point("budgets: state of the buckets held", size, 0.0, octets)
+        asked = messages.ReserveTokens("g", "w1", 1.0, 1.0, True)
+        share = budgets.Share("w1", budgets.POOLED)
+        reserve = functools.partial(budgets.reserve, _buckets(size), 1.0, share, asked, "n", 0.5)
+        yield Point("budgets: one reservation", size, _time_us(reserve))
+
+
+def _buckets(count: int) -> budgets.Budgets:
+    limit = buckets.Limit(900.0, 9000.0)
+    return budgets.Budgets(
+        {
+            budgets.Share(f"w{number}", budgets.POOLED): buckets.create(limit, 0.0)
+            for number in range(count)
+        }
+    )
+
+
+def _view(count: int) -> views.View:
+    instances = {
+        f"i{number}": views.Instance(
+            f"i{number}", f"fd{number // INSTANCES_PER_DOMAIN}", "10.0.0.1", 1, views.Presence.LIVE
+        )
+        for number in range(count)
+    }
+    return views.View(1, instances, {})
+
+
+def _node(count: int, workspaces: int = 100) -> node.Node:
+    member = membership.create("i0", "n0", "fd0", membership.Timing(), START_S)
+    state = node.create(member, b"secret")
+    arrived = events.ViewArrived(_view(count), START_S)
+    state, _ = node.step(state, START_S, 0.0, arrived)
+    items = catalog.assemble(_items(workspaces))
+    state, _ = node.step(state, START_S, 0.0, events.CatalogInForce(1, items))
+    for number in range(1, count):
+        state, _ = node.step(state, START_S, 0.0, events.PeerHeard(START_S, _heartbeat(number)))
+    return state
+
+
+def _heartbeat(number: int, leases: int = 0) -> messages.Heartbeat:
+    domain = f"fd{number // INSTANCES_PER_DOMAIN}"
+    held = tuple(
+        messages.HeldLease(f"{each:032x}-0n-fd0", "pool", "fd0", "w1", "engine-1")
+        for each in range(leases)
+    )
+    return messages.Heartbeat(f"i{number}", f"n{number}", domain, 1, 1, 0.1, False, held)
+
+
+def _steps_by_instances() -> Iterator[Point]:
+    heard = events.PeerHeard(START_S, _heartbeat(1))
+    asked = events.Received(_heartbeat(1), 1)
+    for size in SIZES_INSTANCES:
+        state = _node(size)
+        heard_us = _time_us(functools.partial(node.step, state, START_S, 0.0, heard))
+        yield Point("membership: one heartbeat heard, instances", size, heard_us)
+        answer_us = _time_us(functools.partial(node.step, state, START_S, 0.0, asked))
+        yield Point("membership: one heartbeat answered, instances", size, answer_us)
+        yield Point("membership: one tick with sweep, instances", size, _tick_us(state))
+        octets = _size(functools.partial(_node, size))
+        yield Point("membership: state, instances", size, 0.0, octets)
+    for size in SIZES_SHARES:
+        tick_us = _tick_us(_node(SIZES_INSTANCES[-1], size))
+        yield Point("membership: one tick with sweep, workspaces", size, tick_us)
+
+
+def _tick_us(state: node.Node) -> float:
+    return _time_us(functools.partial(node.step, state, START_S + 1.0, 0.0, events.Ticked()), 10)
+
+
+def _scheduler() -> Iterator[Point]:
+    asked = messages.AcquireSlot("new", "pool", "fd0", "w1", 500, (), 0.0, (), "i1")
+    for size in SIZES_LEASES:
+        state = _scheduler_with(size)
+        acquire_us = _time_us(functools.partial(schedulers.acquire, state, 2.0, asked, 1.0))
+        yield Point("scheduler: one acquire, leases in use", size, acquire_us)
+        release_us = _time_us(functools.partial(schedulers.release, state, 2.0, "l1", ""))
+        yield Point("scheduler: one release, leases in use", size, release_us)
+        octets = _size(functools.partial(_scheduler_with, size))
+        yield Point("scheduler: state, leases in use", size, 0.0, octets)
+
+
+def _scheduler_with(leases: int) -> schedulers.Scheduler:
+    upstreams = [
+        views.Upstream(f"{role.value}{n}", "fd0", "", 0, role, "pool", 20, 2e5, views.Presence.LIVE)
+        for n in range(leases // 20 + 1)
+        for role in (views.Role.PREFILL, views.Role.DECODE)
+    ]
+    state = schedulers.create(schedulers.Plan("pool", "fd0", 2e4, 64), 0.0, upstreams)
+    state, _ = schedulers.tick(state, 1.0, True, frozenset())
+    for number in range(leases):
+        asked = messages.AcquireSlot(
+            f"l{number}", "pool", "fd0", "w1", 500, (), 0.0, (), f"i{number % 8}"
+        )
+        state, _ = schedulers.acquire(state, 1.0, asked, 1.0)
+        state, _ = schedulers.finish_prefill(state, 1.0, f"l{number}")
+    return state
+
+
+def _frames() -> Iterator[Point]:
+    samples: Sequence[tuple[str, int, messages.Message]] = (
+        *(("frame: heartbeat, leases carried", n, _heartbeat(1, n)) for n in (0, 10, 100)),
+        ("frame: reserve tokens", 1, messages.ReserveTokens("0" * 32, "w1", 1.0, 1.0, True)),
+        ("frame: tokens granted", 1, messages.TokensGranted(0.0, "0" * 16)),
+        (
+            "frame: acquire slot, prefixes",
+            8,
+            messages.AcquireSlot("0" * 40, "pool", "fd0", "w1", 1, ("0" * 16,) * 8, 0.0, (), "i1"),
+        ),
+    )
+    for name, size, message in samples:
+        encode_us = _time_us(functools.partial(_encode, message))
+        yield Point(name, size, encode_us, len(_encode(message)))
+
+
+def _encode(message: messages.Message) -> bytes:
+    encoded: bytes = thrift_utils.serialize(wire.to_thrift(wire.Frame(1, message)))
+    return encoded
+
+
+def _chunks() -> Iterator[Point]:
+    raw = (
+        b'{"id": "0123456789abcdef0123456789abcdef-0", '
+        b'"choices": [{"index": 0, "finish_reason": null, "text": "word "}]}'
+    )
+    for size in (100, 1_000, 10_000):
+        check_us = _time_us(functools.partial(engine.parse_chunk, raw), size)
+        yield Point("relay: one chunk checked, chunks", size, check_us, len(raw))
+
+
+if __name__ == "__main__":
+    main()
