--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -11,6 +11,7 @@
 from carawaydoor import revision as revisions
 from tests import faults
 
+WORKSPACES = 200
 NUMBERS = st.integers(1, 6)
 AUTHORS = st.sampled_from(["anna", "bo"])
 
@@ -24,7 +25,7 @@
             objects.Workspace(
                 kind="workspace", name=f"w{each}", rate_tokens_per_s=number, burst_tokens=100.0
             )
-            for each in range(200)
+            for each in range(WORKSPACES)
         ),
         objects.Key(
             kind="key",
@@ -86,12 +87,12 @@
         self.in_force = self.state.current.manifest_bytes
         loaded = revisions.load(self.state.current)
         assert loaded.is_ok()
-        rates = {
+        rates = [
             each.rate_tokens_per_s
             for name, each in self.state.catalog.workspace_by_name.items()
             if name.startswith("w")
-        }
-        assert rates == {float(number)}
+        ]
+        assert rates == [float(number)] * WORKSPACES
 
     @stateful.invariant()
     def withdrawal_does_not_wait_for_parts(self) -> None:
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -70,6 +70,24 @@
     return mend
 
 
+def lose_domain(running: fleet.Fleet) -> Callable[[], None]:
+    """End every instance and upstream of a failure domain; return what starts them again."""
+    domain = running.deployment.instances[-1][1]
+    instances = [name for name, each in running.deployment.instances if each == domain]
+    upstreams = [each.id for each in running.deployment.upstreams if each.failure_domain == domain]
+    for name in (*instances, *upstreams):
+        running.kill(name)
+
+    def mend() -> None:
+        for name in upstreams:
+            running.start_upstream(name)
+        for name in instances:
+            running.start_instance(name)
+        running.wait_ready(fleet.START_TIMEOUT_S)
+
+    return mend
+
+
 def lose_platform(running: fleet.Fleet) -> Callable[[], None]:
     """Let the platform answer nothing; return what mends it."""
     running.control("platform", down=True)
@@ -83,6 +101,7 @@
     Scenario("platform_down", 0.6, fault=lose_platform),
     Scenario("instance_lost", 0.6, fault=lose_instance),
     Scenario("engine_lost", 0.6, fault=lose_engine),
+    Scenario("domain_lost", 0.4, fault=lose_domain),
 )
 
 
