Pull standing shares into a pooled share that runs low

Ruled out: asking the standing share of the own domain after a refusal (as before), which finds one fragment of four; smaller standing shares, which leave less for a cut. Conclusion: the pooled home asks for the standing shares, debited first, below half its level.

--- a/src/carawaydoor/admission.py
+++ b/src/carawaydoor/admission.py
@@ -51,12 +51,14 @@
         return self._start(exchange, result.ok)
 
     def _reserve_any(self, exchange: exchanges.Exchange) -> Granting:
-        """Reserve from the pooled share, else from the standing share of this domain."""
+        """Reserve from the pooled share; where it can't be reached, from that of this domain."""
         pooled = self._reserve(exchange, pooled=True)
-        if pooled.is_ok() or pooled.error.kind is errors.Kind.BURST_EXCEEDED:
+        if pooled.is_ok() or pooled.error.kind is not errors.Kind.BUDGET_UNAVAILABLE:
             return pooled
         standing = self._reserve(exchange, pooled=False)
-        return standing if standing.is_ok() else _more_telling(pooled, standing)
+        if standing.is_error() and standing.error.kind is errors.Kind.BURST_EXCEEDED:
+            return pooled
+        return standing
 
     def _start(self, exchange: exchanges.Exchange, granted: Granted) -> filters.Passed:
         exchange.cleanup.callback(self._settle, exchange, granted)
@@ -128,12 +130,3 @@
         "the workspace has used its rate",
         retry_after_s=max(answer.retry_after_s, 0.05),
     )
-
-
-def _more_telling(pooled: Granting, standing: Granting) -> Granting:
-    """Return the refusal that tells the caller more: a used rate before an unreachable home."""
-    if pooled.error.kind is errors.Kind.RATE_EXCEEDED:
-        return pooled
-    if standing.error.kind is errors.Kind.BURST_EXCEEDED:
-        return pooled
-    return standing
--- a/src/carawaydoor/budgets.py
+++ b/src/carawaydoor/budgets.py
@@ -10,6 +10,7 @@
 
 MAX_OPEN_GRANTS = 4096
 SURPLUS_LEVEL = 0.9
+LOW_LEVEL = 0.5
 
 POOLED = "pooled"
 
@@ -141,6 +142,21 @@
     return _with_bucket(state, share, buckets.deposit(current, now_s, tokens))
 
 
+def is_low(state: Budgets, share: Share) -> bool:
+    """Return whether a share that is held here has little left."""
+    current = state.bucket_by_share[share]
+    return current.level < LOW_LEVEL * current.limit.burst
+
+
+def withdraw_all(state: Budgets, now_s: float, share: Share) -> tuple[Budgets, float]:
+    """Debit everything that a share holds and return the debited tokens."""
+    current = state.bucket_by_share.get(share)
+    if current is None:
+        return state, 0.0
+    after, taken = buckets.withdraw(current, now_s, 0.0)
+    return _with_bucket(state, share, after), taken
+
+
 def withdraw_surplus(state: Budgets, now_s: float) -> tuple[Budgets, list[messages.TransferTokens]]:
     """Debit what the standing shares hold beyond their working level.
 
--- a/src/carawaydoor/messages.py
+++ b/src/carawaydoor/messages.py
@@ -75,6 +75,13 @@
     owner: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PullTokens(Message):
+    """Asks the home of a standing share to move what it holds to the pooled share."""
+
+    workspace: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotHome(Message):
     """Says that the receiver does not act as home of the resource."""
--- a/src/carawaydoor/node.py
+++ b/src/carawaydoor/node.py
@@ -19,6 +19,7 @@
 
 KEY_PARTITIONS = 64
 SWEEP_S = 0.25
+PULL_S = 0.25
 RESERVE_WAIT_S = 0.5
 ISSUED_KEY_LIFE_S = 900.0
 RECORD_LIFE_S = 3600.0
@@ -46,6 +47,7 @@
     """State of one instance.
 
     :ivar waiter_by_lease: where to answer a queued request for a slot
+    :ivar pulled_s_by_workspace: when standing shares were last asked for what they hold
     :ivar held_by_lease: slots that this instance holds, at whichever scheduler
     """
 
@@ -62,6 +64,7 @@
     ledger_by_partition: Mapping[str, idempotency.Ledger] = dataclasses.field(default_factory=dict)
     strikes: strike_rules.Strikes = strike_rules.EMPTY
     swept_s: float = 0.0
+    pulled_s_by_workspace: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 def create(
@@ -148,6 +151,8 @@
             share = budgets.Share(message.workspace, message.owner)
             funded = budgets.deposit(state.budgets, now_s, share, message.tokens)
             return dataclasses.replace(state, budgets=funded), []
+        case messages.PullTokens():
+            return _give_up_tokens(state, now_s, message)
         case messages.AcquireSlot():
             return _acquire(state, now_s, message, event.reply_to)
         case messages.FinishPrefill():
@@ -417,7 +422,40 @@
     after, answer = budgets.reserve(
         state.budgets, now_s, share, asked, state.membership.incarnation, RESERVE_WAIT_S
     )
-    return dataclasses.replace(state, budgets=after), _reply(reply_to, answer)
+    state = dataclasses.replace(state, budgets=after)
+    effects = _reply(reply_to, answer)
+    if asked.pooled and budgets.is_low(state.budgets, share):
+        state, pulls = _pull_tokens(state, now_s, asked.workspace)
+        effects = [*effects, *pulls]
+    return state, effects
+
+
+def _pull_tokens(state: Node, now_s: float, workspace: str) -> Step:
+    """Ask the homes of the standing shares to move what they hold to the pooled share."""
+    if now_s - state.pulled_s_by_workspace.get(workspace, 0.0) < PULL_S:
+        return state, []
+    pulled = {**state.pulled_s_by_workspace, workspace: now_s}
+    effects: list[events.Effect] = []
+    for domain in state.shares.standing_by_domain:
+        share = budgets.Share(workspace, domain)
+        reachable = memberships.reachable_candidates(state.membership, now_s, share.resource)
+        home = next(reachable, None)
+        if home is not None:
+            effects.append(events.Send(home, messages.PullTokens(workspace)))
+    return dataclasses.replace(state, pulled_s_by_workspace=pulled), effects
+
+
+def _give_up_tokens(state: Node, now_s: float, message: messages.PullTokens) -> Step:
+    """Move what the standing share of this domain holds to the pooled share, debited first."""
+    share = budgets.Share(message.workspace, state.membership.failure_domain)
+    receiver = _pooled_home(state, now_s, message.workspace)
+    if receiver is None or not _acts(state, now_s, share.resource):
+        return state, []
+    after, tokens = budgets.withdraw_all(state.budgets, now_s, share)
+    if tokens < 1.0:
+        return state, []
+    transfer = messages.TransferTokens(message.workspace, tokens, budgets.POOLED)
+    return dataclasses.replace(state, budgets=after), [events.Send(receiver, transfer)]
 
 
 def _settle(state: Node, now_s: float, message: messages.SettleTokens) -> Node:
--- a/src/carawaydoor/peer.thrift
+++ b/src/carawaydoor/peer.thrift
@@ -9,6 +9,7 @@
   1: string grant_id, 2: string workspace, 3: double unused, 4: bool pooled, 5: string incarnation
 }
 struct TransferTokens { 1: string workspace, 2: double tokens, 3: string owner }
+struct PullTokens { 1: string workspace }
 struct NotHome { 1: i32 reason, 2: i64 view_revision }
 struct AcquireSlot {
   1: string lease_id, 2: string pool, 3: string failure_domain, 4: string workspace,
@@ -63,7 +64,7 @@
   14: RunOnceAnswered RunOnceAnswered, 15: RunOnceRefused RunOnceRefused,
   16: HandOverKeys HandOverKeys, 17: AddStrike AddStrike, 18: Accepted Accepted,
   19: FetchRevision FetchRevision, 20: RevisionFetched RevisionFetched,
-  21: FetchView FetchView, 22: ViewFetched ViewFetched
+  21: FetchView FetchView, 22: ViewFetched ViewFetched, 23: PullTokens PullTokens
 }
 
 // One frame. The answer to a frame carries the same correlation; zero asks for none.
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -127,3 +127,12 @@
     machine.advance(5.0)
     machine.request("i1", 50.0, 0.0, 1)
     assert [each.pooled for each in machine.admissions] == [False]
+
+
+def test_whole_burst_can_be_spent_through_one_instance() -> None:
+    """Nothing of a workspace's burst is stranded in the shares of other domains."""
+    machine = RateLimit()
+    for _ in range(4):
+        machine.spend("i1")
+        machine.advance(0.5)
+    assert sum(each.tokens for each in machine.admissions) >= 0.99 * BURST
