Split the decision core by what an instance is home of

Cause: node.py had grown to over 600 lines and held four subjects; queued requests of a home whose lease lapsed were dropped without an answer and ran into their timeout. Ruled out: keeping one module with sections; a newcomer looks for budgets, pools and keys by name. Conclusion: node leads events to their part; a lapsed home answers its waiters at once.

--- a/src/carawaydoor/core.py
+++ b/src/carawaydoor/core.py
@@ -9,6 +9,7 @@
 
 from carawaydoor import clock as clocks
 from carawaydoor import events, messages, node, task, trace
+from carawaydoor import state as states
 
 Perform = Callable[[events.Send | events.Run], None]
 Respond = Callable[[messages.Message], None]
@@ -17,7 +18,7 @@
 class Core(task.Task[tuple[events.Event, Respond | None]]):
     """Applies events one after the other and carries out their effects."""
 
-    def __init__(self, state: node.Node, clock: clocks.Clock, recorder: trace.Recorder) -> None:
+    def __init__(self, state: states.Node, clock: clocks.Clock, recorder: trace.Recorder) -> None:
         super().__init__("core")
         self._state = state
         self._clock = clock
@@ -27,7 +28,7 @@
         self._respond_by_number: dict[int, Respond] = {}
 
     @property
-    def state(self) -> node.Node:
+    def state(self) -> states.Node:
         """The newest state; it is immutable and may be read from any thread."""
         return self._state
 
--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -25,7 +25,6 @@
     membership,
     messages,
     metrics,
-    node,
     operator_app,
     peers,
     platform,
@@ -37,6 +36,7 @@
 )
 from carawaydoor import clock as clocks
 from carawaydoor import core as cores
+from carawaydoor import state as states
 
 TICK_S: Final = 0.1
 SWITCH_INTERVAL_S: Final = 0.001
@@ -113,7 +113,7 @@
         self._recorder.close()
         self._trail.add(audit.Change.STOPPED)
 
-    def _first_state(self) -> node.Node:
+    def _first_state(self) -> states.Node:
         member = membership.create(
             self._options.instance,
             secrets.token_hex(8),
@@ -121,7 +121,7 @@
             membership.Timing(),
             self._clock.now_s(),
         )
-        return node.create(member, secrets.token_bytes(32))
+        return states.create(member, secrets.token_bytes(32))
 
     def _caller_server(self) -> Any:
         return waitress.server.create_server(
--- a/src/carawaydoor/gateway.py
+++ b/src/carawaydoor/gateway.py
@@ -8,22 +8,13 @@
 import random
 import threading
 
-from carawaydoor import (
-    catalog,
-    errors,
-    events,
-    idempotency,
-    messages,
-    metrics,
-    node,
-    retries,
-    settings,
-)
+from carawaydoor import catalog, errors, events, idempotency, messages, metrics, retries, settings
 from carawaydoor import clock as clocks
 from carawaydoor import configuration as configurations
 from carawaydoor import core as cores
 from carawaydoor import membership as memberships
 from carawaydoor import peers as peer_links
+from carawaydoor import state as states
 from carawaydoor import view as views
 
 ASK_TIMEOUT_S = 1.0
@@ -117,6 +108,6 @@
         self.random.shuffle(every)
         return sorted(every, key=lambda each: each.failure_domain != self.options.failure_domain)
 
-    def state(self) -> node.Node:
+    def state(self) -> states.Node:
         """Return the newest state of the decision core."""
         return self.core.state
--- /dev/null
+++ b/src/carawaydoor/keyhome.py
@@ -0,0 +1,152 @@
+"""Acts as home of idempotency keys: has each request run at most once."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from carawaydoor import errors, events, idempotency, messages, rendezvous
+from carawaydoor import membership as memberships
+from carawaydoor import state as states
+
+KEY_PARTITIONS = 64
+ISSUED_KEY_LIFE_S = 900.0
+RECORD_LIFE_S = 3600.0
+WALL_SKEW_S = 0.5
+HANDOVER_WINDOW_S = 2.0
+ISSUED_PARTITION = "issued"
+
+
+def key_partition(key: str) -> str:
+    """Return the partition of a caller's own idempotency key."""
+    return f"{rendezvous.weight('key', key) % KEY_PARTITIONS:02d}"
+
+
+def key_resource(partition: str) -> memberships.Resource:
+    """Return the resource of a partition of idempotency keys."""
+    return memberships.Resource(f"keys/{partition}")
+
+
+def sweep(state: states.Node, now_s: float) -> states.Node:
+    """Give up the partitions that this instance no longer holds, begin those now its own."""
+    tenures: dict[str, states.Tenure] = {}
+    for number in range(KEY_PARTITIONS):
+        partition = f"{number:02d}"
+        if not states.acts(state, now_s, key_resource(partition)):
+            continue
+        tenures[partition] = state.tenure_by_partition.get(partition, states.Tenure(now_s, now_s))
+    return dataclasses.replace(state, tenure_by_partition=tenures)
+
+
+def run_once(
+    state: states.Node, now_s: float, wall_s: float, asked: messages.RunOnce, reply_to: int | None
+) -> states.Step:
+    """Run a request, replay its answer or refuse it."""
+    issued = idempotency.parse_issued(asked.key)
+    partition = ISSUED_PARTITION if issued else key_partition(asked.key)
+    if issued is None:
+        reason = memberships.acts_as_home(state.membership, now_s, key_resource(partition))
+        if reason is not None or partition not in state.tenure_by_partition:
+            reason = reason or messages.NotHomeReason.UNKNOWN_RESOURCE
+            return state, states.not_home(state, reason, reply_to)
+    ledger = state.ledger_by_partition.get(partition, idempotency.EMPTY)
+    known = idempotency.look_up(ledger, asked.workspace, asked.key, asked.operation)
+    if known is not None and known.verdict is idempotency.Verdict.REPLAY and known.answer:
+        return state, states.reply(reply_to, dataclasses.replace(known.answer, replayed=True))
+    if known is not None and known.refusal is not None:
+        return state, states.reply(reply_to, messages.RunOnceRefused(known.refusal.value))
+    refusal = _refusal_of_new_key(state, now_s, wall_s, asked, issued, partition)
+    if refusal is not None:
+        return state, states.reply(reply_to, messages.RunOnceRefused(refusal.value))
+    started = idempotency.start(ledger, now_s, asked.workspace, asked.key, asked.operation)
+    run = events.Run(asked, partition, reply_to, now_s)
+    return _with_ledger(state, partition, started), [run]
+
+
+def _refusal_of_new_key(
+    state: states.Node,
+    now_s: float,
+    wall_s: float,
+    asked: messages.RunOnce,
+    issued: idempotency.IssuedKey | None,
+    partition: str,
+) -> errors.Kind | None:
+    ledger = state.ledger_by_partition.get(partition, idempotency.EMPTY)
+    if idempotency.is_full(ledger) or state.membership.leaving:
+        return errors.Kind.INSTANCE_BUSY
+    if issued is not None:
+        if issued.incarnation != state.membership.incarnation:
+            return errors.Kind.IDEMPOTENCY_OUTCOME_UNKNOWN
+        if not idempotency.is_genuine(issued, asked.workspace, state.secret):
+            return errors.Kind.IDEMPOTENCY_KEY_UNVERIFIABLE
+        if now_s - idempotency.issued_at_s(issued) > ISSUED_KEY_LIFE_S:
+            return errors.Kind.IDEMPOTENCY_KEY_UNVERIFIABLE
+        return None
+    tenure = state.tenure_by_partition[partition]
+    service = state.catalog.service_by_name.get(asked.service_name)
+    if service is None:
+        return errors.Kind.ROUTE_UNKNOWN
+    window = idempotency.Window(service.retry_window_s, WALL_SKEW_S)
+    return idempotency.vouches(asked.key, wall_s, now_s - tenure.since_s, window)
+
+
+def finish_run(state: states.Node, event: events.RunFinished) -> states.Step:
+    """Record how a run ended and answer its caller."""
+    run = event.run
+    ledger = state.ledger_by_partition.get(run.partition, idempotency.EMPTY)
+    workspace, key = run.message.workspace, run.message.key
+    if event.answer is not None:
+        after = idempotency.finish(ledger, workspace, key, event.answer)
+        answer: messages.Message = event.answer
+    elif event.not_sent is not None:
+        after = idempotency.cancel(ledger, workspace, key)
+        answer = messages.RunOnceRefused(event.not_sent.value)
+    else:
+        after = idempotency.finish(ledger, workspace, key, None)
+        answer = messages.RunOnceRefused(errors.Kind.IDEMPOTENCY_OUTCOME_UNKNOWN.value)
+    return _with_ledger(state, run.partition, after), states.reply(run.reply_to, answer)
+
+
+def _with_ledger(state: states.Node, partition: str, ledger: idempotency.Ledger) -> states.Node:
+    return dataclasses.replace(
+        state, ledger_by_partition={**state.ledger_by_partition, partition: ledger}
+    )
+
+
+def take_over(state: states.Node, now_s: float, message: messages.HandOverKeys) -> states.Node:
+    """Take in the records and the tenure of a partition that an earlier home handed over."""
+    tenure = state.tenure_by_partition.get(message.partition)
+    if tenure is None or now_s - tenure.acting_since_s > HANDOVER_WINDOW_S:
+        return state
+    ledger = state.ledger_by_partition.get(message.partition, idempotency.EMPTY)
+    merged = idempotency.take_over(ledger, now_s, message.records)
+    since_s = min(tenure.since_s, now_s - message.tenure_s)
+    tenures = {
+        **state.tenure_by_partition,
+        message.partition: states.Tenure(since_s, tenure.acting_since_s),
+    }
+    state = dataclasses.replace(state, tenure_by_partition=tenures)
+    return _with_ledger(state, message.partition, merged)
+
+
+def expire(state: states.Node, now_s: float) -> states.Node:
+    """Forget records that are older than any repeat."""
+    ledgers = {
+        key: idempotency.expire(each, now_s, RECORD_LIFE_S)
+        for key, each in state.ledger_by_partition.items()
+    }
+    return dataclasses.replace(state, ledger_by_partition=ledgers)
+
+
+def hand_over(state: states.Node, now_s: float) -> states.Step:
+    """Send the records of each partition, with its tenure, to its next home."""
+    effects: list[events.Effect] = []
+    for partition, tenure in state.tenure_by_partition.items():
+        receiver = states.next_home(state, now_s, key_resource(partition))
+        ledger = state.ledger_by_partition.get(partition, idempotency.EMPTY)
+        if receiver is not None and idempotency.is_settled(ledger):
+            records = idempotency.export(ledger, now_s)
+            instance = state.membership.instance
+            tenure_s = now_s - tenure.since_s
+            handed = messages.HandOverKeys(instance, partition, tenure_s, records)
+            effects.append(events.Send(receiver, handed))
+    return dataclasses.replace(state, tenure_by_partition={}), effects
--- a/src/carawaydoor/operator_app.py
+++ b/src/carawaydoor/operator_app.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from carawaydoor import audit, node
+from carawaydoor import audit, poolhome
 from carawaydoor import bucket as buckets
 from carawaydoor import configuration as configurations
 from carawaydoor import gateway as gateways
@@ -99,7 +99,7 @@
                 each.resource.name: round(buckets.refill(held, now_s).level, 1)
                 for each, held in state.budgets.bucket_by_share.items()
             },
-            "pools": {each.pool: dataclasses.asdict(each) for each in node.loads(state, now_s)},
+            "pools": {each.pool: dataclasses.asdict(each) for each in poolhome.loads(state, now_s)},
             "key_partitions": len(state.tenure_by_partition),
             "stopped_peers": [
                 each
--- a/src/carawaydoor/placement.py
+++ b/src/carawaydoor/placement.py
@@ -7,7 +7,7 @@
 
 import expression
 
-from carawaydoor import affinity, errors, events, messages, node
+from carawaydoor import affinity, errors, events, messages, poolhome
 from carawaydoor import exchange as exchanges
 from carawaydoor import gateway as gateways
 from carawaydoor import view as views
@@ -103,7 +103,7 @@
     def _free_by_domain(self, pool: str) -> dict[str, int]:
         state = self._gateway.state()
         membership = state.membership
-        own = node.loads(state, self._gateway.clock.now_s())
+        own = poolhome.loads(state, self._gateway.clock.now_s())
         free: dict[str, int] = {}
         for load in own:
             if load.pool == pool:
@@ -132,7 +132,7 @@
         wait_s: float,
     ) -> Place | messages.SlotRefused | None:
         pool = exchange.route.pool if exchange.route and exchange.route.pool else ""
-        for home in self._gateway.homes(node.pool_resource(pool, domain)):
+        for home in self._gateway.homes(poolhome.pool_resource(pool, domain)):
             message = self._message(exchange, pool, domain, attempt, excluded, wait_s)
             try:
                 answer = self._gateway.ask(home, message, wait_s + ASK_MARGIN_S)
--- a/src/carawaydoor/plainserving.py
+++ b/src/carawaydoor/plainserving.py
@@ -6,7 +6,16 @@
 
 import expression
 
-from carawaydoor import errors, filters, idempotency, messages, node, objects, suspension, upstream
+from carawaydoor import (
+    errors,
+    filters,
+    idempotency,
+    keyhome,
+    messages,
+    objects,
+    suspension,
+    upstream,
+)
 from carawaydoor import exchange as exchanges
 from carawaydoor import gateway as gateways
 from carawaydoor import view as views
@@ -124,8 +133,8 @@
         issued = idempotency.parse_issued(key)
         if issued is not None:
             return (issued.instance,)
-        partition = node.key_partition(key)
-        return self._gateway.homes(node.key_resource(partition))
+        partition = keyhome.key_partition(key)
+        return self._gateway.homes(keyhome.key_resource(partition))
 
     def _ask(
         self, home: str, message: messages.RunOnce, service: objects.Service
--- a/src/carawaydoor/replay.py
+++ b/src/carawaydoor/replay.py
@@ -10,6 +10,7 @@
 
 from carawaydoor import membership as memberships
 from carawaydoor import node, trace
+from carawaydoor import state as states
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,16 +42,16 @@
     return expression.Ok(number)
 
 
-def _first_state(line: str) -> node.Node:
+def _first_state(line: str) -> states.Node:
     origin = trace.Origin(**json.loads(line))
     timing = memberships.Timing(origin.lease_s, origin.takeover_s)
     member = memberships.create(
         origin.instance, origin.incarnation, origin.failure_domain, timing, origin.started_s
     )
-    return node.create(member, trace.REPLAY_SECRET)
+    return states.create(member, trace.REPLAY_SECRET)
 
 
-def _step(state: node.Node, line: str) -> tuple[node.Node, str]:
+def _step(state: states.Node, line: str) -> tuple[states.Node, str]:
     """Return the next state and how its effects differ from the recorded ones, if they do."""
     document = json.loads(line)
     event = trace.decode(document["event"])
--- /dev/null
+++ b/src/carawaydoor/state.py
@@ -0,0 +1,83 @@
+"""State of the decision core of one instance, and what all of its parts share."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from carawaydoor import budgets, events, idempotency, messages
+from carawaydoor import catalog as catalogs
+from carawaydoor import membership as memberships
+from carawaydoor import scheduler as schedulers
+from carawaydoor import strikes as strike_rules
+
+Step = tuple["Node", list[events.Effect]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenure:
+    """Since when this instance has held a partition of idempotency keys.
+
+    :ivar since_s: start of the tenure, including that of homes that handed over to this one
+    :ivar acting_since_s: when this instance itself became home
+    """
+
+    since_s: float
+    acting_since_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Node:
+    """State of one instance.
+
+    :ivar waiter_by_lease: where to answer a queued request for a slot
+    :ivar pulled_s_by_workspace: when standing shares were last asked for what they hold
+    :ivar held_by_lease: slots that this instance holds, at whichever scheduler
+    """
+
+    membership: memberships.Membership
+    secret: bytes
+    catalog: catalogs.Catalog
+    config_revision: int = 0
+    shares: budgets.Shares = dataclasses.field(default_factory=lambda: budgets.Shares({}, {}))
+    budgets: budgets.Budgets = budgets.EMPTY
+    scheduler_by_pool: Mapping[str, schedulers.Scheduler] = dataclasses.field(default_factory=dict)
+    waiter_by_lease: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    held_by_lease: Mapping[str, messages.HeldLease] = dataclasses.field(default_factory=dict)
+    tenure_by_partition: Mapping[str, Tenure] = dataclasses.field(default_factory=dict)
+    ledger_by_partition: Mapping[str, idempotency.Ledger] = dataclasses.field(default_factory=dict)
+    strikes: strike_rules.Strikes = strike_rules.EMPTY
+    swept_s: float = 0.0
+    pulled_s_by_workspace: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+
+def create(
+    membership: memberships.Membership, secret: bytes, catalog: catalogs.Catalog = catalogs.EMPTY
+) -> Node:
+    """Return the state of an instance that has just started."""
+    return Node(membership, secret, catalog)
+
+
+def reply(reply_to: int | None, message: messages.Message) -> list[events.Effect]:
+    """Return the effect that answers a message, none where no answer is wanted."""
+    return [] if reply_to is None else [events.Reply(reply_to, message)]
+
+
+def not_home(
+    state: Node, reason: messages.NotHomeReason, reply_to: int | None
+) -> list[events.Effect]:
+    """Return the effect that answers with why this instance does not act as home."""
+    answer = messages.NotHome(int(reason), state.membership.view.revision)
+    return reply(reply_to, answer)
+
+
+def acts(state: Node, now_s: float, resource: memberships.Resource) -> bool:
+    """Return whether this instance may act as home of a resource."""
+    return memberships.acts_as_home(state.membership, now_s, resource) is None
+
+
+def next_home(state: Node, now_s: float, resource: memberships.Resource) -> str | None:
+    """Return the instance that holds a resource once this one has left, if any."""
+    membership = state.membership
+    ranked = memberships.reachable_candidates(membership, now_s, resource)
+    return next((each for each in ranked if each != membership.instance), None)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -16,9 +16,9 @@
     errors,
     events,
     idempotency,
+    keyhome,
     membership,
     messages,
-    node,
     plainserving,
     runner,
 )
@@ -117,7 +117,7 @@
 
     def home_of(self, key: str) -> str:
         """Return the instance that holds a caller's own key."""
-        partition = node.key_partition(key)
+        partition = keyhome.key_partition(key)
         return next(
             name
             for name, machine in self.world.machine_by_id.items()
@@ -138,11 +138,11 @@
         issued = idempotency.parse_issued(key)
         if issued is not None:
             return [issued.instance]
-        partition = node.key_partition(key)
-        return list(self.world.homes(entry, node.key_resource(partition)))
+        partition = keyhome.key_partition(key)
+        return list(self.world.homes(entry, keyhome.key_resource(partition)))
 
     def _home(self, key: str) -> str:
-        resource = node.key_resource(node.key_partition(key))
+        resource = keyhome.key_resource(keyhome.key_partition(key))
         return next(membership.candidates(self.first_view, resource))
 
     def _answer(self, booking: Booking, answer: messages.Message) -> None:
--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -19,9 +19,11 @@
     errors,
     events,
     idempotency,
+    keyhome,
     membership,
     node,
     objects,
+    poolhome,
     scheduler,
 )
 from carawaydoor import revision as revisions
@@ -46,7 +48,7 @@
 
 def no_drop_after_lapse(patch: pytest.MonkeyPatch) -> None:
     """A home that lost its lease keeps its buckets, and their refill, for when it is back."""
-    patch.setattr(node, "_drop_homes", lambda state, now_s: state)
+    patch.setattr(node, "_drop_homes", lambda state, now_s: (state, []))
 
 
 def full_at_start(patch: pytest.MonkeyPatch) -> None:
@@ -223,7 +225,7 @@
 
 def run_keys_of_earlier_incarnations(patch: pytest.MonkeyPatch) -> None:
     """An instance runs the keys that its earlier incarnation issued."""
-    patch.setattr(node, "_refusal_of_new_key", lambda *_: None)
+    patch.setattr(keyhome, "_refusal_of_new_key", lambda *_: None)
 
 
 def hand_over_no_records(patch: pytest.MonkeyPatch) -> None:
@@ -292,7 +294,7 @@
     machine.publish(others)
     machine.advance(8.0)
     machine.bookings[-1].key = keys.uuid7(machine.world.wall_s, machine.chance)
-    while node.key_partition(machine.bookings[-1].key) not in _partitions_of(machine, home):
+    while keyhome.key_partition(machine.bookings[-1].key) not in _partitions_of(machine, home):
         machine.bookings[-1].key = keys.uuid7(machine.world.wall_s, machine.chance)
     for entry in (stale, *sorted(others)):
         machine.send(entry, 0)
@@ -385,7 +387,7 @@
 
 def open_without_reports(patch: pytest.MonkeyPatch) -> None:
     """A new scheduler grants slots before it knows those in use."""
-    patch.setattr(node, "_all_reported", lambda *_: True)
+    patch.setattr(poolhome, "_all_reported", lambda *_: True)
     patch.setattr(scheduler, "renew", lambda state, *_: state)
 
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from carawaydoor import events, messages, node
+from carawaydoor import events, messages, poolhome
 from tests import faults
 from tests import world as worlds
 
@@ -43,7 +43,7 @@
         self.numbers += 1
         lease_id = f"l{self.numbers}"
         message = messages.AcquireSlot(lease_id, POOL, DOMAIN, "acme", 10, (), queue_s, (), entry)
-        for home in self.world.homes(entry, node.pool_resource(POOL, DOMAIN)):
+        for home in self.world.homes(entry, poolhome.pool_resource(POOL, DOMAIN)):
             answers: list[messages.Message] = []
 
             def take(answer: messages.Message, home: str = home) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,7 @@
     objects,
     trace,
 )
+from carawaydoor import state as states
 from carawaydoor import view as views
 
 STEP_S = 0.5
@@ -55,7 +56,7 @@
 class Machine:
     """One instance: its decision core and how it fares."""
 
-    state: node.Node
+    state: states.Node
     alive: bool = True
     paused: bool = False
     sees_platform: bool = True
@@ -102,7 +103,7 @@
         state = self.machine_by_id[instance].state
         self._recorded = instance
         self._recorder = trace.FileRecorder(out, state.membership, state.secret)
-        first = node.create(
+        first = states.create(
             membership.create(
                 instance,
                 state.membership.incarnation,
@@ -121,7 +122,7 @@
         member = membership.create(
             instance, f"n{self._incarnations}", INSTANCES[instance], self.timing, self.now_s
         )
-        machine = Machine(node.create(member, f"secret-{self._incarnations}".encode()))
+        machine = Machine(states.create(member, f"secret-{self._incarnations}".encode()))
         self.machine_by_id[instance] = machine
         self.apply(instance, events.CatalogInForce(1, CATALOG))
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -19,6 +19,7 @@
 from carawaydoor import budgets, catalog, engine, events, membership, messages, node, objects, wire
 from carawaydoor import revision as revisions
 from carawaydoor import scheduler as schedulers
+from carawaydoor import state as states
 from carawaydoor import view as views
 
 SIZES_WORKSPACES: Final = (1_000, 5_000, 30_000)
@@ -135,9 +136,9 @@
     return views.View(1, instances, {})
 
 
-def _node(count: int, workspaces: int = 100) -> node.Node:
+def _node(count: int, workspaces: int = 100) -> states.Node:
     member = membership.create("i0", "n0", "fd0", membership.Timing(), START_S)
-    state = node.create(member, b"secret")
+    state = states.create(member, b"secret")
     arrived = events.ViewArrived(_view(count), START_S)
     state, _ = node.step(state, START_S, 0.0, arrived)
     items = catalog.assemble(_items(workspaces))
@@ -173,7 +174,7 @@
         yield Point("membership: one tick with sweep, workspaces", size, tick_us)
 
 
-def _tick_us(state: node.Node) -> float:
+def _tick_us(state: states.Node) -> float:
     return _time_us(functools.partial(node.step, state, START_S + 1.0, 0.0, events.Ticked()), 10)
 
 
