--- /dev/null
+++ b/tests/test_planted_booking_faults.py
@@ -0,0 +1,175 @@
+"""The checks of at most once fail where the fault that they are meant for is planted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from carawaydoor import (
+    errors,
+    idempotency,
+    keyhome,
+)
+from tests import plants, test_at_most_once
+from tests import world as worlds
+from tools import keys
+
+BookingScenario = Callable[[test_at_most_once.AtMostOnce], None]
+
+
+def vouch_for_every_key(patch: pytest.MonkeyPatch) -> None:
+    """A home runs every key that it does not remember."""
+    patch.setattr(idempotency, "vouches", lambda *_: None)
+
+
+def believe_keys_from_the_future(patch: pytest.MonkeyPatch) -> None:
+    """A home takes the time in a key as true, however far ahead it is."""
+    vouches = idempotency.vouches
+
+    def believing(
+        key: str, wall_s: float, tenure_s: float, window: idempotency.Window
+    ) -> errors.Kind | None:
+        kind = vouches(key, wall_s, tenure_s, window)
+        return None if kind is errors.Kind.IDEMPOTENCY_KEY_FROM_FUTURE else kind
+
+    patch.setattr(idempotency, "vouches", believing)
+
+
+def forget_unknown_outcomes(patch: pytest.MonkeyPatch) -> None:
+    """A run whose answer was lost counts as not sent."""
+    finish = idempotency.finish
+    patch.setattr(
+        idempotency,
+        "finish",
+        lambda state, workspace, key, answer: (
+            finish(state, workspace, key, answer)
+            if answer
+            else idempotency.cancel(state, workspace, key)
+        ),
+    )
+
+
+def run_keys_of_earlier_incarnations(patch: pytest.MonkeyPatch) -> None:
+    """An instance runs the keys that its earlier incarnation issued."""
+    patch.setattr(keyhome, "_refusal_of_new_key", lambda *_: None)
+
+
+def hand_over_no_records(patch: pytest.MonkeyPatch) -> None:
+    """A leaving home hands over its tenure without its records."""
+    patch.setattr(idempotency, "export", lambda *_: ())
+
+
+def home_dies_and_caller_repeats(machine: test_at_most_once.AtMostOnce) -> None:
+    """A booking runs, its home dies, and the caller sends it again."""
+    machine.book_with_time(0.0)
+    _run_and_lose_home(machine, "done")
+
+
+def caller_clock_is_ahead(machine: test_at_most_once.AtMostOnce) -> None:
+    """The same with a key that was made on a clock three seconds ahead."""
+    machine.book_with_time(3.0)
+    _run_and_lose_home(machine, "done")
+
+
+def issued_key_outlives_its_instance(machine: test_at_most_once.AtMostOnce) -> None:
+    """An issued key is sent again after its instance has started anew."""
+    machine.book_with_issued_key("i1")
+    machine.send("i2", 0)
+    machine.run_one(0, "done")
+    machine.kill("i1")
+    machine.restart("i1")
+    machine.advance(4.0)
+    machine.send("i2", 0)
+    machine.run_one(0, "done")
+    machine.nothing_ran_twice()
+
+
+def answer_is_lost(machine: test_at_most_once.AtMostOnce) -> None:
+    """The upstream ran a booking but its answer was lost; the caller sends it again."""
+    machine.book_with_time(0.0)
+    for _ in range(2):
+        machine.send("i2", 0)
+        machine.run_one(0, "lost")
+    machine.nothing_ran_twice()
+
+
+def home_leaves_gracefully(machine: test_at_most_once.AtMostOnce) -> None:
+    """A booking runs, its home leaves and hands over, and the caller sends it again."""
+    machine.advance(test_at_most_once.RETRY_S)
+    machine.book_with_time(0.0)
+    _run_once_at_home(machine, "done")
+    home = machine.home_of(machine.bookings[-1].key)
+    machine.drain(home)
+    entry = next(each for each in worlds.INSTANCES if each != home)
+    machine.send(entry, 0)
+    machine.run_one(0, "done")
+    machine.nothing_ran_twice()
+
+
+def paused_home_wakes_up(machine: test_at_most_once.AtMostOnce) -> None:
+    """A new booking reaches a paused home and its successor, and the first one wakes."""
+    machine.book_with_time(0.0)
+    home = machine.home_of(machine.bookings[-1].key)
+    stale = next(
+        each for each in worlds.INSTANCES if worlds.INSTANCES[each] != test_at_most_once.DOMAIN
+    )
+    others = set(worlds.INSTANCES) - {home, stale}
+    for each in others:
+        machine.cut(stale, each)
+    machine.platform_of_one(stale, False)
+    machine.platform_of_one(home, False)
+    machine.pause(home)
+    machine.publish(others)
+    machine.advance(8.0)
+    machine.bookings[-1].key = keys.uuid7(machine.world.wall_s, machine.chance)
+    while keyhome.key_partition(machine.bookings[-1].key) not in _partitions_of(machine, home):
+        machine.bookings[-1].key = keys.uuid7(machine.world.wall_s, machine.chance)
+    for entry in (stale, *sorted(others)):
+        machine.send(entry, 0)
+    machine.run_one(0, "done")
+    machine.resume(home)
+    machine.run_one(0, "done")
+    machine.nothing_ran_twice()
+
+
+def _partitions_of(machine: test_at_most_once.AtMostOnce, instance: str) -> set[str]:
+    return set(machine.world.machine_by_id[instance].state.tenure_by_partition)
+
+
+def _run_once_at_home(machine: test_at_most_once.AtMostOnce, outcome: str) -> None:
+    machine.send("i1", 0)
+    machine.run_one(0, outcome)
+
+
+def _run_and_lose_home(machine: test_at_most_once.AtMostOnce, outcome: str) -> None:
+    _run_once_at_home(machine, outcome)
+    home = machine.home_of(machine.bookings[-1].key)
+    machine.kill(home)
+    entry = next(each for each in worlds.INSTANCES if each != home)
+    for _ in range(12):
+        machine.advance(0.5)
+        machine.send(entry, 0)
+        machine.run_one(0, outcome)
+        machine.nothing_ran_twice()
+
+
+BOOKING_CASES: tuple[tuple[plants.Plant, BookingScenario], ...] = (
+    (vouch_for_every_key, home_dies_and_caller_repeats),
+    (believe_keys_from_the_future, caller_clock_is_ahead),
+    (forget_unknown_outcomes, answer_is_lost),
+    (run_keys_of_earlier_incarnations, issued_key_outlives_its_instance),
+    (hand_over_no_records, home_leaves_gracefully),
+    (plants.no_lease, paused_home_wakes_up),
+)
+
+
+@pytest.mark.parametrize(("plant", "scenario"), BOOKING_CASES, ids=lambda each: each.__name__)
+def test_at_most_once_check_finds(
+    plant: plants.Plant, scenario: BookingScenario, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """No booking runs twice in the scenario, and one does under the planted fault."""
+    scenario(test_at_most_once.AtMostOnce())
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match="ran twice"):
+        scenario(test_at_most_once.AtMostOnce())
