Give back what an unread answer holds; name upstreams that fail in mid-stream

A streamed answer freed its lease inside a generator, which never runs where the caller goes before the first chunk is taken: the slot stayed held for good. And an attempt freed its lease before it was marked as failed, so the scheduler kept placing requests on an engine that had died in mid-stream. Ruled out: relying on waitress to always begin the iteration. Conclusion: the lease hangs on the request's cleanup; failing comes before freeing. Streamed and whole answers share one loop of attempts now.

--- a/src/carawaydoor/modelserving.py
+++ b/src/carawaydoor/modelserving.py
@@ -53,7 +53,19 @@
     chunks: Iterator[engine.Chunk]
 
 
-Beginning = expression.Result[Begun, errors.Refusal]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """An attempt that gave no answer.
+
+    :ivar upstream: upstream to avoid in another attempt, empty where another one is no use
+    """
+
+    upstream: str
+    refusal: errors.Refusal
+
+
+Beginning = expression.Result[Begun, Failure]
+Attempted = expression.Result[exchanges.Response, Failure]
 
 
 class ServeModel(filters.Server):
@@ -66,38 +78,28 @@
     def serve(self, exchange: exchanges.Exchange) -> filters.Served:
         """Return the answer of the engines, streamed or whole."""
         self._gateway.record_attempt()
-        if exchange.completion is not None and exchange.completion.stream:
-            return self._serve_stream(exchange)
-        return self._serve_whole(exchange)
-
-    def _serve_stream(self, exchange: exchanges.Exchange) -> filters.Served:
         excluded: tuple[str, ...] = ()
+        refusal = _upstream_failed()
         for number in range(MAX_ATTEMPTS):
-            result = self._begin(exchange, number, excluded)
+            result = self._attempt(exchange, number, excluded)
             if result.is_ok():
-                chunks = self._relay(exchange, result.ok)
-                return expression.Ok(exchanges.Response(200, STREAM_HEADERS, chunks))
-            failed, refusal = result.error
-            if not self._may_try_again(exchange, number, failed):
-                return expression.Error(refusal)
-            excluded = (*excluded, failed)
-        return expression.Error(_upstream_failed())
-
-    def _serve_whole(self, exchange: exchanges.Exchange) -> filters.Served:
-        excluded: tuple[str, ...] = ()
-        for number in range(MAX_ATTEMPTS):
-            result = self._begin(exchange, number, excluded)
-            if result.is_ok():
-                collected = self._collect(exchange, result.ok)
-                if collected.is_ok():
-                    return expression.Ok(_whole(exchange, collected.ok))
-                failed, refusal = collected.error
-            else:
-                failed, refusal = result.error
-            if not self._may_try_again(exchange, number, failed):
-                return expression.Error(refusal)
-            excluded = (*excluded, failed)
-        return expression.Error(_upstream_failed())
+                return expression.Ok(result.ok)
+            refusal = result.error.refusal
+            excluded = (*excluded, result.error.upstream)
+            if not self._may_try_again(exchange, number, result.error.upstream):
+                break
+        return expression.Error(refusal)
+
+    def _attempt(
+        self, exchange: exchanges.Exchange, number: int, excluded: tuple[str, ...]
+    ) -> Attempted:
+        begun = self._begin(exchange, number, excluded)
+        if begun.is_error():
+            return expression.Error(begun.error)
+        if exchange.completion is not None and exchange.completion.stream:
+            chunks = self._relay(exchange, begun.ok)
+            return expression.Ok(exchanges.Response(200, STREAM_HEADERS, chunks))
+        return self._collect(exchange, begun.ok)
 
     def _may_try_again(self, exchange: exchanges.Exchange, number: int, failed: str) -> bool:
         if not failed or number + 1 >= MAX_ATTEMPTS or exchange.cancel.reason is not None:
@@ -108,23 +110,20 @@
 
     def _begin(
         self, exchange: exchanges.Exchange, number: int, excluded: tuple[str, ...]
-    ) -> expression.Result[Begun, tuple[str, errors.Refusal]]:
+    ) -> Beginning:
         """Run an attempt up to its first chunk."""
         placed = self._placement.place(exchange, number, excluded)
         if placed.is_error():
             ran = errors.Ran.UNKNOWN if number > 0 else placed.error.ran
-            return expression.Error(("", dataclasses.replace(placed.error, ran=ran)))
+            return expression.Error(Failure("", dataclasses.replace(placed.error, ran=ran)))
         attempt = Attempt(number, placed.ok, contextlib.ExitStack())
         attempt.resources.callback(self._release, attempt)
+        exchange.cleanup.callback(attempt.resources.close)
         try:
             chunks = self._run(exchange, attempt)
             first = next(chunks, None)
         except errors.UpstreamError as error:
-            refusal = self._fail(exchange, attempt, error)
-            return expression.Error((attempt.failed, refusal))
-        except BaseException:
-            attempt.resources.close()
-            raise
+            return expression.Error(self._fail(exchange, attempt, error))
         self._placement.finish_prefill(attempt.place)
         known = () if first is None else (first,)
         return expression.Ok(Begun(attempt, itertools.chain(known, chunks)))
@@ -170,42 +169,40 @@
         current: Begun | None = begun
         while current is not None:
             try:
-                with current.attempt.resources:
-                    for chunk in self._timed(exchange, current.chunks):
-                        stream_id = stream_id or chunk.id
-                        progress = resumption.advance(progress, chunk)
-                        raw = resumption.renamed(chunk, stream_id, progress)
-                        yield engine.DATA + raw + b"\n\n"
+                for chunk in self._timed(exchange, current.chunks):
+                    stream_id = stream_id or chunk.id
+                    progress = resumption.advance(progress, chunk)
+                    raw = resumption.renamed(chunk, stream_id, progress)
+                    yield engine.DATA + raw + b"\n\n"
+                current.attempt.resources.close()
                 yield engine.DATA + engine.DONE + b"\n\n"
                 return
             except errors.UpstreamError as error:
-                refusal = self._fail(exchange, current.attempt, error)
-            current, progress = self._resume(exchange, current.attempt, progress)
-        self._gateway.metrics.refusals.add(1, {"kind": refusal.kind.value})
-        yield problem.event(refusal, exchange.id)
+                failure = self._fail(exchange, current.attempt, error)
+            current = self._resume(exchange, current.attempt, progress)
+            progress = resumption.restart(progress)
+        self._gateway.metrics.refusals.add(1, {"kind": failure.refusal.kind.value})
+        yield problem.event(failure.refusal, exchange.id)
 
     def _resume(
         self, exchange: exchanges.Exchange, attempt: Attempt, progress: resumption.Progress
-    ) -> tuple[Begun | None, resumption.Progress]:
+    ) -> Begun | None:
         """Continue an answer on other upstreams, where that is possible."""
         rest = resumption.remainder(exchange, progress)
         if rest is None or not self._may_try_again(exchange, attempt.number, attempt.failed):
-            return None, progress
+            return None
         exchange.completion, exchange.cost = rest
         begun = self._begin(exchange, attempt.number + 1, (attempt.failed,))
-        if begun.is_error():
-            return None, progress
-        return begun.ok, resumption.restart(progress)
+        return begun.ok if begun.is_ok() else None
 
-    def _collect(
-        self, exchange: exchanges.Exchange, begun: Begun
-    ) -> expression.Result[list[engine.Chunk], tuple[str, errors.Refusal]]:
+    def _collect(self, exchange: exchanges.Exchange, begun: Begun) -> Attempted:
+        """Return an answer whole, once all of it has arrived."""
         try:
-            with begun.attempt.resources:
-                return expression.Ok(list(self._timed(exchange, begun.chunks)))
+            chunks = list(self._timed(exchange, begun.chunks))
         except errors.UpstreamError as error:
-            refusal = self._fail(exchange, begun.attempt, error)
-            return expression.Error((begun.attempt.failed, refusal))
+            return expression.Error(self._fail(exchange, begun.attempt, error))
+        begun.attempt.resources.close()
+        return expression.Ok(_whole(exchange, chunks))
 
     def _timed(
         self, exchange: exchanges.Exchange, chunks: Iterator[engine.Chunk]
@@ -229,12 +226,12 @@
 
     def _fail(
         self, exchange: exchanges.Exchange, attempt: Attempt, error: errors.UpstreamError
-    ) -> errors.Refusal:
-        """Free an attempt that failed and return the refusal that tells why."""
+    ) -> Failure:
+        """Free an attempt that failed and return what is to be told of it."""
         if exchange.cancel.reason is not None:
-            attempt.failed = ""
             attempt.resources.close()
-            return exchanges.refusal_of(exchange.cancel.reason, errors.Ran.UNKNOWN)
+            refusal = exchanges.refusal_of(exchange.cancel.reason, errors.Ran.UNKNOWN)
+            return Failure("", refusal)
         attempt.has_failed = isinstance(
             error, errors.UpstreamBrokenError | errors.UpstreamUnreachableError
         )
@@ -243,7 +240,7 @@
         attempt.resources.close()
         labels = {"upstream": attempt.failed, "error": type(error).__name__}
         self._gateway.metrics.upstream_failures.add(1, labels)
-        return _refusal(error)
+        return Failure(attempt.failed, _refusal(error))
 
     def _release(self, attempt: Attempt) -> None:
         self._placement.release(attempt.place, attempt.failed if attempt.has_failed else "")
--- a/src/carawaydoor/placement.py
+++ b/src/carawaydoor/placement.py
@@ -14,6 +14,7 @@
 
 MIN_RETRY_S = 0.2
 ASK_MARGIN_S = 0.5
+FULL_WEIGHT = 0.005
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,11 +94,10 @@
         for each in self._gateway.upstreams(pool, views.Role.DECODE):
             slots[each.failure_domain] = slots.get(each.failure_domain, 0) + each.slots
         free = self._free_by_domain(pool)
-        chance = self._gateway.random
-        keyed = {
-            domain: chance.random() ** (1.0 / max(free.get(domain, 0), 0.1 * count / 20.0))
-            for domain, count in slots.items()
-        }
+        keyed: dict[str, float] = {}
+        for domain, count in slots.items():
+            weight = max(free.get(domain, 0), FULL_WEIGHT * count)
+            keyed[domain] = self._gateway.random.random() ** (1.0 / weight)
         return sorted(keyed, key=lambda each: keyed[each], reverse=True)
 
     def _free_by_domain(self, pool: str) -> dict[str, int]:
