Owe no answer for messages that want none

Cause: reading the code as a newcomer. Every message from a peer was given a place for its answer, also those that never get one (settlements, releases, transfers), so each instance kept growing. A queued request that was given up left its place behind too. Ruled out: expiring the places by age, which hides the fault. Figures: with the old listener the new check (no answer owed once all requests have ended) fails, with the new one it passes; the check now stands in every refusal and cancellation test. Conclusion: no place without a correlation; giving up a queued request answers it.

--- a/src/carawaydoor/core.py
+++ b/src/carawaydoor/core.py
@@ -11,6 +11,8 @@
 from carawaydoor import events, messages, node, task, trace
 from carawaydoor import state as states
 
+MAX_TICK_S: Final = 0.25
+
 Perform = Callable[[events.Send | events.Run], None]
 Respond = Callable[[messages.Message], None]
 
@@ -40,8 +42,16 @@
         """Apply an event that needs no answer."""
         self.post((event, None))
 
-    def receive(self, message: messages.Message, respond: Respond) -> None:
-        """Apply a message; its answer goes to ``respond`` in the thread of this task."""
+    @property
+    def owed_answers(self) -> int:
+        """The number of messages whose answer is still to come."""
+        return len(self._respond_by_number)
+
+    def receive(self, message: messages.Message, respond: Respond | None) -> None:
+        """Apply a message; its answer goes to ``respond`` in the thread of this task.
+
+        :param respond: None where no answer is wanted
+        """
         self.post((events.Received(message), respond))
 
     def ask(self, message: messages.Message) -> futures.Future[messages.Message]:
@@ -82,9 +92,6 @@
     """Carry out nothing; stands in until the task is connected."""
 
 
-MAX_TICK_S: Final = 0.25
-
-
 class Ticker(task.Periodic):
     """Tells the core that time passes."""
 
--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -148,7 +148,10 @@
             clear_untrusted_proxy_headers=True,
         )
 
-    def _receive(self, message: messages.Message, respond: listener.Respond) -> None:
+    def _receive(self, message: messages.Message, respond: listener.Respond | None) -> None:
+        if respond is None:
+            self._core.receive(message, None)
+            return
         match message:
             case messages.FetchRevision():
                 respond(publication.answer_fetch(self._gateway.configuration, message))
--- a/src/carawaydoor/listener.py
+++ b/src/carawaydoor/listener.py
@@ -12,7 +12,7 @@
 BACKLOG: Final = 256
 
 Respond = Callable[[messages.Message], None]
-Receive = Callable[[messages.Message, Respond], None]
+Receive = Callable[[messages.Message, Respond | None], None]
 
 
 class Writer(task.Task[wire.Frame]):
@@ -82,7 +82,6 @@
 
     def _pass_on(self, frame: wire.Frame, writer: Writer) -> None:
         def respond(message: messages.Message) -> None:
-            if frame.correlation:
-                writer.post(wire.Frame(frame.correlation, message))
+            writer.post(wire.Frame(frame.correlation, message))
 
-        self._receive(frame.message, respond)
+        self._receive(frame.message, respond if frame.correlation else None)
--- a/src/carawaydoor/operator_app.py
+++ b/src/carawaydoor/operator_app.py
@@ -95,6 +95,7 @@
             "has_lease": memberships.has_lease(membership, now_s),
             "requests": self._supervisor.count,
             "held_leases": len(state.held_by_lease),
+            "owed_answers": gateway.core.owed_answers,
             "budgets": {
                 each.resource.name: round(buckets.refill(held, now_s).level, 1)
                 for each, held in state.budgets.bucket_by_share.items()
--- a/src/carawaydoor/poolhome.py
+++ b/src/carawaydoor/poolhome.py
@@ -172,14 +172,19 @@
 
 
 def release(state: states.Node, now_s: float, message: messages.ReleaseSlot) -> states.Step:
-    """Free what a lease holds."""
-    waiters = {key: each for key, each in state.waiter_by_lease.items() if key != message.lease_id}
+    """Free what a lease holds, and end the wait of a request that was given up."""
+    waiters = dict(state.waiter_by_lease)
+    waiter = waiters.pop(message.lease_id, None)
+    given_up = states.reply(waiter, messages.SlotRefused(0.0))
     state = dataclasses.replace(state, waiter_by_lease=waiters)
-    return apply(
-        state,
-        message.pool,
-        lambda each: schedulers.release(each, now_s, message.lease_id, message.upstream_failed),
+    act = functools.partial(
+        schedulers.release,
+        now_s=now_s,
+        lease_id=message.lease_id,
+        upstream_failed=message.upstream_failed,
     )
+    state, effects = apply(state, message.pool, act)
+    return state, [*given_up, *effects]
 
 
 def apply(state: states.Node, pool: str, act: events.SchedulerAct) -> states.Step:
--- a/tests/caller.py
+++ b/tests/caller.py
@@ -124,5 +124,6 @@
     """Return whether no engine and no instance holds anything of a request."""
     instances = [each for each in running.ports_by_instance if each in running.process_by_name]
     states = [status(running, each) for each in instances]
-    idle = all(each["requests"] == 0 and each["held_leases"] == 0 for each in states)
+    kept = ("requests", "held_leases", "owed_answers")
+    idle = all(each[name] == 0 for each in states for name in kept)
     return idle and engines_hold(running) == 0
