Break off connections on which heartbeats hang

Cause: a heartbeat that stayed unanswered kept its peer from being asked again, and after a long partition TCP waits for up to minutes before it sends again. Ruled out: a shorter kernel timeout, which is a setting of the machine. Conclusion: peers hear each other again within seconds of the end of a cut.

--- a/src/carawaydoor/link.py
+++ b/src/carawaydoor/link.py
@@ -60,6 +60,13 @@
             case Lost():
                 self._lose(message.connection)
 
+    def abort(self) -> None:
+        """End the task, also where it waits for its connection to take a message."""
+        channel = self._channel
+        if channel is not None:
+            channel.close()
+        self.stop()
+
     def close(self) -> None:
         """Close the connection."""
         self._lose(self._connection)
--- a/src/carawaydoor/peers.py
+++ b/src/carawaydoor/peers.py
@@ -12,6 +12,7 @@
 from carawaydoor import view as views
 
 HEARTBEAT_S: Final = 0.25
+STUCK_S: Final = 3.0
 
 
 class Peers:
@@ -52,6 +53,13 @@
         for each in closed:
             each.stop()
 
+    def reset(self, instance: str) -> None:
+        """Break the link to an instance off; the next message connects anew."""
+        with self._lock:
+            broken = self._link_by_instance.pop(instance, None)
+        if broken is not None:
+            broken.abort()
+
     def stop(self) -> None:
         """Close all links."""
         self.retain(views.EMPTY)
@@ -71,7 +79,11 @@
 
 
 class Heartbeats(task.Periodic):
-    """Exchanges heartbeats with every other instance of the view."""
+    """Exchanges heartbeats with every other instance of the view.
+
+    A connection on which a heartbeat stays unanswered for ``STUCK_S`` is broken off: after a
+    network partition TCP would go on waiting for minutes.
+    """
 
     def __init__(self, instance: str, core: cores.Core, peers: Peers, clock: clocks.Clock) -> None:
         super().__init__("heartbeats", HEARTBEAT_S)
@@ -79,27 +91,31 @@
         self._core = core
         self._peers = peers
         self._clock = clock
-        self._open: set[str] = set()
+        self._asked_s_by_instance: dict[str, float] = {}
 
     def act(self) -> None:
         """Send one heartbeat to every peer that has answered the one before."""
         view = self._core.state.membership.view
         self._peers.retain(view)
+        now_s = self._clock.now_s()
         for entry in view.instance_by_id.values():
-            if entry.id != self._instance and entry.id not in self._open:
+            asked_s = self._asked_s_by_instance.get(entry.id)
+            if asked_s is not None and now_s - asked_s > STUCK_S:
+                self._peers.reset(entry.id)
+            elif asked_s is None and entry.id != self._instance:
                 self._send(entry)
 
     def _send(self, entry: views.Instance) -> None:
         asked_s = self._clock.now_s()
         message = node.heartbeat(self._core.state, asked_s, entry.failure_domain)
-        self._open.add(entry.id)
+        self._asked_s_by_instance[entry.id] = asked_s
         answer = self._peers.ask(entry.id, message)
         answer.add_done_callback(lambda done: self._conclude(entry.id, asked_s, done))
 
     def _conclude(
         self, instance: str, asked_s: float, done: futures.Future[messages.Message]
     ) -> None:
-        self._open.discard(instance)
+        self._asked_s_by_instance.pop(instance, None)
         error = done.exception()
         if isinstance(error, errors.PeerRefusedError):
             self._core.tell(events.PeerRefused(instance, asked_s))
