Test that real instances share one workspace's budget

Cause: the shared budget was proved over the decision core; on real processes only across a cut. Ruled out: nothing.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -12,7 +12,7 @@
 
 from standins import engine
 from tests import caller
-from tools import deployments, fleet
+from tools import deployments, fleet, session
 
 ENOUGH_TOKENS = 8000
 PROMPT = "hello " * 1500
@@ -110,6 +110,28 @@
     assert caller.eventually(lambda: caller.engines_hold(running) == 0)
 
 
+def test_instances_share_one_budget(running: fleet.Fleet) -> None:
+    """What all instances admit together stays within the workspace's burst and rate."""
+    tokens, seconds = 3000, 4.0
+    limit = session.limits(running.deployment)["rosario"]
+    admitted: list[int] = []
+    began_s = time.monotonic()
+
+    def send(instance: str) -> None:
+        sender = caller.Caller(running, instance, "rosario")
+        while time.monotonic() < began_s + seconds:
+            reply = sender.complete("x" * 4 * (tokens - 5), max_tokens=5)
+            admitted.extend([tokens] * (reply.status == 200))
+
+    senders = [threading.Thread(target=send, args=(each,)) for each in running.ports_by_instance]
+    for each in senders:
+        each.start()
+    for each in senders:
+        each.join()
+    length_s = time.monotonic() - began_s
+    assert ENOUGH_TOKENS <= sum(admitted) <= limit.burst + limit.rate_per_s * length_s
+
+
 def test_leaving_upstream_gets_nothing_new(running: fleet.Fleet) -> None:
     """An upstream that is published as leaving gets no new work after a few seconds."""
     running.mark_leaving("planning-3")
