--- a/src/standins/engine.py
+++ b/src/standins/engine.py
@@ -2,7 +2,8 @@
 
 A prefill computes one prompt after the other; its KV cache lives for under a second. A decode
 engine has slots, fetches the KV cache over a link of limited rate, and makes tokens in steps
-that take longer as its batch fills. It cancels a request whose connection closes.
+that take longer as its batch fills. It cancels a request whose connection closes, and reports its
+load with a lag.
 """
 
 from __future__ import annotations
@@ -24,6 +25,8 @@
 
 THREADS = 96
 KV_LIFE_S = 0.9
+LOAD_LAG_S = 0.5
+MAX_LOAD_SAMPLES = 4096
 PIECE_BYTES = 4096
 BYTES_PER_TOKEN = 4
 POISON = "crash the engine"
@@ -37,6 +40,19 @@
         self.active: set[str] = set()
         self.kv: dict[int, tuple[float, int]] = {}
         self.counts: collections.Counter[str] = collections.Counter()
+        self.loads: collections.deque[tuple[float, int]] = collections.deque(
+            [(0.0, 0)], MAX_LOAD_SAMPLES
+        )
+
+    def note_load(self) -> None:
+        """Note the number of requests at work; the caller holds the lock."""
+        self.loads.append((time.monotonic(), len(self.active)))
+
+    def reported_load(self, now_s: float) -> int:
+        """Return the number of requests at work as it was ``LOAD_LAG_S`` ago."""
+        with self.lock:
+            known = [load for at_s, load in self.loads if now_s - at_s >= LOAD_LAG_S]
+        return known[-1] if known else 0
 
     def count(self, name: str, number: int = 1) -> None:
         """Add to a counter."""
@@ -64,6 +80,9 @@
         body = environ["wsgi.input"].read()
         if path == "/control":
             return self._control(environ, body, start_response)
+        if path == "/v1/load":
+            report = {"active": self._ledger.reported_load(time.monotonic())}
+            return server.reply(start_response, "200 OK", json.dumps(report).encode())
         fields = json.loads(body)
         if "HTTP_AUTHORIZATION" in environ:
             self._ledger.count("credentials_seen")
@@ -121,6 +140,7 @@
                 self._ledger.counts["overbooked"] += 1
                 return server.reply(start_response, "429 Too Many Requests", b"{}")
             self._ledger.active.add(request_id)
+            self._ledger.note_load()
         started = False
         try:
             if not self._fetch(fields["kv_transfer_params"], _tokens(_prompt(fields))):
@@ -208,6 +228,7 @@
     def _drop(self, request_id: str) -> None:
         with self._ledger.lock:
             self._ledger.active.discard(request_id)
+            self._ledger.note_load()
 
     def _control(
         self, environ: server.Environ, body: bytes, start_response: server.StartResponse
@@ -236,6 +257,7 @@
     def __enter__(self) -> None:
         with self._ledger.lock:
             self._ledger.active.add(self._request_id)
+            self._ledger.note_load()
 
     def __exit__(self, *_: object) -> None:
         self._engine.drop(self._request_id)
