Test upstreams that never answer

Cause: rubbish, half and crossed answers had tests; silence had none. Ruled out: a shorter timeout for the test alone.

--- a/tests/caller.py
+++ b/tests/caller.py
@@ -48,7 +48,7 @@
     ) -> http.client.HTTPConnection:
         """Send a request and return the connection on which its answer comes."""
         port = self.running.ports_by_instance[self.instance].caller
-        connection = http.client.HTTPConnection(fleet.LOOPBACK, port, timeout=30.0)
+        connection = http.client.HTTPConnection(fleet.LOOPBACK, port, timeout=60.0)
         every = {key.replace("_", "-"): value for key, value in headers.items()}
         if self.workspace:
             every.setdefault(
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -237,3 +237,31 @@
     for each in running.ports_by_instance:
         assert caller.Caller(running, each).complete().status == 200
         assert caller.Caller(running, each).send("GET", "/orders/1").status == 200
+
+
+def test_upstreams_that_never_answer(running: fleet.Fleet) -> None:
+    """Silent upstreams end in typed refusals, and nothing stays held once they run again."""
+    silent = [each.id for each in running.deployment.upstreams if each.role != "decode"]
+    for each in silent:
+        running.pause(each)
+    replies: dict[str, caller.Reply] = {}
+
+    def send(name: str) -> None:
+        sender = caller.Caller(running)
+        if name == "status":
+            replies[name] = sender.send("GET", "/orders/1")
+        else:
+            replies[name] = sender.complete("silence")
+
+    senders = [threading.Thread(target=send, args=(name,)) for name in ("status", "model")]
+    for sender in senders:
+        sender.start()
+    for sender in senders:
+        sender.join()
+    for each in silent:
+        running.resume(each)
+    assert replies["status"].problem == "deadline-exceeded"
+    assert replies["status"].ran == "unknown"
+    assert replies["model"].status in (503, 504)
+    assert replies["model"].ran == "unknown"
+    assert caller.eventually(lambda: caller.holds_nothing(running))
