--- /dev/null
+++ b/src/carawaydoor/fleet/membership.py
@@ -0,0 +1,228 @@
+"""Which other instances exist and what they reported, as a pure state machine.
+
+Every instance sends whole reports, so that a lost one costs nothing but its age. A report carries
+echoes of its receivers' clocks: it was sent later than the echoed time, however long it was held up
+or its receiver was suspended, and ages are counted from there.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Final
+
+from carawaydoor.policy import load, strikes
+
+# Time in seconds without a report after which a peer's load no longer counts as known: several
+# intervals, so that a few lost datagrams change nothing.
+SILENT_S: Final = 1.0
+# Time in seconds without a report after which a peer is forgotten: longer than a network
+# partition or a restart takes, since an instance that is cut off still uses workspaces' caps.
+FORGET_S: Final = 30.0
+# Time in seconds for which the work of a silent peer is still counted at upstreams: work that a
+# killed instance left ends about then.
+WORK_LIFE_S: Final = 1.5
+# Peers that one round of reports goes to, so that its cost does not grow with the fleet.
+FAN_OUT: Final = 12
+# Contacts that one report passes on.
+MAX_CONTACTS: Final = 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contact:
+    """Where an instance can be reached."""
+
+    instance: str
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedStrike:
+    """A strike against a request, with its age in seconds when it was reported."""
+
+    fingerprint: str
+    strike: strikes.Strike
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What one instance tells the others.
+
+    :ivar incarnation: random number of the process; clocks may step back between two starts
+    :ivar sent_s: the sender's clock
+    :ivar revision: revision of its configuration
+    :ivar proof_age_s: how long ago that revision was proven newest, in seconds
+    :ivar used_by_workspace: tokens admitted since the sender's start
+    :ivar echo_by_instance: the receivers' clocks as the sender last heard them
+    """
+
+    contact: Contact
+    domain: str
+    incarnation: int
+    sequence: int
+    sent_s: float
+    is_leaving: bool
+    revision: int
+    proof_age_s: float
+    work_by_upstream: Mapping[str, load.Work]
+    used_by_workspace: Mapping[str, float]
+    echo_by_instance: Mapping[str, float]
+    contacts: tuple[Contact, ...]
+    strikes: tuple[SharedStrike, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """Another instance; ``report`` is None before it was heard."""
+
+    contact: Contact
+    known_s: float
+    heard_s: float
+    report: Report | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Membership:
+    """The other instances.
+
+    :ivar turn: rounds of reports so far; the peers take turns where a round can't reach all
+    """
+
+    instance: str
+    peer_by_instance: Mapping[str, Peer]
+    turn: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """A peer vouches that a revision was the newest at a time."""
+
+    revision: int
+    proven_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """A peer's admitted tokens since its start."""
+
+    peer: str
+    used_by_workspace: Mapping[str, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerJoined:
+    """A peer is heard for the first time, or after a silence, or in a new incarnation."""
+
+    contact: Contact
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLost:
+    """A peer has left or was not heard for too long."""
+
+    contact: Contact
+    is_leaving: bool
+
+
+Effect = Proof | Usage | PeerJoined | PeerLost | SharedStrike
+
+
+def hear(state: Membership, now_s: float, report: Report) -> tuple[Membership, tuple[Effect, ...]]:
+    """Take the report of a peer."""
+    name = report.contact.instance
+    if name == state.instance:
+        return state, ()
+    before = state.peer_by_instance.get(name)
+    if before is not None and before.report is not None and _is_older(report, before.report):
+        return state, ()
+    peers = dict(state.peer_by_instance)
+    effects: list[Effect] = []
+    if report.is_leaving:
+        if peers.pop(name, None) is not None:
+            effects.append(PeerLost(report.contact, True))
+    else:
+        peers[name] = Peer(report.contact, now_s, now_s, report)
+        if _is_new(before, now_s, report):
+            effects.append(PeerJoined(report.contact, report.incarnation))
+    for contact in report.contacts:
+        if contact.instance != state.instance and contact.instance not in peers:
+            peers[contact.instance] = Peer(contact, now_s, float("-inf"), None)
+    effects.append(Usage(f"{name}/{report.incarnation}", report.used_by_workspace))
+    effects.extend(report.strikes)
+    echo_s = report.echo_by_instance.get(state.instance)
+    if echo_s is not None and echo_s <= now_s:
+        effects.append(Proof(report.revision, echo_s - report.proof_age_s))
+    return dataclasses.replace(state, peer_by_instance=peers), tuple(effects)
+
+
+def expire(state: Membership, now_s: float) -> tuple[Membership, tuple[Effect, ...]]:
+    """Forget the peers that were silent for long."""
+    gone = [
+        each
+        for each in state.peer_by_instance.values()
+        if max(each.heard_s, each.known_s) < now_s - FORGET_S
+    ]
+    if not gone:
+        return state, ()
+    names = {each.contact.instance for each in gone}
+    peers = {name: each for name, each in state.peer_by_instance.items() if name not in names}
+    lost = tuple(PeerLost(each.contact, False) for each in gone if each.report is not None)
+    return dataclasses.replace(state, peer_by_instance=peers), lost
+
+
+def recipients(state: Membership) -> tuple[Membership, tuple[Contact, ...]]:
+    """Return the peers that the next round of reports goes to."""
+    contacts = [each.contact for each in state.peer_by_instance.values()]
+    after = dataclasses.replace(state, turn=state.turn + 1)
+    if len(contacts) <= FAN_OUT:
+        return after, tuple(contacts)
+    first = state.turn * FAN_OUT % len(contacts)
+    return after, tuple((contacts + contacts)[first : first + FAN_OUT])
+
+
+def echoes(state: Membership, contacts: tuple[Contact, ...]) -> dict[str, float]:
+    """Return the clocks of some peers as they were last heard."""
+    peers = (state.peer_by_instance.get(each.instance) for each in contacts)
+    return {
+        each.contact.instance: each.report.sent_s
+        for each in peers
+        if each is not None and each.report is not None
+    }
+
+
+def some_contacts(state: Membership) -> tuple[Contact, ...]:
+    """Return contacts to pass on, in turn."""
+    heard = [each.contact for each in state.peer_by_instance.values() if each.report is not None]
+    if len(heard) <= MAX_CONTACTS:
+        return tuple(heard)
+    first = state.turn * MAX_CONTACTS % len(heard)
+    return tuple((heard + heard)[first : first + MAX_CONTACTS])
+
+
+def peer_work(state: Membership, now_s: float) -> dict[str, load.Work]:
+    """Return the work of all peers by upstream, as far as it is recent."""
+    total: dict[str, load.Work] = {}
+    for peer in state.peer_by_instance.values():
+        if peer.report is None or peer.heard_s < now_s - WORK_LIFE_S:
+            continue
+        for upstream, work in peer.report.work_by_upstream.items():
+            total[upstream] = total.get(upstream, load.NO_WORK).plus(work)
+    return total
+
+
+def heard_and_known(state: Membership, now_s: float) -> tuple[int, int]:
+    """Return how many instances are heard and how many are known, this one included."""
+    peers = [each for each in state.peer_by_instance.values() if each.report is not None]
+    heard = sum(each.heard_s >= now_s - SILENT_S for each in peers)
+    return heard + 1, len(peers) + 1
+
+
+def _is_older(report: Report, before: Report) -> bool:
+    return report.incarnation == before.incarnation and report.sequence <= before.sequence
+
+
+def _is_new(before: Peer | None, now_s: float, report: Report) -> bool:
+    if before is None or before.report is None or before.heard_s < now_s - SILENT_S:
+        return True
+    return before.report.incarnation != report.incarnation
--- a/src/carawaydoor/operating/options.py
+++ b/src/carawaydoor/operating/options.py
@@ -28,6 +28,8 @@
     :ivar retry_ratio: repeated sends to a service for each of its requests, all instances together
     :ivar retry_slack: repeated sends to a service beyond that ratio in one window
     :ivar retry_window_s: length of that window
+    :ivar cap_window_s: window that workspaces' usage caps are counted in
+    :ivar cap_overshoot: part beyond a cap that all instances together may admit
     """
 
     withdrawal_s: float
@@ -38,6 +40,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    cap_window_s: float
+    cap_overshoot: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/platform/settings.py
+++ b/src/carawaydoor/platform/settings.py
@@ -56,6 +56,8 @@
     retryBudgetRatio: NonNegative = 0.2  # noqa: N815
     budgetSlack: NonNegative = 0.0  # noqa: N815
     budgetWindowS: Positive = 10.0  # noqa: N815
+    quotaWindowS: Positive = 8.0  # noqa: N815
+    quotaOvershoot: NonNegative = 0.25  # noqa: N815
 
 
 class _Platform(_Model):
@@ -123,6 +125,8 @@
             retry_ratio=bounds.retryBudgetRatio,
             retry_slack=bounds.budgetSlack,
             retry_window_s=bounds.budgetWindowS,
+            cap_window_s=bounds.quotaWindowS,
+            cap_overshoot=bounds.quotaOvershoot,
         ),
         memory_bytes=int(settings.limits.memoryMb * _BYTES_PER_MB),
         max_descriptors=settings.limits.fileDescriptors,
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -12,11 +12,11 @@
 import eliot
 
 from carawaydoor import VERSION, exitcodes
+from carawaydoor.fleet import exchange
 from carawaydoor.operating import clock as clocks
 from carawaydoor.operating import logs, options, probes, telemetry, watching
 from carawaydoor.platform import border, names, settings
 from carawaydoor.platform import source as platform_source
-from carawaydoor.policy import directory
 from carawaydoor.serving import app, callers
 from carawaydoor.serving import instance as instances
 
@@ -48,6 +48,11 @@
         self._watcher = watching.Watcher(
             self._instance, platform_source.StoreSource(settings_.store), clock
         )
+        self._exchange = exchange.Exchange(
+            options.Address(settings_.peer_host, settings_.first_port),
+            self._instance.compose_report,
+            self._instance.hear,
+        )
         platform_border = border.PlatformBorder()
         self._callers = callers.CallerServer(
             app.App(self._instance, platform_border),
@@ -63,14 +68,14 @@
         """Start every task."""
         self._callers.start()
         self._operators.start()
+        self._exchange.start()
         self._watcher.start()
 
     def run(self, stopping: threading.Event, reloading: threading.Event) -> None:
         """Look after time-outs until asked to stop."""
         limits = self._instance.configuration.limits
         while not stopping.wait(TICK_S):
-            self._instance.update_directory(directory.Tick())
-            self._instance.pool.close_expired()
+            self._instance.expire()
             if self._instance.configuration.limits != limits:
                 limits = self._instance.configuration.limits
                 self._callers.limit(limits)
@@ -93,7 +98,7 @@
             if now_s >= began_s + LEAVE_NOTICE_S and now_s - quiet_since_s >= QUIET_S:
                 break
             time.sleep(TICK_S / 2)
-            self._instance.update_directory(directory.Tick())
+            self._instance.expire()
         eliot.log_message(message_type="stopped", requests_at_work=self._instance.requests_at_work)
 
     def _reload(self) -> None:
--- a/src/carawaydoor/serving/filters.py
+++ b/src/carawaydoor/serving/filters.py
@@ -127,8 +127,11 @@
             return expression.Ok(exchange)
         amount = caps.cost(workspace, exchange.inbound.prompt)
         match self._instance.admit(workspace, amount):
-            case caps.Exceeded(retry_after_s):
-                detail = f"workspace {workspace.name} is over its usage cap"
+            case caps.Exceeded(used, limit, retry_after_s):
+                detail = (
+                    f"{amount:.0f} more than {used:.0f} of {limit:.0f} in the window, "
+                    f"{self._instance.caps.share:.2f} of the cap counted on"
+                )
                 return _refuse(refusals.Reason.CAP_EXCEEDED, detail, retry_after_s)
             case caps.Admitted():
                 exchange.admitted_tokens = amount
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
+import secrets
 import threading
 from collections.abc import Mapping
 from typing import Final
 
 import eliot
 
+from carawaydoor.fleet import membership
 from carawaydoor.operating import clock as clocks
 from carawaydoor.operating import options as optioning
 from carawaydoor.operating import telemetry as telemetries
@@ -29,6 +31,12 @@
 RETRY_SHARE: Final = 0.6
 # Instances that share the budget at least, before peers have been heard.
 MIN_INSTANCES: Final = 8
+# Age in seconds up to which a strike is reported to peers: some rounds of reports.
+SHARED_STRIKE_S: Final = 2.0
+# Strikes in one report.
+MAX_SHARED_STRIKES: Final = 16
+# Age in seconds that stands for a configuration that was never proven newest.
+MAX_AGE_S: Final = 1e6
 
 
 class Instance:
@@ -49,10 +57,13 @@
         self.directory = directory.EMPTY
         self.load = load.EMPTY
         self.health: health.Health = {}
-        self.caps = caps.EMPTY
+        bounds = options.bounds
+        self.caps = caps.Caps(caps.Rules(bounds.cap_window_s, bounds.cap_overshoot), clock.now_s())
         self.strikes = strikes.EMPTY
         self.budget_by_service: Mapping[str, retries.RetryBudget] = {}
-        self.known_instances = 1
+        self.membership = membership.Membership(options.instance, {})
+        self._incarnation = secrets.randbits(62)
+        self._sequence = 0
         self.is_draining = False
         self.requests_at_work = 0
         self._random = random.Random()
@@ -182,7 +193,7 @@
     def give_back(self, workspace: str, amount: float) -> None:
         """Return to a workspace's cap what a request took that ran nowhere."""
         with self._lock:
-            self.caps = caps.give_back(self.caps, workspace, amount)
+            self.caps = caps.give_back(self.caps, self.clock.now_s(), workspace, amount)
 
     def record_attempt(self, service: str) -> None:
         """Count a first send to a service, which earns a part of a retry."""
@@ -210,6 +221,85 @@
         """Return for how many seconds a request is suspended, zero where it is not."""
         return strikes.suspended_for_s(self.strikes, self.clock.now_s(), fingerprint)
 
+    def compose_report(self) -> tuple[membership.Report, list[str]]:
+        """Return the next report to peers and the hosts that it goes to."""
+        with self._lock:
+            now_s = self.clock.now_s()
+            self.membership, contacts = membership.recipients(self.membership)
+            self._sequence += 1
+            report = membership.Report(
+                contact=membership.Contact(self.options.instance, self.options.peer_host),
+                domain=self.options.domain,
+                incarnation=self._incarnation,
+                sequence=self._sequence,
+                sent_s=now_s,
+                is_leaving=self.is_draining,
+                revision=self.configuration.revision,
+                proof_age_s=min(self.proof_age_s(), MAX_AGE_S),
+                work_by_upstream=self.load.own_by_id,
+                used_by_workspace=caps.own_used(self.caps),
+                echo_by_instance=membership.echoes(self.membership, contacts),
+                contacts=membership.some_contacts(self.membership),
+                strikes=self._recent_strikes(now_s),
+            )
+            hosts = [each.host for each in contacts]
+            seeds = (each.host for each in self.options.seeds)
+            if len(hosts) < membership.FAN_OUT:
+                hosts.extend(host for host in seeds if host not in hosts)
+        return report, [host for host in hosts if host != self.options.peer_host]
+
+    def hear(self, report: membership.Report) -> None:
+        """Take the report of a peer."""
+        with self._lock:
+            now_s = self.clock.now_s()
+            self.membership, effects = membership.hear(self.membership, now_s, report)
+            for effect in effects:
+                self._apply(effect, now_s)
+            peers_by_id = membership.peer_work(self.membership, now_s)
+            self.load = load.step(self.load, load.Reported(peers_by_id))
+            heard, known = membership.heard_and_known(self.membership, now_s)
+            self.caps = caps.with_share(self.caps, heard, known)
+
+    def expire(self) -> None:
+        """Apply what follows from time alone."""
+        self.update_directory(directory.Tick())
+        with self._lock:
+            now_s = self.clock.now_s()
+            self.membership, effects = membership.expire(self.membership, now_s)
+            for effect in effects:
+                self._apply(effect, now_s)
+            peers_by_id = membership.peer_work(self.membership, now_s)
+            self.load = load.step(self.load, load.Reported(peers_by_id))
+            heard, known = membership.heard_and_known(self.membership, now_s)
+            self.caps = caps.with_share(self.caps, heard, known)
+        self.pool.close_expired()
+
+    def _apply(self, effect: membership.Effect, now_s: float) -> None:
+        match effect:
+            case membership.Proof(revision, proven_s):
+                if revision == self.configuration.revision:
+                    self.freshness = freshness.prove(self.freshness, revision, proven_s)
+            case membership.Usage(peer, used_by_workspace):
+                self.caps = caps.hear(self.caps, now_s, peer, used_by_workspace)
+            case membership.SharedStrike(fingerprint, strike):
+                self.strikes = strikes.add(
+                    self.strikes, now_s - strike.at_s, fingerprint, strike.id
+                )
+            case membership.PeerJoined(contact, incarnation):
+                eliot.log_message(
+                    message_type="peer_joined", peer=contact.instance, incarnation=incarnation
+                )
+            case membership.PeerLost(contact, is_leaving):
+                eliot.log_message(message_type="peer_lost", peer=contact.instance, left=is_leaving)
+
+    def _recent_strikes(self, now_s: float) -> tuple[membership.SharedStrike, ...]:
+        return tuple(
+            membership.SharedStrike(fingerprint, strikes.Strike(strike.id, now_s - strike.at_s))
+            for fingerprint, known in self.strikes.strikes_by_fingerprint.items()
+            for strike in known
+            if now_s - strike.at_s < SHARED_STRIKE_S
+        )[-MAX_SHARED_STRIKES:]
+
     def _view(self) -> placement.View:
         return placement.View(
             self.clock.now_s(),
@@ -229,7 +319,9 @@
         bounds = self.options.bounds
         return retries.create(
             bounds.retry_ratio * RETRY_SHARE,
-            bounds.retry_slack * RETRY_SHARE / max(MIN_INSTANCES, self.known_instances),
+            bounds.retry_slack
+            * RETRY_SHARE
+            / max(MIN_INSTANCES, len(self.membership.peer_by_instance) + 1),
         )
 
     def _follow(self, effect: directory.Effect) -> None:
