--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -138,13 +138,12 @@
         return state, ()
     peers = dict(state.peer_by_instance)
     effects: list[Effect] = []
+    peers[name] = Peer(report.contact, now_s, now_s, report)
     if report.is_leaving:
-        if peers.pop(name, None) is not None:
+        if before is None or before.report is None or not before.report.is_leaving:
             effects.append(PeerLost(report.contact, True))
-    else:
-        peers[name] = Peer(report.contact, now_s, now_s, report)
-        if _is_new(before, now_s, report):
-            effects.append(PeerJoined(report.contact, report.incarnation))
+    elif _is_new(before, now_s, report):
+        effects.append(PeerJoined(report.contact, report.incarnation))
     for contact in report.contacts:
         if contact.instance != state.instance and contact.instance not in peers:
             peers[contact.instance] = Peer(contact, now_s, float("-inf"), None)
@@ -158,16 +157,16 @@
 
 def expire(state: Membership, now_s: float) -> tuple[Membership, tuple[Effect, ...]]:
     """Forget the peers that were silent for long."""
-    gone = [
-        each
-        for each in state.peer_by_instance.values()
-        if max(each.heard_s, each.known_s) < now_s - FORGET_S
-    ]
+    gone = [each for each in state.peer_by_instance.values() if _is_gone(each, now_s)]
     if not gone:
         return state, ()
     names = {each.contact.instance for each in gone}
     peers = {name: each for name, each in state.peer_by_instance.items() if name not in names}
-    lost = tuple(PeerLost(each.contact, False) for each in gone if each.report is not None)
+    lost = tuple(
+        PeerLost(each.contact, False)
+        for each in gone
+        if each.report is not None and not each.report.is_leaving
+    )
     return dataclasses.replace(state, peer_by_instance=peers), lost
 
 
@@ -218,6 +217,12 @@
     return heard + 1, len(peers) + 1
 
 
+def _is_gone(peer: Peer, now_s: float) -> bool:
+    has_left = peer.report is not None and peer.report.is_leaving
+    patience_s = WORK_LIFE_S if has_left else FORGET_S
+    return max(peer.heard_s, peer.known_s) < now_s - patience_s
+
+
 def _is_older(report: Report, before: Report) -> bool:
     return report.incarnation == before.incarnation and report.sequence <= before.sequence
 
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -63,18 +63,7 @@
     The decode engine is chosen first, by free memory: a prompt that was read and finds no memory
     is wasted. The prompt is read where that is done first.
     """
-    engine = service.engine
-    if engine is None:
-        return None
-    decode = _best(
-        view,
-        [
-            each
-            for each in _candidates(view, service.name, model.Stage.DECODE, excluded)
-            if _has_room(view, each, engine, prompt)
-        ],
-        lambda each: _decode_cost(view, each, engine),
-    )
+    decode = choose_decode(view, service, prompt, excluded)
     if decode is None:
         return None
     prefill = _best(
@@ -87,6 +76,24 @@
     return Generation(decode, prefill, read_wait_s(view.load, prefill, prompt))
 
 
+def choose_decode(
+    view: View,
+    service: model.Service,
+    prompt: model.Prompt,
+    excluded: Collection[str] = (),
+) -> model.Upstream | None:
+    """Return the decode engine with the most free memory, None where none can hold a request."""
+    engine = service.engine
+    if engine is None:
+        return None
+    candidates = _candidates(view, service.name, model.Stage.DECODE, excluded)
+    return _best(
+        view,
+        [each for each in candidates if _has_room(view, each, engine, prompt)],
+        lambda each: _decode_cost(view, each, engine),
+    )
+
+
 def read_wait_s(load: loads.Load, prefill: model.Upstream, prompt: model.Prompt) -> float:
     """Return the expected time in seconds until an engine has read a prompt."""
     queued = load.at(prefill.id).tokens
--- a/src/carawaydoor/serving/generation.py
+++ b/src/carawaydoor/serving/generation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import threading
 from collections.abc import Iterator
@@ -63,10 +64,8 @@
                     NO_ROOM_RETRY_S,
                 )
             )
-        memory = load.Work(1, prompt.memory_tokens)
-        exchange.cleanup.callback(self._instance.end, chosen.decode.id, memory)
         source = self._read_prompt(exchange, chosen, prompt)
-        return self._decode(exchange, service, chosen.decode, source)
+        return self._decode(exchange, service, prompt, chosen.decode, source)
 
     def _place(
         self, exchange: exchanges.Exchange, service: model.Service, prompt: model.Prompt
@@ -129,43 +128,55 @@
         self,
         exchange: exchanges.Exchange,
         service: model.Service,
-        decode: model.Upstream,
+        prompt: model.Prompt,
+        first: model.Upstream,
         source: str,
     ) -> filters.Served:
-        exchange.attempts += 1
-        try:
-            begun = self._begin_decode(exchange, service, decode, source)
-        except calls.CallError as error:
-            return expression.Error(plain.refusal_of(error, decode))
-        answer = begun.answer
-        chunks = self._relay(exchange, decode, begun)
-        return expression.Ok(
-            exchanges.Response(
-                answer.status, answer.reason, answer.headers, chunks, None, decode.id
-            )
+        """Have the answer generated, at another engine where the first does not take it."""
+        decode: model.Upstream | None = first
+        refusal = refusals.Refusal(
+            refusals.Reason.NO_ROOM, f"no engine of {service.name} has room", NO_ROOM_RETRY_S
         )
+        excluded: set[str] = set()
+        while decode is not None:
+            memory = load.Work(1, prompt.memory_tokens)
+            held = exchange.cleanup.enter_context(contextlib.ExitStack())
+            held.callback(self._instance.end, decode.id, memory)
+            try:
+                begun = self._begin_decode(exchange, decode, source)
+            except calls.CallError as error:
+                held.close()
+                refusal = plain.refusal_of(error, decode)
+                excluded.add(decode.id)
+                if not self._may_go_on(exchange, service, error):
+                    break
+                decode = self._instance.begin_decode(service, prompt, frozenset(excluded))
+                continue
+            answer = begun.answer
+            chunks = self._relay(exchange, decode, begun)
+            return expression.Ok(
+                exchanges.Response(
+                    answer.status, answer.reason, answer.headers, chunks, None, decode.id
+                )
+            )
+        return expression.Error(refusal)
+
+    def _may_go_on(
+        self, exchange: exchanges.Exchange, service: model.Service, error: calls.CallError
+    ) -> bool:
+        """Return whether a generation that an engine did not take may go to another one."""
+        if error.failure is calls.Failure.NOT_SENT:
+            return True
+        return error.failure.did_not_run and self._instance.may_retry(service.name)
 
     def _begin_decode(
-        self,
-        exchange: exchanges.Exchange,
-        service: model.Service,
-        decode: model.Upstream,
-        source: str,
+        self, exchange: exchanges.Exchange, decode: model.Upstream, source: str
     ) -> calls.Begun:
+        exchange.attempts += 1
         left_s = exchange.deadline_s - self._instance.clock.now_s()
         last_event_id = exchange.inbound.last_event_id
         send = borders.Send(decode, left_s, source=source, last_event_id=last_event_id)
-        try:
-            return self._caller.begin(exchange, send)
-        except calls.CallError as error:
-            if error.failure is not calls.Failure.REJECTED or not source:
-                raise
-            if not self._instance.may_retry(service.name):
-                raise
-        # The same engine reads the prompt itself: what was read elsewhere could not be fetched.
-        left_s = exchange.deadline_s - self._instance.clock.now_s()
-        again = borders.Send(decode, left_s, last_event_id=last_event_id)
-        return self._caller.begin(exchange, again)
+        return self._caller.begin(exchange, send)
 
     def _relay(
         self, exchange: exchanges.Exchange, decode: model.Upstream, begun: calls.Begun
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -155,6 +155,16 @@
                 self._begin(chosen.prefill.id, load.Work(1, prompt.tokens))
             return chosen
 
+    def begin_decode(
+        self, service: model.Service, prompt: model.Prompt, excluded: frozenset[str]
+    ) -> model.Upstream | None:
+        """Choose another decode engine for a prompt that was read, and count the request there."""
+        with self._lock:
+            decode = placement.choose_decode(self._view(), service, prompt, excluded)
+            if decode is not None:
+                self._begin(decode.id, load.Work(1, prompt.memory_tokens))
+            return decode
+
     def end(self, upstream: str, work: load.Work) -> None:
         """Take a request that has ended off the load of an upstream."""
         with self._lock:
