--- a/src/carawaydoor/policy/model.py
+++ b/src/carawaydoor/policy/model.py
@@ -8,6 +8,8 @@
 from typing import Final
 
 BYTES_PER_MEGABIT: Final = 125_000.0
+# Part of its output that a run holds in memory on average: it grows from nothing to all of it.
+MEAN_OUTPUT_SHARE: Final = 0.5
 
 
 class Repeat(enum.Enum):
@@ -187,5 +189,6 @@
 
     @property
     def memory_tokens(self) -> int:
-        """Tokens that the request takes in an engine's memory at its end, as far as known."""
-        return self.tokens + min(self.max_output_tokens, self.expected_output_tokens)
+        """Tokens that the request takes in an engine's memory, on average over its run."""
+        output = min(self.max_output_tokens, self.expected_output_tokens)
+        return self.tokens + int(output * MEAN_OUTPUT_SHARE)
--- a/src/carawaydoor/serving/generation.py
+++ b/src/carawaydoor/serving/generation.py
@@ -84,6 +84,7 @@
             message_type="generation_placed" if chosen else "generation_not_placed",
             request=exchange.inbound.id,
             prompt_tokens=prompt.tokens,
+            output_tokens=(prompt.max_output_tokens, prompt.expected_output_tokens),
             decode=chosen.decode.id if chosen else None,
             prefill=chosen.prefill.id if chosen and chosen.prefill else None,
             expected_read_s=round(chosen.wait_s, 3) if chosen else None,
