Let generations that are late already wait for spare room, and callers come back after a burst

Cause: in bursts a caller that was turned away came back after a second, into the same burst, and took the room of one that could still be on time.

--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -85,8 +85,8 @@
 
     def drain(self) -> None:
         """Let the balancer turn away, finish the requests at work, and end."""
-        self._instance.is_draining = True
         began_s = self._clock.now_s()
+        self._instance.drain_began_s = began_s
         eliot.log_message(
             message_type="drain_started", requests_at_work=self._instance.requests_at_work
         )
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -57,13 +57,14 @@
     service: model.Service,
     prompt: model.Prompt,
     excluded: Collection[str] = (),
+    reserve_share: float = 0.0,
 ) -> Generation | None:
     """Return the engines of a generation, None where no engine can hold it.
 
     The decode engine is chosen first, by free memory: a prompt that was read and finds no memory
     is wasted. The prompt is read where that is done first.
     """
-    decode = choose_decode(view, service, prompt, excluded)
+    decode = choose_decode(view, service, prompt, excluded, reserve_share)
     if decode is None:
         return None
     prefill = _best(
@@ -72,7 +73,7 @@
         lambda each: _read_cost_s(view, each, decode),
     )
     if prefill is None:
-        return Generation(decode, None, _direct_read_s(prompt))
+        return Generation(decode, None, direct_read_s(prompt))
     return Generation(decode, prefill, read_wait_s(view.load, prefill, prompt))
 
 
@@ -81,15 +82,19 @@
     service: model.Service,
     prompt: model.Prompt,
     excluded: Collection[str] = (),
+    reserve_share: float = 0.0,
 ) -> model.Upstream | None:
-    """Return the decode engine with the most free memory, None where none can hold a request."""
+    """Return the decode engine with the most free memory, None where none can hold a request.
+
+    :param reserve_share: part of an engine's memory that has to stay free beside the request
+    """
     engine = service.engine
     if engine is None:
         return None
     candidates = _candidates(view, service.name, model.Stage.DECODE, excluded)
     return _best(
         view,
-        [each for each in candidates if _has_room(view, each, engine, prompt)],
+        [each for each in candidates if _has_room(view, each, engine, prompt, reserve_share)],
         lambda each: _decode_cost(view, each, engine),
     )
 
@@ -100,7 +105,8 @@
     return (queued + prompt.tokens) / DEFAULT_READ_TOKENS_PER_S
 
 
-def _direct_read_s(prompt: model.Prompt) -> float:
+def direct_read_s(prompt: model.Prompt) -> float:
+    """Return the time in seconds in which a decode engine reads a prompt itself."""
     return prompt.tokens / (DEFAULT_READ_TOKENS_PER_S * DIRECT_READ_SHARE)
 
 
@@ -148,8 +154,12 @@
 
 
 def _has_room(
-    view: View, upstream: model.Upstream, engine: model.Engine, prompt: model.Prompt
+    view: View,
+    upstream: model.Upstream,
+    engine: model.Engine,
+    prompt: model.Prompt,
+    reserve_share: float,
 ) -> bool:
     work = view.load.at(upstream.id)
-    fits = work.tokens + prompt.memory_tokens <= engine.kv_tokens
+    fits = work.tokens + prompt.memory_tokens <= engine.kv_tokens * (1.0 - reserve_share)
     return fits and work.requests < engine.slots
--- a/src/carawaydoor/serving/app.py
+++ b/src/carawaydoor/serving/app.py
@@ -53,6 +53,7 @@
         caller = calls.Caller(instance, border)
         self._filters: tuple[filters.Filter, ...] = (
             filters.MatchRoute(instance),
+            filters.RefuseWhileLeaving(instance),
             filters.Authenticate(instance),
             filters.CheckStrikes(instance),
             filters.Admit(instance),
--- a/src/carawaydoor/serving/filters.py
+++ b/src/carawaydoor/serving/filters.py
@@ -17,6 +17,13 @@
 
 # Seconds after which an instance that just started, or that regains its store, is worth a retry.
 STARTING_RETRY_S: Final = 0.5
+# Seconds after which a retry reaches another instance: at once, on a new connection.
+LEAVING_RETRY_S: Final = 0.05
+# Time in seconds from the signal to stop for which streams are still taken: the balancer needs
+# about two seconds to turn away, and long streams take most of the grace time.
+STREAMS_TAKEN_S: Final = 2.8
+# Part of the grace time in seconds that is left for the end of the process.
+STOP_RESERVE_S: Final = 1.0
 
 
 class Filter(abc.ABC):
@@ -75,6 +82,27 @@
         return expression.Ok(exchange)
 
 
+class RefuseWhileLeaving(Filter):
+    """Refuses what could not end before this instance does."""
+
+    def apply(self, exchange: exchanges.Exchange) -> Passed:
+        """Pass a request that has time to end."""
+        began_s, route = self._instance.drain_began_s, exchange.route
+        if began_s is None or route is None:
+            return expression.Ok(exchange)
+        drained_s = exchange.received_s - began_s
+        if route.repeat.is_stream:
+            is_too_late = drained_s > STREAMS_TAKEN_S
+        else:
+            left_s = self._instance.options.bounds.grace_s - drained_s
+            is_too_late = left_s < route.timeout_s + STOP_RESERVE_S
+        if is_too_late:
+            return _refuse(
+                refusals.Reason.INSTANCE_LEAVING, "this instance is leaving", LEAVING_RETRY_S
+            )
+        return expression.Ok(exchange)
+
+
 class Authenticate(Filter):
     """Sets the workspace by the caller's key."""
 
--- a/src/carawaydoor/serving/generation.py
+++ b/src/carawaydoor/serving/generation.py
@@ -11,7 +11,7 @@
 import eliot
 import expression
 
-from carawaydoor.policy import health, load, model, placement
+from carawaydoor.policy import health, load, model, placement, waiting
 from carawaydoor.serving import border as borders
 from carawaydoor.serving import calls, connections, filters, plain, refusals, sockets
 from carawaydoor.serving import exchange as exchanges
@@ -19,10 +19,8 @@
 
 # Time in seconds that an engine gets to read a prompt beyond what its queue explains.
 READ_PATIENCE_S: Final = 1.0
-# Longest wait in seconds for room at an engine, as a part of the target for the first event.
-ROOM_WAIT_SHARE: Final = 0.5
-# Seconds after which a generation that found no room is worth a retry: the length of a short one.
-NO_ROOM_RETRY_S: Final = 1.0
+# Seconds after which an instance that relays too many streams is worth a retry: a short one ends.
+BUSY_RETRY_S: Final = 1.0
 # Tokens that a request without counts is taken to have.
 UNKNOWN_PROMPT: Final = model.Prompt(1000, 100, 100)
 # Generations at work at once on one instance; its other threads serve the rest.
@@ -47,7 +45,7 @@
                 refusals.Refusal(
                     refusals.Reason.INSTANCE_BUSY,
                     "this instance relays as many streams as it may",
-                    NO_ROOM_RETRY_S,
+                    BUSY_RETRY_S,
                 )
             )
         exchange.cleanup.callback(self._places.release)
@@ -55,31 +53,41 @@
         assert service is not None
         self._instance.record_attempt(service.name)
         prompt = exchange.inbound.prompt or UNKNOWN_PROMPT
-        chosen = self._place(exchange, service, prompt)
+        arrival = self._arrival(exchange)
+        chosen = self._place(exchange, service, prompt, arrival)
         if chosen is None:
-            return expression.Error(
-                refusals.Refusal(
-                    refusals.Reason.NO_ROOM,
-                    f"no engine of service {service.name} has room",
-                    NO_ROOM_RETRY_S,
-                )
-            )
+            return expression.Error(self._no_room(service, arrival))
         source = self._read_prompt(exchange, chosen, prompt)
         return self._decode(exchange, service, prompt, chosen.decode, source)
 
-    def _place(
-        self, exchange: exchanges.Exchange, service: model.Service, prompt: model.Prompt
-    ) -> placement.Generation | None:
-        route = exchange.route
+    def _arrival(self, exchange: exchanges.Exchange) -> waiting.Arrival:
+        route, inbound = exchange.route, exchange.inbound
         assert route is not None
+        first_sent_s = self._instance.first_sent_s(
+            route.name, inbound.patience_s, exchange.received_s
+        )
         target_s = min(route.target_s, route.timeout_s)
-        until_s = exchange.received_s + target_s * ROOM_WAIT_SHARE
+        return waiting.Arrival(exchange.received_s, first_sent_s, exchange.deadline_s, target_s)
+
+    def _no_room(self, service: model.Service, arrival: waiting.Arrival) -> refusals.Refusal:
+        after_s = waiting.come_back_after_s(arrival, self._instance.clock.now_s())
+        detail = f"no engine of service {service.name} has room"
+        return refusals.Refusal(refusals.Reason.NO_ROOM, detail, after_s)
+
+    def _place(
+        self,
+        exchange: exchanges.Exchange,
+        service: model.Service,
+        prompt: model.Prompt,
+        arrival: waiting.Arrival,
+    ) -> placement.Generation | None:
+        terms = waiting.terms(arrival, placement.direct_read_s(prompt))
         while True:
-            chosen = self._instance.begin_generation(service, prompt, frozenset())
+            chosen = self._instance.begin_generation(service, prompt, terms.reserve_share)
             now_s = self._instance.clock.now_s()
-            if chosen is not None or now_s >= until_s or exchange.inbound.is_gone():
+            if chosen is not None or now_s >= terms.until_s or exchange.inbound.is_gone():
                 break
-            self._instance.wait_for_room(min(until_s - now_s, sockets.POLL_S))
+            self._instance.wait_for_room(min(terms.until_s - now_s, sockets.POLL_S))
         eliot.log_message(
             message_type="generation_placed" if chosen else "generation_not_placed",
             request=exchange.inbound.id,
@@ -89,6 +97,7 @@
             prefill=chosen.prefill.id if chosen and chosen.prefill else None,
             expected_read_s=round(chosen.wait_s, 3) if chosen else None,
             waited_s=round(now_s - exchange.received_s, 3),
+            late_s=round(exchange.received_s - arrival.first_sent_s, 3),
             load={
                 key: dataclasses.astuple(self._instance.load.at(key))
                 for key in self._instance.load.own_by_id
@@ -135,9 +144,7 @@
     ) -> filters.Served:
         """Have the answer generated, at another engine where the first does not take it."""
         decode: model.Upstream | None = first
-        refusal = refusals.Refusal(
-            refusals.Reason.NO_ROOM, f"no engine of {service.name} has room", NO_ROOM_RETRY_S
-        )
+        refusal = self._no_room(service, self._arrival(exchange))
         excluded: set[str] = set()
         while decode is not None:
             memory = load.Work(1, prompt.memory_tokens)
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -35,6 +35,9 @@
 SHARED_STRIKE_S: Final = 2.0
 # Strikes in one report.
 MAX_SHARED_STRIKES: Final = 16
+# Part of the longest patience of a route's callers that first attempts have at least: callers
+# differ by some 15% either way.
+FIRST_PATIENCE: Final = 0.7
 # Age in seconds that stands for a configuration that was never proven newest.
 MAX_AGE_S: Final = 1e6
 
@@ -64,12 +67,18 @@
         self.membership = membership.Membership(options.instance, {})
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
-        self.is_draining = False
+        self.drain_began_s: float | None = None
+        self._full_patience_s_by_route: dict[str, float] = {}
         self.requests_at_work = 0
         self._random = random.Random()
         self._lock = threading.RLock()
         self._room = threading.Condition(self._lock)
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether this instance was told to stop."""
+        return self.drain_began_s is not None
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -143,11 +152,13 @@
             return upstream
 
     def begin_generation(
-        self, service: model.Service, prompt: model.Prompt, excluded: frozenset[str]
+        self, service: model.Service, prompt: model.Prompt, reserve_share: float
     ) -> placement.Generation | None:
         """Choose the engines of a generation and count the request at both."""
         with self._lock:
-            chosen = placement.choose_generation(self._view(), service, prompt, excluded)
+            chosen = placement.choose_generation(
+                self._view(), service, prompt, reserve_share=reserve_share
+            )
             if chosen is None:
                 return None
             self._begin(chosen.decode.id, load.Work(1, prompt.memory_tokens))
@@ -171,6 +182,22 @@
             self.load = load.step(self.load, load.Ended(upstream, work))
             self._room.notify_all()
 
+    def first_sent_s(self, route: str, patience_s: float | None, received_s: float) -> float:
+        """Return when a caller sent its first attempt, judged by what is left of its patience.
+
+        Callers differ in patience, so only one that has much less than others has tried before.
+
+        :param patience_s: time in seconds that the caller still waits, None where it does not say
+        """
+        if patience_s is None:
+            return received_s
+        with self._lock:
+            full_s = max(self._full_patience_s_by_route.get(route, 0.0), patience_s)
+            self._full_patience_s_by_route[route] = full_s
+        return (
+            received_s if patience_s > full_s * FIRST_PATIENCE else received_s - full_s + patience_s
+        )
+
     def wait_for_room(self, timeout_s: float) -> None:
         """Wait until a request ends anywhere.
 
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -22,6 +22,7 @@
     NO_ROOM = "no-room"
     TOO_LATE = "too-late"
     INSTANCE_BUSY = "instance-busy"
+    INSTANCE_LEAVING = "instance-leaving"
     UPSTREAM_FULL = "upstream-full"
     UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_SILENT = "upstream-silent"
@@ -56,6 +57,7 @@
     Reason.NO_ROOM: Status.UNAVAILABLE,
     Reason.TOO_LATE: Status.UNAVAILABLE,
     Reason.INSTANCE_BUSY: Status.UNAVAILABLE,
+    Reason.INSTANCE_LEAVING: Status.UNAVAILABLE,
     Reason.UPSTREAM_FULL: Status.UNAVAILABLE,
     Reason.UPSTREAM_FAILED: Status.BAD_GATEWAY,
     Reason.UPSTREAM_SILENT: Status.GATEWAY_TIMEOUT,
