--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -19,9 +19,9 @@
 # Time in seconds without a report after which a peer is forgotten: longer than a network
 # partition or a restart takes, since an instance that is cut off still uses workspaces' caps.
 FORGET_S: Final = 30.0
-# Time in seconds for which the work of a silent peer is still counted at upstreams: work that a
-# killed instance left ends about then.
-WORK_LIFE_S: Final = 1.5
+# Time in seconds over which the work of a silent peer is counted less and less: runs of an instance
+# that lost power go on at their engines until they end by themselves.
+WORK_LIFE_S: Final = 5.0
 # Peers that one round of reports goes to, so that its cost does not grow with the fleet.
 FAN_OUT: Final = 12
 # Contacts that one report passes on.
@@ -203,10 +203,13 @@
     """Return the work of all peers by upstream, as far as it is recent."""
     total: dict[str, load.Work] = {}
     for peer in state.peer_by_instance.values():
-        if peer.report is None or peer.heard_s < now_s - WORK_LIFE_S:
+        silent_s = max(0.0, now_s - peer.heard_s - SILENT_S)
+        if peer.report is None or silent_s >= WORK_LIFE_S:
             continue
+        part = 1.0 - silent_s / WORK_LIFE_S
         for upstream, work in peer.report.work_by_upstream.items():
-            total[upstream] = total.get(upstream, load.NO_WORK).plus(work)
+            left = load.Work(round(work.requests * part), round(work.tokens * part))
+            total[upstream] = total.get(upstream, load.NO_WORK).plus(left)
     return total
 
 
--- a/src/carawaydoor/platform/border.py
+++ b/src/carawaydoor/platform/border.py
@@ -63,6 +63,8 @@
             headers.append((names.Header.STAGE.value, _STAGE_PREFILL))
         if send.source:
             headers.append((names.Header.KV_SOURCE.value, send.source))
+        if send.backup is not None:
+            headers.append((names.Header.KV_BACKUP.value, send.backup.address))
         if send.last_event_id:
             headers = [each for each in headers if each[0] != names.Header.LAST_EVENT_ID.value]
             headers.append((names.Header.LAST_EVENT_ID.value, send.last_event_id))
@@ -96,6 +98,10 @@
             return None
         return border.ReadPrompt(f"{upstream.address}/{handle}", tokens)
 
+    def backup_source(self, backup: model.Upstream, request_id: str) -> str:
+        """Return where the copy of a run's memory lies."""
+        return f"{backup.address}/{request_id}"
+
     def release(self, upstream: model.Upstream, source: str) -> border.Call:
         """Return the call that frees the memory of a prompt."""
         headers = (
--- a/src/carawaydoor/platform/documents.py
+++ b/src/carawaydoor/platform/documents.py
@@ -59,6 +59,7 @@
     kvCacheTokens: int  # noqa: N815
     kvTokenBytes: int  # noqa: N815
     linkMbps: NonNegative  # noqa: N815
+    backups: bool = False
     handleTtlS: NonNegative = 0.0  # noqa: N815
 
 
@@ -200,6 +201,7 @@
             engine.kvCacheTokens,
             engine.kvTokenBytes,
             engine.linkMbps * model.BYTES_PER_MEGABIT,
+            engine.backups,
             engine.handleTtlS,
         ),
     )
--- a/src/carawaydoor/policy/directory.py
+++ b/src/carawaydoor/policy/directory.py
@@ -130,6 +130,10 @@
             missing.pop(key, None)
             upstream_by_id[key] = upstream
             effects.extend(_compare(before, upstream))
+            for replaced in _replaced(upstream_by_id, upstream):
+                missing.pop(replaced.id, None)
+                del upstream_by_id[replaced.id]
+                effects.append(Gone(replaced))
         elif before is not None and now_s < state.grace_until_s:
             missing.setdefault(key, state.grace_until_s)
         elif before is not None:
@@ -152,6 +156,17 @@
     return ()
 
 
+def _replaced(
+    upstream_by_id: Mapping[str, model.Upstream], upstream: model.Upstream
+) -> tuple[model.Upstream, ...]:
+    """Return the upstreams that ended before this one started at their address."""
+    return tuple(
+        each
+        for each in upstream_by_id.values()
+        if each.address == upstream.address and each.born_ms < upstream.born_ms
+    )
+
+
 def _expire(state: Directory, now_s: float) -> tuple[Directory, tuple[Effect, ...]]:
     due = [key for key, until_s in state.missing_until_s_by_id.items() if until_s <= now_s]
     if not due:
--- a/src/carawaydoor/policy/health.py
+++ b/src/carawaydoor/policy/health.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -15,6 +16,9 @@
 # longest: crashed upstreams are back after some seconds.
 FIRST_PAUSE_S: Final = 1.0
 MAX_PAUSE_S: Final = 8.0
+# Time in seconds for which an engine that rejected a request is taken to be full, whatever the
+# known load says: instances that are not heard use it too, and a run takes longer than that.
+FULL_S: Final = 0.6
 
 
 class Outcome(enum.Enum):
@@ -37,7 +41,7 @@
     Outcome.SILENT: 2.0,
     Outcome.FAILED: 0.6,
     Outcome.FULL: 0.6,
-    Outcome.OTHER_INCARNATION: 2.0,
+    Outcome.OTHER_INCARNATION: 1.0,
 }
 
 
@@ -48,11 +52,13 @@
     :ivar failures: running share of failed calls, 0 to 1
     :ivar suspect_until_s: until then the upstream gets a request only where no other is left
     :ivar pause_s: length of the last such pause in seconds
+    :ivar full_until_s: until then the upstream is taken to be full
     """
 
     failures: float = 0.0
     suspect_until_s: float = 0.0
     pause_s: float = 0.0
+    full_until_s: float = 0.0
 
 
 GOOD: Final = Record()
@@ -65,6 +71,11 @@
     return health.get(upstream, GOOD).suspect_until_s > now_s
 
 
+def is_full(health: Health, now_s: float, upstream: str) -> bool:
+    """Return whether an upstream has just rejected a request for want of room."""
+    return health.get(upstream, GOOD).full_until_s > now_s
+
+
 def failure_share(health: Health, upstream: str) -> float:
     """Return the running share of failed calls of an upstream, 0 to 1."""
     return health.get(upstream, GOOD).failures
@@ -75,15 +86,17 @@
     before = health.get(upstream, GOOD)
     weight = _FAILURE_BY_OUTCOME[outcome]
     share = min(1.0, before.failures * (1.0 - OUTCOME_WEIGHT) + weight * OUTCOME_WEIGHT)
-    if share < SUSPECT_SHARE:
-        pause_s = before.pause_s if weight > 0.0 else 0.0
-        after = Record(share, before.suspect_until_s if weight > 0.0 else 0.0, pause_s)
-    elif weight > 0.0:
+    if outcome is Outcome.OTHER_INCARNATION:
+        return {**health, upstream: Record(1.0, math.inf, MAX_PAUSE_S)}
+    full_until_s = now_s + FULL_S if outcome is Outcome.FULL else before.full_until_s
+    if weight == 0.0:
+        after = Record(share, 0.0, before.pause_s if share >= SUSPECT_SHARE else 0.0)
+    elif share < SUSPECT_SHARE:
+        after = Record(share, before.suspect_until_s, before.pause_s)
+    else:
         pause_s = _next_pause(before, now_s)
         after = Record(share, now_s + pause_s, pause_s)
-    else:
-        after = Record(share, 0.0, before.pause_s)
-    return {**health, upstream: after}
+    return {**health, upstream: dataclasses.replace(after, full_until_s=full_until_s)}
 
 
 def forget(health: Health, upstream: str) -> Health:
--- a/src/carawaydoor/policy/load.py
+++ b/src/carawaydoor/policy/load.py
@@ -84,7 +84,7 @@
 def _add(state: Load, upstream: str, work: Work) -> Load:
     own = dict(state.own_by_id)
     total = own.get(upstream, NO_WORK).plus(work)
-    if total.requests <= 0:
+    if total.requests <= 0 and total.tokens <= 0:
         own.pop(upstream, None)
     else:
         own[upstream] = total
--- a/src/carawaydoor/policy/model.py
+++ b/src/carawaydoor/policy/model.py
@@ -80,6 +80,7 @@
     :ivar kv_tokens: tokens that fit into the memory of one engine
     :ivar kv_token_bytes: bytes of one token in that memory
     :ivar link_bytes_per_s: speed of an engine's transfers
+    :ivar keeps_backups: whether an engine keeps copies of another's runs as they grow
     :ivar handle_life_s: time in seconds for which a prompt that was read is kept for its decode
     """
 
@@ -87,6 +88,7 @@
     kv_tokens: int
     kv_token_bytes: int
     link_bytes_per_s: float
+    keeps_backups: bool
     handle_life_s: float
 
 
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -19,6 +19,11 @@
 DEFAULT_READ_TOKENS_PER_S: Final = 40_000.0
 # An engine of the decode stage reads prompts itself at half that speed.
 DIRECT_READ_SHARE: Final = 0.5
+# Part of an engine's memory that is filled by expectation: outputs differ from their estimates, and
+# a prompt that was read for an engine that is full is read in vain.
+FILL_SHARE: Final = 0.96
+# Part of an engine's memory that has to stay free beside the copy of another engine's run.
+BACKUP_RESERVE_SHARE: Final = 0.35
 # Time in seconds that is given up for a prompt read in the domain of its decode engine.
 OTHER_DOMAIN_READ_S: Final = 0.02
 
@@ -92,13 +97,41 @@
     if engine is None:
         return None
     candidates = _candidates(view, service.name, model.Stage.DECODE, excluded)
+    trusted = [
+        each for each in candidates if not healths.is_suspect(view.health, view.now_s, each.id)
+    ]
     return _best(
         view,
-        [each for each in candidates if _has_room(view, each, engine, prompt, reserve_share)],
+        [
+            each
+            for each in trusted or candidates
+            if _has_room(view, each, engine, prompt, reserve_share)
+        ],
         lambda each: _decode_cost(view, each, engine),
     )
 
 
+def choose_backup(
+    view: View, service: model.Service, prompt: model.Prompt, decode: model.Upstream
+) -> model.Upstream | None:
+    """Return the engine that keeps a copy of a run's memory, None where memory is scarce.
+
+    A copy lets another engine go on with the run where the first is lost. It takes the memory of a
+    run itself, so that it is kept only where enough stays free for new ones.
+    """
+    engine = service.engine
+    if engine is None or not engine.keeps_backups:
+        return None
+    candidates = _candidates(view, service.name, model.Stage.DECODE, (decode.id,))
+    roomy = [
+        each
+        for each in candidates
+        if _has_room(view, each, engine, prompt, BACKUP_RESERVE_SHARE)
+        and not healths.is_suspect(view.health, view.now_s, each.id)
+    ]
+    return _best(view, roomy, lambda each: _decode_cost(view, each, engine))
+
+
 def read_wait_s(load: loads.Load, prefill: model.Upstream, prompt: model.Prompt) -> float:
     """Return the expected time in seconds until an engine has read a prompt."""
     queued = load.at(prefill.id).tokens
@@ -160,6 +193,9 @@
     prompt: model.Prompt,
     reserve_share: float,
 ) -> bool:
+    if healths.is_full(view.health, view.now_s, upstream.id):
+        return False
     work = view.load.at(upstream.id)
-    fits = work.tokens + prompt.memory_tokens <= engine.kv_tokens * (1.0 - reserve_share)
+    room = engine.kv_tokens * (FILL_SHARE - reserve_share)
+    fits = work.tokens + prompt.memory_tokens <= room
     return fits and work.requests < engine.slots
--- a/src/carawaydoor/serving/border.py
+++ b/src/carawaydoor/serving/border.py
@@ -34,6 +34,7 @@
     :ivar time_left_s: time in seconds after which the upstream gives up
     :ivar reads_prompt_only: whether the engine only reads the prompt and keeps its memory
     :ivar source: where the memory of the prompt lies that the engine fetches, else empty
+    :ivar backup: engine that keeps a copy of the run's memory, None for no copy
     :ivar last_event_id: last event that the caller has, for a stream that goes on, else empty
     """
 
@@ -41,6 +42,7 @@
     time_left_s: float
     reads_prompt_only: bool = False
     source: str = ""
+    backup: model.Upstream | None = None
     last_event_id: str = ""
 
 
@@ -93,6 +95,10 @@
     def parse_read_prompt(self, upstream: model.Upstream, content: bytes) -> ReadPrompt | None:
         """Return the memory that an engine keeps, None where its answer can't be read."""
 
+    @abc.abstractmethod
+    def backup_source(self, backup: model.Upstream, request_id: str) -> str:
+        """Return where the copy of a run's memory lies."""
+
     @abc.abstractmethod
     def release(self, upstream: model.Upstream, source: str) -> Call:
         """Return the call that frees the memory of a prompt."""
--- a/src/carawaydoor/serving/calls.py
+++ b/src/carawaydoor/serving/calls.py
@@ -15,6 +15,8 @@
 
 # Statuses from which an upstream's answer counts as its failure.
 FIRST_FAILURE_STATUS = 500
+# Time in seconds for freeing the memory of a prompt: it lapses about then.
+RELEASE_S = 0.5
 
 
 class Failure(enum.Enum):
@@ -68,24 +70,43 @@
         self._instance = instance
         self._border = border
 
+    def connect(
+        self, exchange: exchanges.Exchange, upstream: model.Upstream
+    ) -> connections.Connection:
+        """Return a connection to an upstream.
+
+        :raises CallError: where none can be established
+        """
+        try:
+            return self._instance.pool.take(upstream)
+        except connections.NotSentError as error:
+            raise self._fail(exchange, upstream, Failure.NOT_SENT, error) from error
+
     def begin(
         self,
         exchange: exchanges.Exchange,
         send: borders.Send,
         until_s: float | None = None,
+        connection: connections.Connection | None = None,
+        watch: sockets.Watch | None = None,
     ) -> Begun:
         """Send a request and return its answer once the head has arrived.
 
         :param until_s: time in seconds at which to give up before the caller's deadline
+        :param connection: connection to use; a new or kept one where it is None
+        :param watch: what ends waits; the caller's leaving and the deadline where it is None
         :raises CallError: where there is no genuine answer
         """
         call = self._border.encode(exchange, send)
         deadline_s = exchange.deadline_s if until_s is None else until_s
-        watch = sockets.CallerWatch(self._instance.clock, deadline_s, exchange.inbound.is_gone)
-        try:
-            connection = self._instance.pool.take(send.upstream)
-        except connections.NotSentError as error:
-            raise self._fail(exchange, send.upstream, Failure.NOT_SENT, error) from error
+        if watch is None:
+            watch = sockets.CallerWatch(self._instance.clock, deadline_s, exchange.inbound.is_gone)
+        if connection is None:
+            connection = self.connect(exchange, send.upstream)
+        elif not connection.is_reusable():
+            connection.close()
+            detail = "the connection was closed before the request was sent"
+            raise self._fail(exchange, send.upstream, Failure.NOT_SENT, detail)
         try:
             answer = connection.send(call, watch)
         except (connections.UpstreamError, sockets.WaitError) as error:
@@ -121,6 +142,29 @@
         )
         return content
 
+    def release(self, exchange: exchanges.Exchange, upstream: model.Upstream, source: str) -> None:
+        """Free the memory of a prompt that no engine will fetch; it lapses soon by itself."""
+        now_s = self._instance.clock.now_s()
+        watch = sockets.CallerWatch(self._instance.clock, now_s + RELEASE_S, lambda: False)
+        outcome = "released"
+        try:
+            connection = self._instance.pool.take(upstream)
+            try:
+                answer = connection.send(self._border.release(upstream, source), watch)
+                answer.read()
+            except (connections.UpstreamError, sockets.WaitError):
+                connection.close()
+                raise
+            self._instance.pool.give_back(connection, answer)
+        except (connections.UpstreamError, sockets.WaitError) as error:
+            outcome = repr(error)
+        eliot.log_message(
+            message_type="prompt_released",
+            request=exchange.inbound.id,
+            upstream=upstream.id,
+            outcome=outcome,
+        )
+
     def _drain(self, connection: connections.Connection, answer: connections.Answer) -> None:
         try:
             answer.read()
@@ -157,7 +201,7 @@
     match error:
         case sockets.CallerGoneError():
             return Failure.CALLER_GONE
-        case sockets.DeadlinePassedError():
+        case sockets.DeadlinePassedError() | sockets.StreamSilentError():
             return Failure.SILENT
         case connections.NotSentError():
             return Failure.NOT_SENT
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -81,6 +81,7 @@
         :raises WaitError: where the watch ends the wait
         """
         self._socket.watch = watch
+        watch.check()
         try:
             self._write(call)
             response = self._http.getresponse()
@@ -90,6 +91,14 @@
             raise MalformedError(repr(error)) from error
         return Answer(self, response)
 
+    def watch(self, watch: sockets.Watch) -> None:
+        """Put the waits for the rest of an answer under another watch."""
+        self._socket.watch = watch
+
+    def progress(self) -> None:
+        """Tell the watch that the answer goes on."""
+        self._socket.watch.progress()
+
     def is_reusable(self) -> bool:
         """Return whether another request may be sent."""
         return self._http.sock is not None and self._socket.is_quiet()
--- a/src/carawaydoor/serving/generation.py
+++ b/src/carawaydoor/serving/generation.py
@@ -5,15 +5,22 @@
 import contextlib
 import dataclasses
 import threading
-from collections.abc import Iterator
 from typing import Final
 
 import eliot
 import expression
 
-from carawaydoor.policy import health, load, model, placement, waiting
+from carawaydoor.policy import load, model, placement, waiting
 from carawaydoor.serving import border as borders
-from carawaydoor.serving import calls, connections, filters, plain, refusals, sockets
+from carawaydoor.serving import (
+    calls,
+    connections,
+    filters,
+    plain,
+    refusals,
+    relaying,
+    sockets,
+)
 from carawaydoor.serving import exchange as exchanges
 from carawaydoor.serving import instance as instances
 
@@ -27,6 +34,24 @@
 MAX_GENERATIONS: Final = 56
 
 
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """A generation that has room at its engines.
+
+    :ivar held: gives back the memory that is counted at the decode engine
+    :ivar reading: gives back the work that is counted at the prefill engine
+    """
+
+    exchange: exchanges.Exchange
+    service: model.Service
+    prompt: model.Prompt
+    chosen: placement.Generation
+    decode: model.Upstream
+    connection: connections.Connection
+    held: contextlib.ExitStack
+    reading: contextlib.ExitStack
+
+
 class ServeGeneration(filters.Server):
     """Places a generation, has its prompt read and relays its events."""
 
@@ -54,11 +79,15 @@
         self._instance.record_attempt(service.name)
         prompt = exchange.inbound.prompt or UNKNOWN_PROMPT
         arrival = self._arrival(exchange)
-        chosen = self._place(exchange, service, prompt, arrival)
-        if chosen is None:
+        run = self._place(exchange, service, prompt, arrival)
+        if run is None:
             return expression.Error(self._no_room(service, arrival))
-        source = self._read_prompt(exchange, chosen, prompt)
-        return self._decode(exchange, service, prompt, chosen.decode, source)
+        try:
+            source = self._read_prompt(run)
+        except calls.CallError as error:
+            run.held.close()
+            return expression.Error(plain.refusal_of(error, run.decode))
+        return self._decode(run, source)
 
     def _arrival(self, exchange: exchanges.Exchange) -> waiting.Arrival:
         route, inbound = exchange.route, exchange.inbound
@@ -80,49 +109,104 @@
         service: model.Service,
         prompt: model.Prompt,
         arrival: waiting.Arrival,
-    ) -> placement.Generation | None:
+    ) -> _Run | None:
+        """Choose engines with room and connect to the one that decodes.
+
+        The connection comes first: a prompt that was read for an engine that is gone is wasted.
+        """
         terms = waiting.terms(arrival, placement.direct_read_s(prompt))
+        excluded: set[str] = set()
         while True:
-            chosen = self._instance.begin_generation(service, prompt, terms.reserve_share)
+            chosen = self._instance.begin_generation(
+                service, prompt, frozenset(excluded), terms.reserve_share
+            )
             now_s = self._instance.clock.now_s()
-            if chosen is not None or now_s >= terms.until_s or exchange.inbound.is_gone():
-                break
+            if chosen is not None:
+                run = self._hold(exchange, service, prompt, chosen)
+                if run is not None:
+                    self._log_placement(run, arrival)
+                    return run
+                excluded.add(chosen.decode.id)
+                continue
+            if now_s >= terms.until_s or exchange.inbound.is_gone():
+                eliot.log_message(
+                    message_type="generation_not_placed",
+                    request=exchange.inbound.id,
+                    waited_s=round(now_s - exchange.received_s, 3),
+                    late_s=round(exchange.received_s - arrival.first_sent_s, 3),
+                    reserve_share=terms.reserve_share,
+                    load=self._describe_load(),
+                )
+                return None
             self._instance.wait_for_room(min(terms.until_s - now_s, sockets.POLL_S))
+
+    def _hold(
+        self,
+        exchange: exchanges.Exchange,
+        service: model.Service,
+        prompt: model.Prompt,
+        chosen: placement.Generation,
+    ) -> _Run | None:
+        """Return the run with a connection to its decode engine, None where that is gone."""
+        held = exchange.cleanup.enter_context(contextlib.ExitStack())
+        memory = load.Work(1, prompt.memory_tokens)
+        held.callback(self._instance.end, chosen.decode.id, memory)
+        reading = contextlib.ExitStack()
+        if chosen.prefill is not None:
+            work = load.Work(1, prompt.tokens)
+            reading.callback(self._instance.end, chosen.prefill.id, work)
+        exchange.cleanup.push(reading)
+        try:
+            connection = self._caller.connect(exchange, chosen.decode)
+        except calls.CallError:
+            # Logged where it failed; another engine is chosen.
+            reading.close()
+            held.close()
+            return None
+        return _Run(exchange, service, prompt, chosen, chosen.decode, connection, held, reading)
+
+    def _log_placement(self, run: _Run, arrival: waiting.Arrival) -> None:
+        prefill = run.chosen.prefill
+        waited_s = self._instance.clock.now_s() - run.exchange.received_s
         eliot.log_message(
-            message_type="generation_placed" if chosen else "generation_not_placed",
-            request=exchange.inbound.id,
-            prompt_tokens=prompt.tokens,
-            output_tokens=(prompt.max_output_tokens, prompt.expected_output_tokens),
-            decode=chosen.decode.id if chosen else None,
-            prefill=chosen.prefill.id if chosen and chosen.prefill else None,
-            expected_read_s=round(chosen.wait_s, 3) if chosen else None,
-            waited_s=round(now_s - exchange.received_s, 3),
-            late_s=round(exchange.received_s - arrival.first_sent_s, 3),
-            load={
-                key: dataclasses.astuple(self._instance.load.at(key))
-                for key in self._instance.load.own_by_id
-            },
+            message_type="generation_placed",
+            request=run.exchange.inbound.id,
+            prompt_tokens=run.prompt.tokens,
+            expected_output_tokens=run.prompt.expected_output_tokens,
+            decode=run.decode.id,
+            prefill=prefill.id if prefill else None,
+            expected_read_s=round(run.chosen.wait_s, 3),
+            waited_s=round(waited_s, 3),
+            late_s=round(run.exchange.received_s - arrival.first_sent_s, 3),
+            load=self._describe_load(),
         )
-        return chosen
 
-    def _read_prompt(
-        self, exchange: exchanges.Exchange, chosen: placement.Generation, prompt: model.Prompt
-    ) -> str:
-        """Have the prompt read and return where its memory lies, empty where it was not read."""
-        prefill = chosen.prefill
+    def _describe_load(self) -> dict[str, tuple[int, int]]:
+        loads = self._instance.load
+        works = {key: loads.at(key) for key in {*loads.own_by_id, *loads.peers_by_id}}
+        return {key: (work.requests, work.tokens) for key, work in works.items()}
+
+    def _read_prompt(self, run: _Run) -> str:
+        """Have the prompt read and return where its memory lies, empty where it was not read.
+
+        :raises CallError: where the caller has gone
+        """
+        prefill, exchange = run.chosen.prefill, run.exchange
         if prefill is None:
             return ""
         now_s = self._instance.clock.now_s()
-        until_s = min(exchange.deadline_s, now_s + chosen.wait_s + READ_PATIENCE_S)
+        until_s = min(exchange.deadline_s, now_s + run.chosen.wait_s + READ_PATIENCE_S)
         send = borders.Send(prefill, exchange.deadline_s - now_s, reads_prompt_only=True)
         try:
             begun = self._caller.begin(exchange, send, until_s)
             content = self._caller.read(exchange, prefill, begun)
-        except calls.CallError:
+        except calls.CallError as error:
+            if error.failure is calls.Failure.CALLER_GONE:
+                raise
             # Logged where it failed; the decode engine can read the prompt itself.
             return ""
         finally:
-            self._instance.end(prefill.id, load.Work(1, prompt.tokens))
+            run.reading.close()
         read = self._border.parse_read_prompt(prefill, content)
         if read is None:
             eliot.log_message(
@@ -134,79 +218,80 @@
             return ""
         return read.source
 
-    def _decode(
-        self,
-        exchange: exchanges.Exchange,
-        service: model.Service,
-        prompt: model.Prompt,
-        first: model.Upstream,
-        source: str,
-    ) -> filters.Served:
+    def _decode(self, run: _Run, source: str) -> filters.Served:
         """Have the answer generated, at another engine where the first does not take it."""
-        decode: model.Upstream | None = first
-        refusal = self._no_room(service, self._arrival(exchange))
+        exchange = run.exchange
         excluded: set[str] = set()
-        while decode is not None:
-            memory = load.Work(1, prompt.memory_tokens)
-            held = exchange.cleanup.enter_context(contextlib.ExitStack())
-            held.callback(self._instance.end, decode.id, memory)
+        while True:
+            backup = self._back_up(run)
             try:
-                begun = self._begin_decode(exchange, decode, source)
+                begun = self._begin_decode(run, source, backup)
             except calls.CallError as error:
-                held.close()
-                refusal = plain.refusal_of(error, decode)
-                excluded.add(decode.id)
-                if not self._may_go_on(exchange, service, error):
-                    break
-                decode = self._instance.begin_decode(service, prompt, frozenset(excluded))
+                run.held.close()
+                excluded.add(run.decode.id)
+                refusal = plain.refusal_of(error, run.decode)
+                if error.failure.did_not_run:
+                    refusal = self._no_room(run.service, self._arrival(exchange))
+                if not self._may_go_on(run, error) or not self._move(run, frozenset(excluded)):
+                    self._free(run, source)
+                    return expression.Error(refusal)
                 continue
             answer = begun.answer
-            chunks = self._relay(exchange, decode, begun)
+            relay = relaying.Relay(self._instance, self._caller, self._border, exchange)
+            chunks = relay.relay(run.decode, begun, backup)
             return expression.Ok(
                 exchanges.Response(
-                    answer.status, answer.reason, answer.headers, chunks, None, decode.id
+                    answer.status, answer.reason, answer.headers, chunks, None, run.decode.id
                 )
             )
-        return expression.Error(refusal)
 
-    def _may_go_on(
-        self, exchange: exchanges.Exchange, service: model.Service, error: calls.CallError
-    ) -> bool:
+    def _back_up(self, run: _Run) -> model.Upstream | None:
+        backup = self._instance.begin_backup(run.service, run.prompt, run.decode)
+        if backup is not None:
+            memory = load.Work(0, run.prompt.memory_tokens)
+            run.held.callback(self._instance.end, backup.id, memory)
+        return backup
+
+    def _may_go_on(self, run: _Run, error: calls.CallError) -> bool:
         """Return whether a generation that an engine did not take may go to another one."""
         if error.failure is calls.Failure.NOT_SENT:
             return True
-        return error.failure.did_not_run and self._instance.may_retry(service.name)
+        return error.failure.did_not_run and self._instance.may_retry(run.service.name)
 
-    def _begin_decode(
-        self, exchange: exchanges.Exchange, decode: model.Upstream, source: str
-    ) -> calls.Begun:
+    def _move(self, run: _Run, excluded: frozenset[str]) -> bool:
+        """Choose another decode engine and connect to it; return whether there was one."""
+        tried = set(excluded)
+        while True:
+            decode = self._instance.begin_decode(run.service, run.prompt, frozenset(tried))
+            if decode is None:
+                return False
+            held = run.exchange.cleanup.enter_context(contextlib.ExitStack())
+            memory = load.Work(1, run.prompt.memory_tokens)
+            held.callback(self._instance.end, decode.id, memory)
+            try:
+                run.connection = self._caller.connect(run.exchange, decode)
+            except calls.CallError:
+                # Logged where it failed; the next engine is tried.
+                held.close()
+                tried.add(decode.id)
+                continue
+            run.decode, run.held = decode, held
+            return True
+
+    def _begin_decode(self, run: _Run, source: str, backup: model.Upstream | None) -> calls.Begun:
+        exchange = run.exchange
         exchange.attempts += 1
         left_s = exchange.deadline_s - self._instance.clock.now_s()
-        last_event_id = exchange.inbound.last_event_id
-        send = borders.Send(decode, left_s, source=source, last_event_id=last_event_id)
-        return self._caller.begin(exchange, send)
-
-    def _relay(
-        self, exchange: exchanges.Exchange, decode: model.Upstream, begun: calls.Begun
-    ) -> Iterator[bytes]:
-        """Yield the pieces of a stream; an error cuts the caller's answer off visibly."""
-        try:
-            yield from begun.answer.pieces()
-        except (connections.UpstreamError, sockets.WaitError) as error:
-            failure = calls.failure_of(error)
-            if failure is not calls.Failure.CALLER_GONE:
-                self._instance.record(decode, health.Outcome.BROKEN)
-            eliot.log_message(
-                message_type="stream_broken",
-                request=exchange.inbound.id,
-                upstream=decode.id,
-                failure=failure.value,
-                detail=str(error),
-            )
-            raise
-        finally:
-            if begun.answer.is_complete:
-                self._instance.pool.give_back(begun.connection, begun.answer)
-                self._instance.record(decode, health.Outcome.ANSWERED)
-            else:
-                begun.connection.close()
+        send = borders.Send(
+            run.decode,
+            left_s,
+            source=source,
+            backup=backup,
+            last_event_id=exchange.inbound.last_event_id,
+        )
+        return self._caller.begin(exchange, send, connection=run.connection)
+
+    def _free(self, run: _Run, source: str) -> None:
+        prefill = run.chosen.prefill
+        if source and prefill is not None:
+            run.exchange.cleanup.callback(self._caller.release, run.exchange, prefill, source)
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -152,12 +152,16 @@
             return upstream
 
     def begin_generation(
-        self, service: model.Service, prompt: model.Prompt, reserve_share: float
+        self,
+        service: model.Service,
+        prompt: model.Prompt,
+        excluded: frozenset[str],
+        reserve_share: float,
     ) -> placement.Generation | None:
         """Choose the engines of a generation and count the request at both."""
         with self._lock:
             chosen = placement.choose_generation(
-                self._view(), service, prompt, reserve_share=reserve_share
+                self._view(), service, prompt, excluded, reserve_share
             )
             if chosen is None:
                 return None
@@ -176,6 +180,16 @@
                 self._begin(decode.id, load.Work(1, prompt.memory_tokens))
             return decode
 
+    def begin_backup(
+        self, service: model.Service, prompt: model.Prompt, decode: model.Upstream
+    ) -> model.Upstream | None:
+        """Choose an engine for a copy of a run's memory, and count that memory there."""
+        with self._lock:
+            backup = placement.choose_backup(self._view(), service, prompt, decode)
+            if backup is not None:
+                self._begin(backup.id, load.Work(0, prompt.memory_tokens))
+            return backup
+
     def end(self, upstream: str, work: load.Work) -> None:
         """Take a request that has ended off the load of an upstream."""
         with self._lock:
--- a/src/carawaydoor/serving/sockets.py
+++ b/src/carawaydoor/serving/sockets.py
@@ -35,6 +35,10 @@
     """The time for the answer is over."""
 
 
+class StreamSilentError(WaitError):
+    """No event has come for so long that the engine is taken to be lost."""
+
+
 class Watch(abc.ABC):
     """Ends waits early."""
 
@@ -45,6 +49,10 @@
         :raises WaitError: where it may not
         """
 
+    def progress(self) -> None:
+        """Note that an answer goes on; most watches don't care."""
+        return
+
 
 class CallerWatch(Watch):
     """Ends waits when a caller goes or its deadline passes."""
@@ -64,6 +72,29 @@
         return min(left_s, POLL_S)
 
 
+class StreamWatch(CallerWatch):
+    """Ends waits also when a stream is silent for too long."""
+
+    def __init__(
+        self, clock: clocks.Clock, deadline_s: float, is_gone: Any, patience_s: float
+    ) -> None:
+        super().__init__(clock, deadline_s, is_gone)
+        self._patience_s = patience_s
+        self._silent_until_s = clock.now_s() + patience_s
+
+    def progress(self) -> None:
+        """Note that an event has come."""
+        self._silent_until_s = self._clock.now_s() + self._patience_s
+
+    def check(self) -> float:
+        """Return for how many seconds a wait may go on."""
+        allowed_s = super().check()
+        left_s = self._silent_until_s - self._clock.now_s()
+        if left_s <= 0.0:
+            raise StreamSilentError
+        return min(allowed_s, left_s)
+
+
 class WatchedSocket(io.RawIOBase):
     """A connected socket that ``http.client`` reads from and writes to under a watch."""
 
