Order idle prefill engines to generate where generation is the bottleneck

Cause: both sites split six engines three to three; prompts keep 0.2 of the readers busy while the memory of the generating ones is full in every burst. One instance gives the order: the first of a fleet that is whole and unchanged for 6 s, with an epoch of the store's revision and its own bits and the engine's count of orders as the expected state. Ruled out: keeping one reader only (utilisation 0.75 at the base load).

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -44,6 +44,7 @@
             _wire.Strike(fingerprint=s.fingerprint, id=s.strike.id, age_s=s.strike.at_s)
             for s in report.strikes
         ],
+        set_aside_s_by_upstream=dict(report.set_aside_s_by_upstream),
     )
     message.write(cybin.TCyBinaryProtocol(transport))
     return bytes(transport.getvalue())
@@ -79,6 +80,7 @@
                 membership.SharedStrike(s.fingerprint, strikes.Strike(s.id, s.age_s))
                 for s in message.strikes
             ),
+            set_aside_s_by_upstream=message.set_aside_s_by_upstream,
         )
     except Exception as error:
         # The library raises whatever the malformed bytes lead it into.
--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -54,6 +54,8 @@
     :ivar proof_age_s: how long ago that revision was proven newest, in seconds
     :ivar used_by_workspace: tokens admitted since the sender's start
     :ivar echo_by_instance: the receivers' clocks as the sender last heard them
+    :ivar set_aside_s_by_upstream: engines that change their stage, and for how many seconds more
+        nothing is sent to them
     """
 
     contact: Contact
@@ -69,6 +71,7 @@
     echo_by_instance: Mapping[str, float]
     contacts: tuple[Contact, ...]
     strikes: tuple[SharedStrike, ...]
+    set_aside_s_by_upstream: Mapping[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,11 +89,13 @@
     """The other instances.
 
     :ivar turn: rounds of reports so far; the peers take turns where a round can't reach all
+    :ivar changed_s: when a peer last joined, left, or was heard again after a silence
     """
 
     instance: str
     peer_by_instance: Mapping[str, Peer]
     turn: int = 0
+    changed_s: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,7 +130,15 @@
     is_leaving: bool
 
 
-Effect = Proof | Usage | PeerJoined | PeerLost | SharedStrike
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetAside:
+    """A peer has ordered an engine to change its stage."""
+
+    upstream: str
+    for_s: float
+
+
+Effect = Proof | Usage | PeerJoined | PeerLost | SharedStrike | SetAside
 
 
 def hear(state: Membership, now_s: float, report: Report) -> tuple[Membership, tuple[Effect, ...]]:
@@ -149,10 +162,14 @@
             peers[contact.instance] = Peer(contact, now_s, float("-inf"), None)
     effects.append(Usage(f"{name}/{report.incarnation}", report.used_by_workspace))
     effects.extend(report.strikes)
+    effects.extend(SetAside(*each) for each in report.set_aside_s_by_upstream.items())
     echo_s = report.echo_by_instance.get(state.instance)
     if echo_s is not None and echo_s <= now_s:
         effects.append(Proof(report.revision, echo_s - report.proof_age_s))
-    return dataclasses.replace(state, peer_by_instance=peers), tuple(effects)
+    has_changed = any(isinstance(each, PeerJoined | PeerLost) for each in effects)
+    changed_s = now_s if has_changed else state.changed_s
+    after = dataclasses.replace(state, peer_by_instance=peers, changed_s=changed_s)
+    return after, tuple(effects)
 
 
 def expire(state: Membership, now_s: float) -> tuple[Membership, tuple[Effect, ...]]:
@@ -220,6 +237,22 @@
     return heard + 1, len(peers) + 1
 
 
+def first_when_steady(state: Membership, now_s: float, steady_s: float) -> bool:
+    """Return whether this instance is the first of a fleet that is whole and has not changed.
+
+    :param steady_s: time in seconds for which nothing may have changed
+    """
+    heard, known = heard_and_known(state, now_s)
+    if heard < known or known < 2 or now_s - state.changed_s < steady_s:
+        return False
+    staying = (
+        name
+        for name, peer in state.peer_by_instance.items()
+        if peer.report is not None and not peer.report.is_leaving
+    )
+    return all(state.instance < name for name in staying)
+
+
 def _is_gone(peer: Peer, now_s: float) -> bool:
     has_left = peer.report is not None and peer.report.is_leaving
     patience_s = WORK_LIFE_S if has_left else FORGET_S
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -7,5 +7,6 @@
   1: string instance, 2: string host, 3: string domain, 4: i64 incarnation, 5: i64 sequence,
   6: double sent_s, 7: bool leaving, 8: i64 revision, 9: double proof_age_s,
   10: map<string, Work> work_by_upstream, 11: map<string, double> used_by_workspace,
-  12: map<string, double> echo_by_instance, 13: list<Contact> contacts, 14: list<Strike> strikes
+  12: map<string, double> echo_by_instance, 13: list<Contact> contacts, 14: list<Strike> strikes,
+  15: map<string, double> set_aside_s_by_upstream
 }
--- /dev/null
+++ b/src/carawaydoor/operating/balancing.py
@@ -0,0 +1,95 @@
+"""Gives engines the orders that the stage balance decides on, in a task of its own."""
+
+from __future__ import annotations
+
+import threading
+from typing import Final
+
+import eliot
+
+from carawaydoor.policy import model, stages
+from carawaydoor.serving import border as borders
+from carawaydoor.serving import connections, sockets
+from carawaydoor.serving import instance as instances
+
+# Interval in seconds at which the balance is looked at.
+INTERVAL_S: Final = 0.4
+# Time in seconds for one call to an engine.
+CALL_S: Final = 0.8
+
+
+class Balancer:
+    """Observes the stages of every service; gives orders while this instance is the one to."""
+
+    def __init__(self, instance: instances.Instance, border: borders.Border) -> None:
+        self._instance = instance
+        self._border = border
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="balancer", daemon=True)
+
+    def start(self) -> None:
+        """Begin to observe."""
+        self._thread.start()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(INTERVAL_S):
+            try:
+                for order in self._instance.balance():
+                    self._give(order)
+            except Exception:
+                eliot.write_traceback()
+
+    def _give(self, order: stages.Order) -> None:
+        upstream = order.upstream
+        revision = self._instance.directory.revision
+        epoch = stages.epoch(revision, self._instance.options.instance)
+        outcome = borders.OrderOutcome.UNANSWERED
+        try:
+            report = self._ask(upstream)
+            if report.is_busy or report.stage is not upstream.stage:
+                outcome = borders.OrderOutcome.NOT_NEEDED
+            elif self._instance.may_order():
+                call = self._border.order(
+                    upstream,
+                    order.stage,
+                    self._instance.options.instance,
+                    epoch,
+                    report.orders_accepted,
+                )
+                outcome = self._border.parse_order(self._call(upstream, call)[0])
+        except (connections.UpstreamError, sockets.WaitError) as error:
+            eliot.log_message(message_type="order_failed", upstream=upstream.id, detail=repr(error))
+        if outcome is borders.OrderOutcome.FENCED:
+            self._instance.pause_orders(upstream.service)
+        if outcome in (borders.OrderOutcome.ACCEPTED, borders.OrderOutcome.UNANSWERED):
+            self._instance.set_aside(upstream)
+        eliot.log_message(
+            message_type="stage_ordered",
+            upstream=upstream.id,
+            service=upstream.service,
+            stage=order.stage.value,
+            epoch=epoch,
+            reading=round(order.utilisation.reading, 3),
+            generating=round(order.utilisation.generating, 3),
+            outcome=outcome.value,
+        )
+
+    def _ask(self, upstream: model.Upstream) -> borders.EngineReport:
+        _, content = self._call(upstream, self._border.report(upstream))
+        report = self._border.parse_report(content)
+        if report is None:
+            raise connections.MalformedError("the report can't be read")
+        return report
+
+    def _call(self, upstream: model.Upstream, call: borders.Call) -> tuple[int, bytes]:
+        clock = self._instance.clock
+        watch = sockets.CallerWatch(clock, clock.now_s() + CALL_S, lambda: False)
+        connection = self._instance.pool.take(upstream)
+        try:
+            answer = connection.send(call, watch)
+            content = answer.read()
+        except (connections.UpstreamError, sockets.WaitError):
+            connection.close()
+            raise
+        self._instance.pool.give_back(connection, answer)
+        return answer.status, content
--- a/src/carawaydoor/platform/border.py
+++ b/src/carawaydoor/platform/border.py
@@ -19,6 +19,12 @@
 _MISDIRECTED: Final = 421
 # Statuses that an upstream may send beside the header that says that it has not run a request.
 _NOT_RUN_STATUSES: Final = frozenset({400, 408, 429, 503})
+_OUTCOME_BY_ORDER_STATUS: Final = {
+    200: border.OrderOutcome.NOT_NEEDED,
+    202: border.OrderOutcome.ACCEPTED,
+    409: border.OrderOutcome.CONFLICT,
+    412: border.OrderOutcome.FENCED,
+}
 _PROBLEM_TYPE: Final = "application/problem+json"
 
 
@@ -111,6 +117,46 @@
         path = names.HANDLE_PATH + source.rpartition("/")[2]
         return border.Call("DELETE", path, headers, b"")
 
+    def report(self, upstream: model.Upstream) -> border.Call:
+        """Return the call that asks an engine for its report."""
+        return border.Call("GET", names.REPORT_PATH, (("Host", upstream.address),), b"")
+
+    def parse_report(self, content: bytes) -> border.EngineReport | None:
+        """Return what an engine says of itself, None where it can't be read."""
+        try:
+            document = json.loads(content)
+            return border.EngineReport(
+                model.Stage(document["stage"]),
+                bool(document["busy"]),
+                # In a report this counts orders; in the store's entries it counts heartbeats.
+                int(document["sequenceNumber"]),
+                int(document["kvUsed"]),
+            )
+        except (ValueError, KeyError, TypeError):
+            return None
+
+    def order(
+        self, upstream: model.Upstream, stage: model.Stage, holder: str, epoch: int, expected: int
+    ) -> border.Call:
+        """Return the call that orders an engine to change its stage."""
+        document = {
+            "operation": "stage",
+            "stage": stage.value,
+            "holder": holder,
+            "fencingToken": epoch,
+            "expected": expected,
+        }
+        headers = (
+            ("Host", upstream.address),
+            ("Content-Type", "application/json"),
+            (names.Header.EXPECT_INCARNATION.value, upstream.id),
+        )
+        return border.Call("POST", names.ORDER_PATH, headers, json.dumps(document).encode())
+
+    def parse_order(self, status: int) -> border.OrderOutcome:
+        """Return how an engine answered an order."""
+        return _OUTCOME_BY_ORDER_STATUS.get(status, border.OrderOutcome.REJECTED)
+
     def refusal_headers(self, refusal: refusals.Refusal, request_id: str) -> exchanges.Headers:
         """Return the headers of an answer of the router's own."""
         headers = [("Content-Type", _PROBLEM_TYPE)]
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -72,6 +72,7 @@
 
 READINESS_PATH: Final = "/carawaydoor/readiness"
 REPORT_PATH: Final = "/carawaydoor/report"
+ORDER_PATH: Final = "/carawaydoor/order"
 HANDLE_PATH: Final = "/carawaydoor/kv-handle/"
 STORE_RANGE_PATH: Final = "/carawaydoor/kv-range"
 STORE_WATCH_PATH: Final = "/carawaydoor/kv-watch"
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -13,8 +13,8 @@
 
 from carawaydoor import VERSION, exitcodes
 from carawaydoor.fleet import exchange
+from carawaydoor.operating import balancing, logs, options, probes, telemetry, watching
 from carawaydoor.operating import clock as clocks
-from carawaydoor.operating import logs, options, probes, telemetry, watching
 from carawaydoor.platform import border, names, settings
 from carawaydoor.platform import source as platform_source
 from carawaydoor.serving import app, callers
@@ -59,6 +59,7 @@
             settings_,
             lambda: self._instance.is_draining,
         )
+        self._balancer = balancing.Balancer(self._instance, platform_border)
         metrics = options.Address(settings_.ready.host, METRICS_PORT)
         self._operators = callers.OperatorServer(
             probes.ProbeApp(self._instance, names.READINESS_PATH), (settings_.ready, metrics)
@@ -70,6 +71,7 @@
         self._operators.start()
         self._exchange.start()
         self._watcher.start()
+        self._balancer.start()
 
     def run(self, stopping: threading.Event, reloading: threading.Event) -> None:
         """Look after time-outs until asked to stop."""
--- a/src/carawaydoor/policy/directory.py
+++ b/src/carawaydoor/policy/directory.py
@@ -88,7 +88,14 @@
     upstream: model.Upstream
 
 
-Effect = Gone | Leaving | Joined
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageChanged:
+    """An engine that does another part of generations now."""
+
+    upstream: model.Upstream
+
+
+Effect = Gone | Leaving | Joined | StageChanged
 
 
 def step(state: Directory, now_s: float, message: Message) -> tuple[Directory, tuple[Effect, ...]]:
@@ -153,6 +160,8 @@
         return (Gone(before), Joined(after))
     if after.is_leaving and not before.is_leaving:
         return (Leaving(after),)
+    if after.stage is not before.stage:
+        return (StageChanged(after),)
     return ()
 
 
--- a/src/carawaydoor/serving/border.py
+++ b/src/carawaydoor/serving/border.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import enum
 from collections.abc import Mapping
 from typing import Any
 
@@ -68,6 +69,31 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says of itself, some hundred milliseconds old.
+
+    :ivar orders_accepted: orders that it has accepted since its start
+    :ivar kv_used: tokens in its memory that cannot yield
+    """
+
+    stage: model.Stage
+    is_busy: bool
+    orders_accepted: int
+    kv_used: int
+
+
+class OrderOutcome(enum.Enum):
+    """How an engine answered an order."""
+
+    ACCEPTED = "accepted"
+    NOT_NEEDED = "not_needed"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    REJECTED = "rejected"
+    UNANSWERED = "unanswered"
+
+
 class Border(abc.ABC):
     """Translates between a wire and the types of the pipe."""
 
@@ -103,6 +129,28 @@
     def release(self, upstream: model.Upstream, source: str) -> Call:
         """Return the call that frees the memory of a prompt."""
 
+    @abc.abstractmethod
+    def report(self, upstream: model.Upstream) -> Call:
+        """Return the call that asks an engine for its report."""
+
+    @abc.abstractmethod
+    def parse_report(self, content: bytes) -> EngineReport | None:
+        """Return what an engine says of itself, None where it can't be read."""
+
+    @abc.abstractmethod
+    def order(
+        self, upstream: model.Upstream, stage: model.Stage, holder: str, epoch: int, expected: int
+    ) -> Call:
+        """Return the call that orders an engine to change its stage.
+
+        :param epoch: orders with a lower one than an engine has seen are outdated
+        :param expected: orders that the engine has accepted so far; it refuses where that differs
+        """
+
+    @abc.abstractmethod
+    def parse_order(self, status: int) -> OrderOutcome:
+        """Return how an engine answered an order."""
+
     @abc.abstractmethod
     def refusal_headers(self, refusal: refusals.Refusal, request_id: str) -> exchanges.Headers:
         """Return the headers of an answer of the router's own."""
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -23,6 +23,7 @@
     model,
     placement,
     retries,
+    stages,
     strikes,
 )
 from carawaydoor.serving import connections
@@ -38,6 +39,9 @@
 # Part of the longest patience of a route's callers that first attempts have at least: callers
 # differ by some 15% either way.
 FIRST_PATIENCE: Final = 0.7
+# Time in seconds after which an engine whose entry shows no new stage is used as before: a change
+# takes about six seconds, and running work ends first.
+SET_ASIDE_S: Final = 15.0
 # Age in seconds that stands for a configuration that was never proven newest.
 MAX_AGE_S: Final = 1e6
 
@@ -64,6 +68,8 @@
         self.caps = caps.Caps(caps.Rules(bounds.cap_window_s, bounds.cap_overshoot), clock.now_s())
         self.strikes = strikes.EMPTY
         self.budget_by_service: Mapping[str, retries.RetryBudget] = {}
+        self.balance_state = stages.Balance()
+        self._set_aside_until_s_by_id: dict[str, float] = {}
         self.membership = membership.Membership(options.instance, {})
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
@@ -272,6 +278,42 @@
         """Return for how many seconds a request is suspended, zero where it is not."""
         return strikes.suspended_for_s(self.strikes, self.clock.now_s(), fingerprint)
 
+    def may_order(self) -> bool:
+        """Return whether this instance is the one that gives engines orders."""
+        with self._lock:
+            now_s = self.clock.now_s()
+            first = membership.first_when_steady(self.membership, now_s, stages.STEADY_S)
+            return first and not self.is_draining and self.proof_age_s() < stages.STEADY_S
+
+    def balance(self) -> list[stages.Order]:
+        """Observe the stages of every service and return the orders that are due."""
+        orders = []
+        may_order = self.may_order()
+        with self._lock:
+            view = self._view()
+            for service in self.configuration.service_by_name.values():
+                self.balance_state = stages.observe(
+                    self.balance_state, view.now_s, service, view.upstreams, view.load
+                )
+                if not may_order:
+                    continue
+                self.balance_state, order = stages.decide(
+                    self.balance_state, view.now_s, service, view.upstreams, view.load
+                )
+                if order is not None:
+                    orders.append(order)
+        return orders
+
+    def pause_orders(self, service: str) -> None:
+        """Give no orders for a service for a while: another instance gives them."""
+        with self._lock:
+            self.balance_state = stages.refused(self.balance_state, self.clock.now_s(), service)
+
+    def set_aside(self, upstream: model.Upstream) -> None:
+        """Send an engine that changes its stage nothing until its entry shows the new one."""
+        with self._lock:
+            self._set_aside_until_s_by_id[upstream.id] = self.clock.now_s() + SET_ASIDE_S
+
     def compose_report(self) -> tuple[membership.Report, list[str]]:
         """Return the next report to peers and the hosts that it goes to."""
         with self._lock:
@@ -292,6 +334,11 @@
                 echo_by_instance=membership.echoes(self.membership, contacts),
                 contacts=membership.some_contacts(self.membership),
                 strikes=self._recent_strikes(now_s),
+                set_aside_s_by_upstream={
+                    key: until_s - now_s
+                    for key, until_s in self._set_aside_until_s_by_id.items()
+                    if until_s > now_s
+                },
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
@@ -332,6 +379,10 @@
                     self.freshness = freshness.prove(self.freshness, revision, proven_s)
             case membership.Usage(peer, used_by_workspace):
                 self.caps = caps.hear(self.caps, now_s, peer, used_by_workspace)
+            case membership.SetAside(key, for_s):
+                known_s = self._set_aside_until_s_by_id.get(key, 0.0)
+                if key in self.directory.upstream_by_id:
+                    self._set_aside_until_s_by_id[key] = max(known_s, now_s + for_s)
             case membership.SharedStrike(fingerprint, strike):
                 self.strikes = strikes.add(
                     self.strikes, now_s - strike.at_s, fingerprint, strike.id
@@ -355,11 +406,24 @@
         return placement.View(
             self.clock.now_s(),
             self.options.domain,
-            tuple(self.directory.upstream_by_id.values()),
+            self._usable_upstreams(),
             self.load,
             self.health,
         )
 
+    def _usable_upstreams(self) -> tuple[model.Upstream, ...]:
+        upstreams = self.directory.upstream_by_id.values()
+        if not self._set_aside_until_s_by_id:
+            return tuple(upstreams)
+        now_s = self.clock.now_s()
+        aside = {
+            key: until_s
+            for key, until_s in self._set_aside_until_s_by_id.items()
+            if until_s > now_s
+        }
+        self._set_aside_until_s_by_id = aside
+        return tuple(each for each in upstreams if each.id not in aside)
+
     def _begin(self, upstream: str, work: load.Work) -> None:
         self.load = load.step(self.load, load.Begun(upstream, work))
 
@@ -387,6 +451,10 @@
                 change = "upstream_leaving"
             case directory.Joined():
                 change = "upstream_joined"
+            case directory.StageChanged():
+                self._set_aside_until_s_by_id.pop(upstream.id, None)
+                self.health = health.forget(self.health, upstream.id)
+                change = "upstream_stage_changed"
         eliot.log_message(
             message_type=change,
             upstream=upstream.id,
