Group modules by concern; check the platform's settings from the command line

Cause: sixty modules in one folder did not show the way of a request. homes/ holds the decisions of the project's own interface, interface/ the way of its requests, publishing/ its configuration, links/ its connections; policy/, fleet/, serving/ and platform/ are the platform's path. No import runs from policy/ outwards. carawaydoor check-settings reports every fault with its field; the settings file is also read again where it changes without a signal.

--- a/src/carawaydoor/cli.py
+++ b/src/carawaydoor/cli.py
@@ -10,8 +10,13 @@
 
 import cyclopts
 
-from carawaydoor import VERSION, authentication, catalog, documents, exitcodes, objects, replay
-from carawaydoor import revision as revisions
+from carawaydoor import VERSION
+from carawaydoor.homes import replay
+from carawaydoor.interface import authentication
+from carawaydoor.operating import exitcodes
+from carawaydoor.platform import settings
+from carawaydoor.publishing import catalog, documents, objects
+from carawaydoor.publishing import revision as revisions
 
 TIMEOUT_S = 5.0
 MANIFEST_NAME = "manifest.json"
@@ -63,6 +68,22 @@
     return exitcodes.ExitCode.OK
 
 
+@app.command(name="check-settings")
+def check_settings(
+    settings_file: Annotated[
+        pathlib.Path, cyclopts.Parameter(help="Settings file that the platform writes, TOML.")
+    ],
+) -> int:
+    """Check the platform's settings file and report every fault with its field."""
+    result = settings.read(settings_file)
+    if result.is_error():
+        for fault in result.error:
+            print(fault, file=sys.stderr)
+        return exitcodes.ExitCode.INVALID_SETTINGS
+    print(f"{settings_file}: {result.ok.instance} in {result.ok.domain}, no faults")
+    return exitcodes.ExitCode.OK
+
+
 @app.command
 def status(address: Address) -> int:
     """Show the state of an instance."""
--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -14,29 +14,15 @@
 import eliot
 import waitress.server
 
-from carawaydoor import (
-    VERSION,
-    audit,
-    events,
-    exitcodes,
-    front,
-    gateway,
-    listener,
-    membership,
-    messages,
-    metrics,
-    operator_app,
-    peers,
-    publication,
-    publisher,
-    runner,
-    settings,
-    supervisor,
-    trace,
-)
-from carawaydoor import core as cores
-from carawaydoor import state as states
+from carawaydoor import VERSION
+from carawaydoor.homes import core as cores
+from carawaydoor.homes import events, membership, messages, trace
+from carawaydoor.homes import state as states
+from carawaydoor.interface import front, gateway, runner, supervisor
+from carawaydoor.links import listener, peers
+from carawaydoor.operating import audit, exitcodes, metrics, operator_app, settings
 from carawaydoor.operating import clock as clocks
+from carawaydoor.publishing import publication, publisher
 
 TICK_S: Final = 0.1
 SWITCH_INTERVAL_S: Final = 0.001
--- a/src/carawaydoor/budgethome.py
+++ b/src/carawaydoor/homes/budgethome.py
@@ -4,9 +4,9 @@
 
 import dataclasses
 
-from carawaydoor import budgets, events, messages
-from carawaydoor import membership as memberships
-from carawaydoor import state as states
+from carawaydoor.homes import budgets, events, messages
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import state as states
 
 PULL_S = 0.25
 RESERVE_WAIT_S = 0.5
--- a/src/carawaydoor/budgets.py
+++ b/src/carawaydoor/homes/budgets.py
@@ -5,8 +5,8 @@
 import dataclasses
 from collections.abc import Callable, Mapping
 
-from carawaydoor import bucket as buckets
-from carawaydoor import membership, messages
+from carawaydoor.homes import bucket as buckets
+from carawaydoor.homes import membership, messages
 
 MAX_OPEN_GRANTS = 4096
 SURPLUS_LEVEL = 0.9
--- a/src/carawaydoor/core.py
+++ b/src/carawaydoor/homes/core.py
@@ -7,8 +7,8 @@
 from concurrent import futures
 from typing import Final
 
-from carawaydoor import events, messages, node, trace
-from carawaydoor import state as states
+from carawaydoor.homes import events, messages, node, trace
+from carawaydoor.homes import state as states
 from carawaydoor.operating import clock as clocks
 from carawaydoor.operating import task
 
--- a/src/carawaydoor/events.py
+++ b/src/carawaydoor/homes/events.py
@@ -5,10 +5,11 @@
 import dataclasses
 from collections.abc import Callable
 
-from carawaydoor import catalog as catalogs
-from carawaydoor import errors, messages
-from carawaydoor import scheduler as schedulers
-from carawaydoor import view as views
+from carawaydoor.homes import messages
+from carawaydoor.homes import scheduler as schedulers
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
+from carawaydoor.publishing import catalog as catalogs
 
 SchedulerAct = Callable[
     [schedulers.Scheduler], tuple[schedulers.Scheduler, list[schedulers.Answer]]
--- a/src/carawaydoor/idempotency.py
+++ b/src/carawaydoor/homes/idempotency.py
@@ -15,7 +15,8 @@
 import uuid
 from collections.abc import Mapping
 
-from carawaydoor import errors, messages
+from carawaydoor.homes import messages
+from carawaydoor.interface import errors
 
 ISSUED_PREFIX = "cd1"
 MAX_KEY_CHARACTERS = 255
--- a/src/carawaydoor/keyhome.py
+++ b/src/carawaydoor/homes/keyhome.py
@@ -4,9 +4,10 @@
 
 import dataclasses
 
-from carawaydoor import errors, events, idempotency, messages, rendezvous
-from carawaydoor import membership as memberships
-from carawaydoor import state as states
+from carawaydoor.homes import events, idempotency, messages, rendezvous
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import state as states
+from carawaydoor.interface import errors
 
 KEY_PARTITIONS = 64
 ISSUED_KEY_LIFE_S = 900.0
--- a/src/carawaydoor/membership.py
+++ b/src/carawaydoor/homes/membership.py
@@ -19,8 +19,8 @@
 import dataclasses
 from collections.abc import Iterable, Iterator, Mapping
 
-from carawaydoor import messages, rendezvous
-from carawaydoor import view as views
+from carawaydoor.homes import messages, rendezvous
+from carawaydoor.homes import view as views
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/node.py
+++ b/src/carawaydoor/homes/node.py
@@ -9,9 +9,9 @@
 
 import dataclasses
 
-from carawaydoor import budgethome, budgets, events, keyhome, messages, poolhome
-from carawaydoor import membership as memberships
-from carawaydoor import state as states
+from carawaydoor.homes import budgethome, budgets, events, keyhome, messages, poolhome
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import state as states
 from carawaydoor.policy import strikes as strike_rules
 
 SWEEP_S = 0.25
--- a/src/carawaydoor/poolhome.py
+++ b/src/carawaydoor/homes/poolhome.py
@@ -5,11 +5,11 @@
 import dataclasses
 import functools
 
-from carawaydoor import events, messages
-from carawaydoor import membership as memberships
-from carawaydoor import scheduler as schedulers
-from carawaydoor import state as states
-from carawaydoor import view as views
+from carawaydoor.homes import events, messages
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import scheduler as schedulers
+from carawaydoor.homes import state as states
+from carawaydoor.homes import view as views
 
 
 def pool_resource(pool: str, failure_domain: str) -> memberships.Resource:
--- a/src/carawaydoor/replay.py
+++ b/src/carawaydoor/homes/replay.py
@@ -8,9 +8,9 @@
 
 import expression
 
-from carawaydoor import membership as memberships
-from carawaydoor import node, trace
-from carawaydoor import state as states
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import node, trace
+from carawaydoor.homes import state as states
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/scheduler.py
+++ b/src/carawaydoor/homes/scheduler.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import TypeVar
 
-from carawaydoor import affinity as affinities
-from carawaydoor import fairqueue, messages
-from carawaydoor import view as views
+from carawaydoor.homes import affinity as affinities
+from carawaydoor.homes import fairqueue, messages
+from carawaydoor.homes import view as views
 
 T = TypeVar("T")
 
--- a/src/carawaydoor/state.py
+++ b/src/carawaydoor/homes/state.py
@@ -5,11 +5,11 @@
 import dataclasses
 from collections.abc import Mapping
 
-from carawaydoor import budgets, events, idempotency, messages
-from carawaydoor import catalog as catalogs
-from carawaydoor import membership as memberships
-from carawaydoor import scheduler as schedulers
+from carawaydoor.homes import budgets, events, idempotency, messages
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import scheduler as schedulers
 from carawaydoor.policy import strikes as strike_rules
+from carawaydoor.publishing import catalog as catalogs
 
 Step = tuple["Node", list[events.Effect]]
 
--- a/src/carawaydoor/trace.py
+++ b/src/carawaydoor/homes/trace.py
@@ -16,9 +16,11 @@
 
 import pydantic
 
-from carawaydoor import bucket, budgets, catalog, errors, events, idempotency, messages, objects
-from carawaydoor import membership as memberships
-from carawaydoor import view as views
+from carawaydoor.homes import bucket, budgets, events, idempotency, messages
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
+from carawaydoor.publishing import catalog, objects
 
 REPLAY_SECRET: Final = b"replay"
 FORGED_MAC: Final = "0" * 24
--- a/src/carawaydoor/admission.py
+++ b/src/carawaydoor/interface/admission.py
@@ -7,9 +7,10 @@
 
 import expression
 
-from carawaydoor import budgets, errors, filters, messages
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
+from carawaydoor.homes import budgets, messages
+from carawaydoor.interface import errors, filters
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
 
 GRANT_LIFE_S = 0.75
 UNAVAILABLE_RETRY_S = 1.0
--- a/src/carawaydoor/authentication.py
+++ b/src/carawaydoor/interface/authentication.py
@@ -8,10 +8,11 @@
 
 import expression
 
-from carawaydoor import configuration as configurations
-from carawaydoor import errors, filters, objects
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
+from carawaydoor.interface import errors, filters
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
+from carawaydoor.publishing import configuration as configurations
+from carawaydoor.publishing import objects
 
 BEARER: Final = re.compile(r"^Bearer ([\x21-\x7e]{8,512})$", re.IGNORECASE)
 
--- a/src/carawaydoor/completion.py
+++ b/src/carawaydoor/interface/completion.py
@@ -10,7 +10,8 @@
 import expression
 import pydantic
 
-from carawaydoor import errors, objects
+from carawaydoor.interface import errors
+from carawaydoor.publishing import objects
 
 MAX_OUTPUT_TOKENS = 100_000
 
--- a/src/carawaydoor/concurrency.py
+++ b/src/carawaydoor/interface/concurrency.py
@@ -6,9 +6,9 @@
 
 import expression
 
-from carawaydoor import errors, filters
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
+from carawaydoor.interface import errors, filters
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
 
 RETRY_S = 0.5
 
--- a/src/carawaydoor/engine.py
+++ b/src/carawaydoor/interface/engine.py
@@ -9,9 +9,9 @@
 
 import pydantic
 
-from carawaydoor import completion as completions
-from carawaydoor import errors, upstream
-from carawaydoor import view as views
+from carawaydoor.homes import view as views
+from carawaydoor.interface import completion as completions
+from carawaydoor.interface import errors, upstream
 
 OK: Final = 200
 DATA: Final = b"data: "
--- a/src/carawaydoor/exchange.py
+++ b/src/carawaydoor/interface/exchange.py
@@ -8,8 +8,9 @@
 import threading
 from collections.abc import Callable, Iterator
 
-from carawaydoor import completion as completions
-from carawaydoor import errors, objects, upstream
+from carawaydoor.interface import completion as completions
+from carawaydoor.interface import errors, upstream
+from carawaydoor.publishing import objects
 
 
 class Cancellation(enum.Enum):
--- a/src/carawaydoor/filters.py
+++ b/src/carawaydoor/interface/filters.py
@@ -6,8 +6,8 @@
 
 import expression
 
-from carawaydoor import errors
-from carawaydoor import exchange as exchanges
+from carawaydoor.interface import errors
+from carawaydoor.interface import exchange as exchanges
 
 Passed = expression.Result[exchanges.Exchange, errors.Refusal]
 Served = expression.Result[exchanges.Response, errors.Refusal]
--- a/src/carawaydoor/front.py
+++ b/src/carawaydoor/interface/front.py
@@ -11,7 +11,7 @@
 import eliot
 import expression
 
-from carawaydoor import (
+from carawaydoor.interface import (
     admission,
     authentication,
     concurrency,
@@ -24,9 +24,9 @@
     routing,
     suspension,
 )
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
-from carawaydoor import supervisor as supervisors
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
+from carawaydoor.interface import supervisor as supervisors
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
--- a/src/carawaydoor/gateway.py
+++ b/src/carawaydoor/interface/gateway.py
@@ -8,15 +8,18 @@
 import random
 import threading
 
-from carawaydoor import catalog, errors, events, idempotency, messages, metrics, settings
-from carawaydoor import configuration as configurations
-from carawaydoor import core as cores
-from carawaydoor import membership as memberships
-from carawaydoor import peers as peer_links
-from carawaydoor import state as states
-from carawaydoor import view as views
+from carawaydoor.homes import core as cores
+from carawaydoor.homes import events, idempotency, messages
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import state as states
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
+from carawaydoor.links import peers as peer_links
 from carawaydoor.operating import clock as clocks
+from carawaydoor.operating import metrics, settings
 from carawaydoor.policy import retries
+from carawaydoor.publishing import catalog
+from carawaydoor.publishing import configuration as configurations
 
 ASK_TIMEOUT_S = 1.0
 HOMES_ASKED = 2
--- a/src/carawaydoor/modelserving.py
+++ b/src/carawaydoor/interface/modelserving.py
@@ -11,7 +11,7 @@
 
 import expression
 
-from carawaydoor import (
+from carawaydoor.interface import (
     engine,
     errors,
     filters,
@@ -21,8 +21,8 @@
     suspension,
     upstream,
 )
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
 
 MAX_ATTEMPTS: Final = 2
 IDLE_TIMEOUT_S: Final = 15.0
--- a/src/carawaydoor/placement.py
+++ b/src/carawaydoor/interface/placement.py
@@ -7,10 +7,11 @@
 
 import expression
 
-from carawaydoor import affinity, errors, events, messages, poolhome
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
-from carawaydoor import view as views
+from carawaydoor.homes import affinity, events, messages, poolhome
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
 
 MIN_RETRY_S = 0.2
 ASK_MARGIN_S = 0.5
--- a/src/carawaydoor/plainserving.py
+++ b/src/carawaydoor/interface/plainserving.py
@@ -6,19 +6,12 @@
 
 import expression
 
-from carawaydoor import (
-    errors,
-    filters,
-    idempotency,
-    keyhome,
-    messages,
-    objects,
-    suspension,
-    upstream,
-)
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
-from carawaydoor import view as views
+from carawaydoor.homes import idempotency, keyhome, messages
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors, filters, suspension, upstream
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
+from carawaydoor.publishing import objects
 
 MAX_ATTEMPTS = 2
 ASK_MARGIN_S = 1.0
--- a/src/carawaydoor/problem.py
+++ b/src/carawaydoor/interface/problem.py
@@ -6,8 +6,8 @@
 import math
 from typing import Any, Final
 
-from carawaydoor import errors
-from carawaydoor import exchange as exchanges
+from carawaydoor.interface import errors
+from carawaydoor.interface import exchange as exchanges
 
 CONTENT_TYPE: Final = "application/problem+json"
 TYPE_PREFIX: Final = "urn:carawaydoor:problem:"
--- a/src/carawaydoor/reading.py
+++ b/src/carawaydoor/interface/reading.py
@@ -4,9 +4,9 @@
 
 import expression
 
-from carawaydoor import completion, errors, filters
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
+from carawaydoor.interface import completion, errors, filters
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
 
 CHAT_PATH = "/chat/completions"
 
--- a/src/carawaydoor/resumption.py
+++ b/src/carawaydoor/interface/resumption.py
@@ -6,9 +6,9 @@
 import json
 from typing import Any
 
-from carawaydoor import completion as completions
-from carawaydoor import engine
-from carawaydoor import exchange as exchanges
+from carawaydoor.interface import completion as completions
+from carawaydoor.interface import engine
+from carawaydoor.interface import exchange as exchanges
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/routing.py
+++ b/src/carawaydoor/interface/routing.py
@@ -4,9 +4,10 @@
 
 import expression
 
-from carawaydoor import errors, filters, objects
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
+from carawaydoor.interface import errors, filters
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
+from carawaydoor.publishing import objects
 
 
 class MatchRoute(filters.Filter):
--- a/src/carawaydoor/runner.py
+++ b/src/carawaydoor/interface/runner.py
@@ -5,9 +5,10 @@
 import concurrent.futures
 from typing import Final
 
-from carawaydoor import errors, events, messages, upstream
-from carawaydoor import gateway as gateways
-from carawaydoor import view as views
+from carawaydoor.homes import events, messages
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors, upstream
+from carawaydoor.interface import gateway as gateways
 
 MAX_START_DELAY_S: Final = 0.5
 MAX_CONNECTS: Final = 3
--- a/src/carawaydoor/supervisor.py
+++ b/src/carawaydoor/interface/supervisor.py
@@ -5,9 +5,9 @@
 import threading
 from typing import Final
 
-from carawaydoor import authentication
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
+from carawaydoor.interface import authentication
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
 from carawaydoor.operating import task
 
 INTERVAL_S: Final = 0.1
--- a/src/carawaydoor/suspension.py
+++ b/src/carawaydoor/interface/suspension.py
@@ -6,10 +6,11 @@
 
 import expression
 
-from carawaydoor import errors, events, filters, messages
-from carawaydoor import exchange as exchanges
-from carawaydoor import gateway as gateways
-from carawaydoor import view as views
+from carawaydoor.homes import events, messages
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors, filters
+from carawaydoor.interface import exchange as exchanges
+from carawaydoor.interface import gateway as gateways
 from carawaydoor.policy import strikes
 
 BROADCAST_TIMEOUT_S = 0.3
--- a/src/carawaydoor/upstream.py
+++ b/src/carawaydoor/interface/upstream.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Final
 
-from carawaydoor import errors
-from carawaydoor import view as views
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
 
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_ANSWER_BYTES: Final = 8_000_000
--- /dev/null
+++ b/src/carawaydoor/links/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between instances for the project's own interface."""
--- a/src/carawaydoor/link.py
+++ b/src/carawaydoor/links/link.py
@@ -8,7 +8,9 @@
 from concurrent import futures
 from typing import Final
 
-from carawaydoor import errors, messages, wire
+from carawaydoor.homes import messages
+from carawaydoor.interface import errors
+from carawaydoor.links import wire
 from carawaydoor.operating import task
 
 CONNECT_TIMEOUT_S: Final = 0.5
--- a/src/carawaydoor/listener.py
+++ b/src/carawaydoor/links/listener.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from carawaydoor import messages, wire
+from carawaydoor.homes import messages
+from carawaydoor.links import wire
 from carawaydoor.operating import task
 
 BACKLOG: Final = 256
--- a/src/carawaydoor/peers.py
+++ b/src/carawaydoor/links/peers.py
@@ -6,9 +6,11 @@
 from concurrent import futures
 from typing import Final
 
-from carawaydoor import core as cores
-from carawaydoor import errors, events, link, messages, node
-from carawaydoor import view as views
+from carawaydoor.homes import core as cores
+from carawaydoor.homes import events, messages, node
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
+from carawaydoor.links import link
 from carawaydoor.operating import clock as clocks
 from carawaydoor.operating import task
 
--- a/src/carawaydoor/operator_app.py
+++ b/src/carawaydoor/operating/operator_app.py
@@ -7,12 +7,13 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from carawaydoor import audit, poolhome
-from carawaydoor import bucket as buckets
-from carawaydoor import configuration as configurations
-from carawaydoor import gateway as gateways
-from carawaydoor import membership as memberships
-from carawaydoor import supervisor as supervisors
+from carawaydoor.homes import bucket as buckets
+from carawaydoor.homes import membership as memberships
+from carawaydoor.homes import poolhome
+from carawaydoor.interface import gateway as gateways
+from carawaydoor.interface import supervisor as supervisors
+from carawaydoor.operating import audit
+from carawaydoor.publishing import configuration as configurations
 
 SETTLE_S = 1.0
 
--- a/src/carawaydoor/settings.py
+++ b/src/carawaydoor/operating/settings.py
@@ -8,7 +8,7 @@
 import expression
 import pydantic
 
-from carawaydoor import catalog, documents
+from carawaydoor.publishing import catalog, documents
 
 
 class SettingsModel(pydantic.BaseModel):
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import pathlib
 import signal
 import sys
 import threading
@@ -11,9 +12,9 @@
 
 import eliot
 
-from carawaydoor import VERSION, exitcodes
+from carawaydoor import VERSION
 from carawaydoor.fleet import exchange
-from carawaydoor.operating import balancing, logs, options, probes, telemetry, watching
+from carawaydoor.operating import balancing, exitcodes, logs, options, probes, telemetry, watching
 from carawaydoor.operating import clock as clocks
 from carawaydoor.platform import border, names, settings
 from carawaydoor.platform import source as platform_source
@@ -24,6 +25,8 @@
 METRICS_PORT: Final = 9464
 # Interval in seconds at which time-outs are looked for.
 TICK_S: Final = 0.2
+# Interval in seconds at which the settings file is looked at for a change without a signal.
+SETTINGS_LOOK_S: Final = 2.0
 # Time in seconds for which the balancer may still send callers after it was told to stop: two
 # questions a second apart and their answers.
 LEAVE_NOTICE_S: Final = 2.6
@@ -42,6 +45,7 @@
     def __init__(self, settings_: options.Options, clock: clocks.Clock) -> None:
         self._options = settings_
         self._clock = clock
+        self._settings_written: tuple[int, int] | None = None
         self._instance = instances.Instance(
             settings_, clock, telemetry.Telemetry(settings_.instance)
         )
@@ -76,14 +80,18 @@
     def run(self, stopping: threading.Event, reloading: threading.Event) -> None:
         """Look after time-outs until asked to stop."""
         limits = self._instance.configuration.limits
+        looked_s = self._clock.now_s()
         while not stopping.wait(TICK_S):
             self._instance.expire()
             if self._instance.configuration.limits != limits:
                 limits = self._instance.configuration.limits
                 self._callers.limit(limits)
-            if reloading.is_set():
+            now_s = self._clock.now_s()
+            if reloading.is_set() or now_s - looked_s >= SETTINGS_LOOK_S:
+                # The file also changes without a signal.
+                looked_s = now_s
+                self._reload(reloading.is_set())
                 reloading.clear()
-                self._reload()
 
     def drain(self) -> None:
         """Let the balancer turn away, finish the requests at work, and end."""
@@ -103,15 +111,28 @@
             self._instance.expire()
         eliot.log_message(message_type="stopped", requests_at_work=self._instance.requests_at_work)
 
-    def _reload(self) -> None:
+    def _reload(self, was_asked: bool) -> None:
         path = settings.path_from_environment()
-        result = settings.read(path) if path else None
-        if result is None or result.is_error():
-            faults = result.error if result is not None else ("no settings file is named",)
-            eliot.log_message(message_type="reload_refused", faults=faults)
+        if path is None or (not was_asked and self._is_unchanged(path)):
             return
+        result = settings.read(path)
+        if result.is_error():
+            eliot.log_message(message_type="reload_refused", faults=result.error)
+            return
+        changed = result.ok != self._instance.options
         self._instance.options = result.ok
-        eliot.log_message(message_type="reloaded", changed=result.ok != self._options)
+        eliot.log_message(message_type="reloaded", changed=changed, was_asked=was_asked)
+
+    def _is_unchanged(self, path: pathlib.Path) -> bool:
+        try:
+            status = path.stat()
+        except OSError as error:
+            eliot.log_message(message_type="settings_not_found", detail=repr(error))
+            return True
+        written = (status.st_mtime_ns, status.st_size)
+        is_unchanged = self._settings_written in (None, written)
+        self._settings_written = written
+        return is_unchanged
 
 
 def main() -> int:
--- /dev/null
+++ b/src/carawaydoor/publishing/__init__.py
@@ -0,0 +1,1 @@
+"""The project's own configuration: named objects, checked as a whole and published in revisions."""
--- a/src/carawaydoor/catalog.py
+++ b/src/carawaydoor/publishing/catalog.py
@@ -7,8 +7,9 @@
 
 import expression
 
-from carawaydoor import bucket as buckets
-from carawaydoor import budgets, objects
+from carawaydoor.homes import bucket as buckets
+from carawaydoor.homes import budgets
+from carawaydoor.publishing import objects
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/configuration.py
+++ b/src/carawaydoor/publishing/configuration.py
@@ -6,8 +6,8 @@
 import enum
 from collections.abc import Mapping
 
-from carawaydoor import catalog
-from carawaydoor import revision as revisions
+from carawaydoor.publishing import catalog
+from carawaydoor.publishing import revision as revisions
 
 
 class Outcome(enum.Enum):
--- a/src/carawaydoor/documents.py
+++ b/src/carawaydoor/publishing/documents.py
@@ -10,7 +10,7 @@
 import pydantic
 import yaml
 
-from carawaydoor import catalog, objects
+from carawaydoor.publishing import catalog, objects
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/publication.py
+++ b/src/carawaydoor/publishing/publication.py
@@ -4,12 +4,15 @@
 
 from typing import Final
 
-from carawaydoor import audit, errors, events, link, messages, publisher, rendezvous
-from carawaydoor import configuration as configurations
-from carawaydoor import gateway as gateways
-from carawaydoor import view as views
+from carawaydoor.homes import events, messages, rendezvous
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
+from carawaydoor.interface import gateway as gateways
+from carawaydoor.links import link
+from carawaydoor.operating import audit, task
 from carawaydoor.operating import clock as clocks
-from carawaydoor.operating import task
+from carawaydoor.publishing import configuration as configurations
+from carawaydoor.publishing import publisher
 
 WATCH_S: Final = 0.4
 IDLE_S: Final = 0.1
--- a/src/carawaydoor/revision.py
+++ b/src/carawaydoor/publishing/revision.py
@@ -11,7 +11,7 @@
 import pydantic
 import xxhash
 
-from carawaydoor import catalog, objects
+from carawaydoor.publishing import catalog, objects
 
 MAX_PART_BYTES = 1_000_000
 OBJECTS_PER_PART = 64
--- a/src/carawaydoor/serving/app.py
+++ b/src/carawaydoor/serving/app.py
@@ -109,10 +109,11 @@
         headers = list(self._border.refusal_headers(refusal, request_id))
         headers.append(("Content-Length", str(len(content))))
         self._start(start_response, refusal.status, "", headers)
-        if exchange is not None:
-            self._log(exchange, int(refusal.status), refusal=refusal)
-            self._end(exchange)
-        return [content]
+        if exchange is None:
+            return [content]
+        self._log(exchange, int(refusal.status), refusal=refusal)
+        # What follows a refusal, such as freeing memory, must not hold the answer up.
+        return Body(iter([content]), lambda: self._end(exchange))
 
     def _finish(self, exchange: exchanges.Exchange, response: exchanges.Response) -> None:
         self._log(exchange, response.status, upstream=response.upstream)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from carawaydoor import events, membership
+from carawaydoor.homes import events, membership
 from tests import world as worlds
 
 WARM_UP_S = 4.0
--- a/tests/plants.py
+++ b/tests/plants.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from carawaydoor import membership
+from carawaydoor.homes import membership
 
 Plant = Callable[[pytest.MonkeyPatch], None]
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -12,16 +12,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from carawaydoor import (
-    errors,
-    events,
-    idempotency,
-    keyhome,
-    membership,
-    messages,
-    plainserving,
-    runner,
-)
+from carawaydoor.homes import events, idempotency, keyhome, membership, messages
+from carawaydoor.interface import errors, plainserving, runner
 from tests import faults
 from tests import world as worlds
 from tools import keys
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -7,7 +7,8 @@
 import pytest
 import yaml
 
-from carawaydoor import cli, exitcodes, settings
+from carawaydoor import cli
+from carawaydoor.operating import exitcodes, settings
 
 CASES = yaml.safe_load(pathlib.Path(__file__).with_name("catalog.yaml").read_text())
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,8 +7,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from carawaydoor import configuration, objects
-from carawaydoor import revision as revisions
+from carawaydoor.publishing import configuration, objects
+from carawaydoor.publishing import revision as revisions
 from tests import faults
 
 WORKSPACES = 200
--- a/tests/test_modelserving.py
+++ b/tests/test_modelserving.py
@@ -10,10 +10,11 @@
 import expression
 import pytest
 
-from carawaydoor import completion, engine, errors, metrics, modelserving, placement
-from carawaydoor import exchange as exchanges
-from carawaydoor import view as views
+from carawaydoor.homes import view as views
+from carawaydoor.interface import completion, engine, errors, modelserving, placement
+from carawaydoor.interface import exchange as exchanges
 from carawaydoor.operating import clock as clocks
+from carawaydoor.operating import metrics
 from carawaydoor.policy import retries
 
 PARAMS = engine.TransferParams(
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from carawaydoor import catalog, documents
+from carawaydoor.publishing import catalog, documents
 from tests import caller
 from tools import deployments, fleet
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,9 +9,11 @@
 
 import pytest
 
-from carawaydoor import core, errors, events, link, membership, messages, peers, trace
-from carawaydoor import state as states
-from carawaydoor import view as views
+from carawaydoor.homes import core, events, membership, messages, trace
+from carawaydoor.homes import state as states
+from carawaydoor.homes import view as views
+from carawaydoor.interface import errors
+from carawaydoor.links import link, peers
 from carawaydoor.operating import clock as clocks
 
 PATIENCE_S = 5.0
--- a/tests/test_planted_booking_faults.py
+++ b/tests/test_planted_booking_faults.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from carawaydoor import errors, idempotency, keyhome
+from carawaydoor.homes import idempotency, keyhome
+from carawaydoor.interface import errors
 from tests import plants, test_at_most_once
 from tests import world as worlds
 from tools import keys
--- a/tests/test_planted_other_faults.py
+++ b/tests/test_planted_other_faults.py
@@ -10,8 +10,9 @@
 import pytest
 from hypothesis import stateful
 
-from carawaydoor import catalog, configuration, objects, poolhome, scheduler
-from carawaydoor import revision as revisions
+from carawaydoor.homes import poolhome, scheduler
+from carawaydoor.publishing import catalog, configuration, objects
+from carawaydoor.publishing import revision as revisions
 from tests import faults, plants, test_configuration, test_slots
 
 
--- a/tests/test_planted_rate_faults.py
+++ b/tests/test_planted_rate_faults.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from carawaydoor import bucket, budgets, events, membership, node
+from carawaydoor.homes import bucket, budgets, events, membership, node
 from tests import plants, test_rate_limit
 from tests import world as worlds
 
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -5,7 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from carawaydoor import budgets, events, membership, messages
+from carawaydoor.homes import budgets, events, membership, messages
 from tests import faults
 from tests import world as worlds
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -8,7 +8,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from carawaydoor import events, messages, poolhome
+from carawaydoor.homes import events, messages, poolhome
 from tests import faults
 from tests import world as worlds
 
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -7,7 +7,9 @@
 
 import pytest
 
-from carawaydoor import bucket, cli, exitcodes, idempotency, replay, trace
+from carawaydoor import cli
+from carawaydoor.homes import bucket, idempotency, replay, trace
+from carawaydoor.operating import exitcodes
 from tests import test_at_most_once
 from tests import world as worlds
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from carawaydoor import messages, wire
+from carawaydoor.homes import messages
+from carawaydoor.links import wire
 
 EVERY = tuple(
     each
--- a/tests/world.py
+++ b/tests/world.py
@@ -7,20 +7,11 @@
 from collections.abc import Callable, Iterator
 from typing import TextIO
 
-from carawaydoor import (
-    admission,
-    budgets,
-    catalog,
-    events,
-    gateway,
-    membership,
-    messages,
-    node,
-    objects,
-    trace,
-)
-from carawaydoor import state as states
-from carawaydoor import view as views
+from carawaydoor.homes import budgets, events, membership, messages, node, trace
+from carawaydoor.homes import state as states
+from carawaydoor.homes import view as views
+from carawaydoor.interface import admission, gateway
+from carawaydoor.publishing import catalog, objects
 
 STEP_S = 0.5
 FIRST_WALL_S = 1_800_000_000.0
--- a/tools/baselines.py
+++ b/tools/baselines.py
@@ -17,17 +17,10 @@
 import uuid
 from collections.abc import Iterable, Iterator
 
-from carawaydoor import (
-    authentication,
-    bucket,
-    catalog,
-    completion,
-    documents,
-    engine,
-    errors,
-    upstream,
-)
-from carawaydoor import view as views
+from carawaydoor.homes import bucket
+from carawaydoor.homes import view as views
+from carawaydoor.interface import authentication, completion, engine, errors, upstream
+from carawaydoor.publishing import catalog, documents
 from standins import server
 
 THREADS = 64
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any, Final
 
-from carawaydoor import bucket as buckets
+from carawaydoor.homes import bucket as buckets
 from tools import chart, deployments, fleet, load, measures, session
 
 OUT: Final = pathlib.Path("build/bench")
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -15,12 +15,15 @@
 
 from thriftpy2 import utils as thrift_utils
 
-from carawaydoor import bucket as buckets
-from carawaydoor import budgets, catalog, engine, events, membership, messages, node, objects, wire
-from carawaydoor import revision as revisions
-from carawaydoor import scheduler as schedulers
-from carawaydoor import state as states
-from carawaydoor import view as views
+from carawaydoor.homes import bucket as buckets
+from carawaydoor.homes import budgets, events, membership, messages, node
+from carawaydoor.homes import scheduler as schedulers
+from carawaydoor.homes import state as states
+from carawaydoor.homes import view as views
+from carawaydoor.interface import engine
+from carawaydoor.links import wire
+from carawaydoor.publishing import catalog, objects
+from carawaydoor.publishing import revision as revisions
 
 SIZES_WORKSPACES: Final = (1_000, 5_000, 30_000)
 SIZES_INSTANCES: Final = (8, 100, 710)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -18,8 +18,10 @@
 
 import yaml
 
-from carawaydoor import authentication, cli, documents
-from carawaydoor import revision as revisions
+from carawaydoor import cli
+from carawaydoor.interface import authentication
+from carawaydoor.publishing import documents
+from carawaydoor.publishing import revision as revisions
 from tools import deployments
 
 START_TIMEOUT_S = 20.0
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -6,7 +6,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
-from carawaydoor import bucket as buckets
+from carawaydoor.homes import bucket as buckets
 from tools import load
 
 FIRST_TOKEN_S = 1.1
--- a/tools/session.py
+++ b/tools/session.py
@@ -11,8 +11,8 @@
 import sys
 from collections.abc import Sequence
 
-from carawaydoor import bucket as buckets
-from carawaydoor import catalog, documents
+from carawaydoor.homes import bucket as buckets
+from carawaydoor.publishing import catalog, documents
 from tools import deployments, fleet, load
 
 _numbers = itertools.count(1)
