Count a strike against a request only where its upstream is gone afterwards

Cause: strikes were kept and shared but never given on the platform's path. A broken connection alone is no crash (answers are lost there too), so the upstream is asked for a connection once the caller has its answer.

--- a/src/carawaydoor/serving/calls.py
+++ b/src/carawaydoor/serving/calls.py
@@ -142,6 +142,16 @@
         )
         return content
 
+    def look_for_crash(self, exchange: exchanges.Exchange, upstream: model.Upstream) -> None:
+        """Once the caller has its answer, find out whether an upstream crashed over a request."""
+        exchange.cleanup.callback(self._strike_if_crashed, exchange, upstream)
+
+    def _strike_if_crashed(self, exchange: exchanges.Exchange, upstream: model.Upstream) -> None:
+        try:
+            self._instance.pool.take(upstream, fresh_only=True).close()
+        except connections.NotSentError:
+            self._instance.strike(exchange.fingerprint, upstream)
+
     def release(self, exchange: exchanges.Exchange, upstream: model.Upstream, source: str) -> None:
         """Free the memory of a prompt that no engine will fetch; it lapses soon by itself."""
         now_s = self._instance.clock.now_s()
@@ -184,6 +194,8 @@
         outcome = _OUTCOME_BY_FAILURE.get(failure)
         if outcome is not None:
             self._instance.record(upstream, outcome)
+        if failure is Failure.BROKEN:
+            self.look_for_crash(exchange, upstream)
         eliot.log_message(
             message_type="upstream_call_failed",
             request=exchange.inbound.id,
--- a/src/carawaydoor/serving/relaying.py
+++ b/src/carawaydoor/serving/relaying.py
@@ -121,6 +121,7 @@
             self._instance.record(decode, health.Outcome.SILENT)
         elif failure is not calls.Failure.CALLER_GONE:
             self._instance.record(decode, health.Outcome.BROKEN)
+            self._caller.look_for_crash(self._exchange, decode)
         eliot.log_message(
             message_type="stream_broken",
             request=self._exchange.inbound.id,
--- /dev/null
+++ b/tests/platform_side/test_strikes.py
@@ -0,0 +1,47 @@
+"""A request that crashes upstreams is stopped; one whose answer was lost is not."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.platform_side import harness as harnesses
+from tests.platform_side.server import Behaviour
+
+
+@pytest.fixture
+def harness():
+    with harnesses.running() as running:
+        yield running
+
+
+def crash(harness, name):
+    """Have a server end as it runs the next request."""
+    server = harness.add(name)
+    server.behaviours = [Behaviour.RESET]
+    return server
+
+
+def test_request_that_crashed_two_upstreams_is_refused(harness):
+    for number in range(2):
+        server = crash(harness, f"s{number}")
+        answer = harness.call("/unsafe/x", method="POST", body=b"killer")
+        server.stop()
+        assert answer.read().status == 502
+        harness.instance.health = {}
+        harness.instance.update_directory(
+            harnesses.directory.Changed({f"s{number}": None}, number + 2)
+        )
+    harness.add("s3")
+    answer = harness.call("/unsafe/x", method="POST", body=b"killer").read()
+    assert (answer.status, "retry-after" in answer.headers) == (503, True)
+    assert harness.servers["s3"].seen == []
+    assert harness.call("/unsafe/x", method="POST", body=b"other").read().status == 200
+
+
+def test_lost_answer_of_a_living_upstream_is_no_strike(harness):
+    server = harness.add("s1")
+    for _ in range(4):
+        server.behaviours = [Behaviour.RESET]
+        harness.instance.health = {}
+        assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 502
+    assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 200
