--- a/src/carawaydoor/serving/calls.py
+++ b/src/carawaydoor/serving/calls.py
@@ -149,8 +149,16 @@
     def _strike_if_crashed(self, exchange: exchanges.Exchange, upstream: model.Upstream) -> None:
         try:
             self._instance.pool.take(upstream, fresh_only=True).close()
-        except connections.NotSentError:
+        except connections.RefusedError:
             self._instance.strike(exchange.fingerprint, upstream)
+        except connections.NotSentError as error:
+            # A network partition looks like this too, so it is no evidence against the request.
+            eliot.log_message(
+                message_type="crash_not_confirmed",
+                request=exchange.inbound.id,
+                upstream=upstream.id,
+                detail=str(error),
+            )
 
     def release(self, exchange: exchanges.Exchange, upstream: model.Upstream, source: str) -> None:
         """Free the memory of a prompt that no engine will fetch; it lapses soon by itself."""
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -41,6 +41,10 @@
     """No byte of the request has left: it has not run and will not."""
 
 
+class RefusedError(NotSentError):
+    """Nobody listens at the upstream's address: its process has ended."""
+
+
 class BrokenError(UpstreamError):
     """The connection failed after the request was sent: it may have run."""
 
@@ -200,6 +204,8 @@
                 (upstream.host, upstream.port), timeout=CONNECT_TIMEOUT_S
             )
             sockets.configure(connected)
+        except ConnectionRefusedError as error:
+            raise RefusedError(repr(error)) from error
         except OSError as error:
             raise NotSentError(repr(error)) from error
         return Connection(upstream, sockets.WatchedSocket(connected, sockets.NO_WAIT))
--- a/tests/platform_side/harness.py
+++ b/tests/platform_side/harness.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import io
-import math
 from collections.abc import Iterator
 from typing import Any
 
@@ -173,6 +172,3 @@
     finally:
         for server in harness.servers.values():
             server.stop()
-
-
-FOREVER_S = math.inf
--- a/tests/platform_side/test_strikes.py
+++ b/tests/platform_side/test_strikes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from carawaydoor.serving import connections
 from tests.platform_side import harness as harnesses
 from tests.platform_side.server import Behaviour
 
@@ -45,3 +46,20 @@
         harness.instance.health = {}
         assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 502
     assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 200
+
+
+def test_upstream_behind_a_partition_is_no_strike(harness, monkeypatch):
+    """Found by the incident of ordenclaro-hq: a cut domain struck the requests it broke off."""
+    server = harness.add("s1")
+    take = harness.instance.pool.take
+
+    def cut_off(upstream, fresh_only=False):
+        if fresh_only:
+            raise connections.NotSentError("timed out")
+        return take(upstream)
+
+    monkeypatch.setattr(harness.instance.pool, "take", cut_off)
+    for _ in range(3):
+        server.behaviours = [Behaviour.RESET]
+        harness.instance.health = {}
+        assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 502
