Soak real instances under faults from outside; require an answer to name its request

The soak runs instances as processes, with stopped, killed and restarted ones, a proxy that harms connections, a store with troubles, bad answers, withdrawn keys and leaving upstreams, and judges by what callers and upstreams saw.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 CODE := src tools tests
+MINUTES ?= 1
 
-.PHONY: demo test bench capacity format clean
+.PHONY: demo test bench capacity soak format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +30,9 @@
 capacity: $(STAMP)
 	$(BIN)/python -m tools.capacity
 
+soak: $(STAMP)
+	$(BIN)/python -m tools.soak $(if $(SEED),--seed $(SEED),--minutes $(MINUTES))
+
 format: $(STAMP)
 	$(BIN)/black $(CODE)
 	$(BIN)/ruff check --fix $(CODE)
--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -198,6 +198,11 @@
     return max(1, min(FAN_OUT, len(state.peer_by_instance))) / DATAGRAMS_PER_S
 
 
+def staleness_s(state: Membership) -> float:
+    """Return the mean age in seconds of what is known of peers: half a turn through all."""
+    return len(state.peer_by_instance) / DATAGRAMS_PER_S / 2.0
+
+
 def silent_after_s(state: Membership) -> float:
     """Return after how many seconds without a report a peer counts as silent."""
     return max(SILENT_S, SILENT_ROUNDS * len(state.peer_by_instance) / DATAGRAMS_PER_S)
--- a/src/carawaydoor/platform/border.py
+++ b/src/carawaydoor/platform/border.py
@@ -83,9 +83,12 @@
         misdirected = status == _MISDIRECTED
         denied = names.Header.NOT_RUN.lower() in headers and status in _NOT_RUN_STATUSES
         echoed = headers.get(names.Header.REQUEST_ID.lower())
-        belongs = echoed is None or echoed == exchange.inbound.id
+        belongs = echoed == exchange.inbound.id
         stamped = names.Header.STAMP.lower() in headers
-        return border.Verdict(belongs and stamped, belongs and (misdirected or denied), misdirected)
+        # Another server at the address need not know the request; everything else names it, and an
+        # answer without a name may be an earlier request's that comes late.
+        did_not_run = (misdirected and echoed is None) or (belongs and (misdirected or denied))
+        return border.Verdict(belongs and stamped, did_not_run, misdirected)
 
     def relayed(self, headers: exchanges.Headers) -> exchanges.Headers:
         """Return the headers of an upstream's answer that go to the caller."""
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -10,11 +10,22 @@
 import time
 from typing import Final
 
+# A reload that is asked for while the libraries below are loaded must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import eliot
 
 from carawaydoor import VERSION
 from carawaydoor.fleet import exchange
-from carawaydoor.operating import balancing, exitcodes, logs, options, probes, telemetry, watching
+from carawaydoor.operating import (
+    balancing,
+    exitcodes,
+    logs,
+    options,
+    probes,
+    telemetry,
+    watching,
+)
 from carawaydoor.operating import clock as clocks
 from carawaydoor.platform import border, names, settings
 from carawaydoor.platform import source as platform_source
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import zlib
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
@@ -19,6 +20,11 @@
 DEFAULT_READ_TOKENS_PER_S: Final = 40_000.0
 # An engine of the decode stage reads prompts itself at half that speed.
 DIRECT_READ_SHARE: Final = 0.5
+# Spread of random choice for each second of staleness, as a part of an upstream's capacity or in
+# seconds of its queue: what arrives unseen at one of many upstreams in that time.
+SPREAD_PER_S: Final = 0.25
+# Part of an engine's memory that is left free for each second of staleness.
+UNSEEN_FILL_PER_S: Final = 0.08
 # Part of an engine's memory that is filled by expectation: outputs differ from their estimates, and
 # a prompt that was read for an engine that is full is read in vain.
 FILL_SHARE: Final = 0.96
@@ -30,13 +36,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
-    """What a placement is decided from."""
+    """What a placement is decided from.
+
+    :ivar staleness_s: mean age in seconds of what is known of peers' work
+    :ivar seed: differs for each placement, so that instances don't all choose the same upstream
+    """
 
     now_s: float
     domain: str
     upstreams: tuple[model.Upstream, ...]
     load: loads.Load
     health: healths.Health
+    staleness_s: float = 0.0
+    seed: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,11 +172,17 @@
     view: View, candidates: Iterable[model.Upstream], cost: Callable[[model.Upstream], float]
 ) -> model.Upstream | None:
     def key(each: model.Upstream) -> tuple[bool, float, str]:
-        return healths.is_suspect(view.health, view.now_s, each.id), cost(each), each.id
+        suspect = healths.is_suspect(view.health, view.now_s, each.id)
+        return suspect, cost(each) + _spread(view, each), each.id
 
     return min(candidates, key=key, default=None)
 
 
+def _spread(view: View, upstream: model.Upstream) -> float:
+    draw = zlib.crc32(upstream.id.encode(), view.seed) / 2**32
+    return draw * SPREAD_PER_S * view.staleness_s
+
+
 def _plain_cost(view: View, upstream: model.Upstream) -> float:
     occupied = view.load.at(upstream.id).requests / upstream.slots
     return occupied + _penalty(view, upstream)
@@ -196,6 +214,7 @@
     if healths.is_full(view.health, view.now_s, upstream.id):
         return False
     work = view.load.at(upstream.id)
-    room = engine.kv_tokens * (FILL_SHARE - reserve_share)
+    fill = FILL_SHARE - UNSEEN_FILL_PER_S * view.staleness_s - reserve_share
+    room = engine.kv_tokens * fill
     fits = work.tokens + prompt.memory_tokens <= room
     return fits and work.requests < engine.slots
--- a/src/carawaydoor/policy/stages.py
+++ b/src/carawaydoor/policy/stages.py
@@ -23,6 +23,8 @@
 BUSY_SHARE: Final = 0.4
 # The busier stage has to get this much less busy.
 IMPROVEMENT: Final = 0.85
+# Part of a service's engines that change at once: they are out for some seconds.
+MOST_SHARE: Final = 0.15
 # Engines of each stage that remain, so that the loss of one leaves another.
 MIN_ENGINES: Final = 2
 # Time in seconds between two orders for a service: a change and its effect on the utilisations.
@@ -102,23 +104,24 @@
     service: model.Service,
     upstreams: tuple[model.Upstream, ...],
     load: loads.Load,
-) -> tuple[Balance, Order | None]:
-    """Return the order that makes a service's busier stage less busy, None where none does."""
+) -> tuple[Balance, tuple[Order, ...]]:
+    """Return the orders that make a service's busier stage less busy, none where none do."""
     use = state.utilisation_by_service.get(service.name)
     if use is None or now_s - use.since_s < OBSERVED_S:
-        return state, None
+        return state, ()
     if now_s < state.quiet_until_s_by_service.get(service.name, 0.0):
-        return state, None
+        return state, ()
     readers, generators = _by_stage(service, upstreams)
-    order = None
     if use.generating > use.reading:
-        if _helps(use.generating, len(generators), use.reading, len(readers)):
-            order = Order(_idlest(readers, load), model.Stage.DECODE, use)
-    elif _helps(use.reading, len(readers), use.generating, len(generators)):
-        order = Order(_idlest(generators, load), model.Stage.PREFILL, use)
-    if order is None:
-        return state, None
-    return _quiet(state, service.name, now_s + ORDER_INTERVAL_S), order
+        moved = _moved(use.generating, len(generators), use.reading, len(readers))
+        idle, stage = readers, model.Stage.DECODE
+    else:
+        moved = _moved(use.reading, len(readers), use.generating, len(generators))
+        idle, stage = generators, model.Stage.PREFILL
+    if moved == 0:
+        return state, ()
+    orders = tuple(Order(each, stage, use) for each in _idlest(idle, load)[:moved])
+    return _quiet(state, service.name, now_s + ORDER_INTERVAL_S), orders
 
 
 def refused(state: Balance, now_s: float, service: str) -> Balance:
@@ -133,11 +136,20 @@
     )
 
 
-def _helps(busy: float, busy_engines: int, idle: float, idle_engines: int) -> bool:
-    if busy < BUSY_SHARE or idle_engines <= MIN_ENGINES:
-        return False
-    after = max(busy * busy_engines / (busy_engines + 1), idle * idle_engines / (idle_engines - 1))
-    return after < busy * IMPROVEMENT
+def _moved(busy: float, busy_engines: int, idle: float, idle_engines: int) -> int:
+    """Return how many idle engines had better change to the busy stage."""
+    if busy < BUSY_SHARE:
+        return 0
+    most = min(idle_engines - MIN_ENGINES, max(1, int((busy_engines + idle_engines) * MOST_SHARE)))
+    best, best_use = 0, busy * IMPROVEMENT
+    for moved in range(1, most + 1):
+        use = max(
+            busy * busy_engines / (busy_engines + moved),
+            idle * idle_engines / (idle_engines - moved),
+        )
+        if use < best_use:
+            best, best_use = moved, use
+    return best
 
 
 def _by_stage(
@@ -149,8 +161,8 @@
     return readers, generators
 
 
-def _idlest(engines: list[model.Upstream], load: loads.Load) -> model.Upstream:
-    return min(engines, key=lambda each: (load.at(each.id).tokens, each.id))
+def _idlest(engines: list[model.Upstream], load: loads.Load) -> list[model.Upstream]:
+    return sorted(engines, key=lambda each: (load.at(each.id).tokens, each.id))
 
 
 def _quiet(state: Balance, service: str, until_s: float) -> Balance:
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -307,7 +307,7 @@
 
     def balance(self) -> list[stages.Order]:
         """Observe the stages of every service and return the orders that are due."""
-        orders = []
+        orders: list[stages.Order] = []
         may_order = self.may_order()
         with self._lock:
             view = self._view()
@@ -317,11 +317,10 @@
                 )
                 if not may_order:
                     continue
-                self.balance_state, order = stages.decide(
+                self.balance_state, due = stages.decide(
                     self.balance_state, view.now_s, service, view.upstreams, view.load
                 )
-                if order is not None:
-                    orders.append(order)
+                orders.extend(due)
         return orders
 
     def pause_orders(self, service: str) -> None:
@@ -434,6 +433,8 @@
             self._usable_upstreams(),
             self.load,
             self.health,
+            membership.staleness_s(self.membership),
+            self._random.getrandbits(32),
         )
 
     def _usable_upstreams(self) -> tuple[model.Upstream, ...]:
--- a/tests/platform_side/server.py
+++ b/tests/platform_side/server.py
@@ -30,6 +30,8 @@
     RUBBISH = "rubbish"
     OTHER_ID = "other_id"
     UNSTAMPED = "unstamped"
+    UNNAMED = "unnamed"
+    UNNAMED_REJECT = "unnamed_reject"
     UNFRAMED = "unframed"
     BREAK_STREAM = "break_stream"
     HANG_STREAM = "hang_stream"
@@ -43,6 +45,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    behaviour: Behaviour = Behaviour.ANSWER
     caller_left: threading.Event = dataclasses.field(default_factory=threading.Event)
 
     def header(self, name: str) -> str | None:
@@ -115,8 +118,9 @@
             return
         headers = {name.lower(): value for name, value in self.headers.items()}
         seen = Seen(self.command, self.path, headers, body)
-        owner.seen.append(seen)
         behaviour = owner.behaviours.pop(0) if owner.behaviours else Behaviour.ANSWER
+        seen.behaviour = behaviour
+        owner.seen.append(seen)
         self._behave(seen, behaviour)
 
     do_GET = do_POST = do_DELETE = _handle  # noqa: N815
@@ -136,6 +140,11 @@
             case Behaviour.FAIL:
                 self._answer(500, b"failed", stamp)
             case Behaviour.REJECT:
+                rejection = {names.Header.NOT_RUN: "1", names.Header.REQUEST_ID: self._id(seen)}
+                self._answer(503, b"", rejection)
+            case Behaviour.UNNAMED:
+                self._answer(200, b"answer", {names.Header.STAMP: "s"})
+            case Behaviour.UNNAMED_REJECT:
                 self._answer(503, b"", {names.Header.NOT_RUN: "1"})
             case Behaviour.MISDIRECT:
                 self._answer(421, b"")
@@ -150,9 +159,8 @@
                 self._answer(200, b"answer", stamp)
                 self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
             case Behaviour.UNFRAMED:
-                self.wfile.write(
-                    f"HTTP/1.1 200 OK\r\n{names.Header.STAMP}: s\r\n\r\nanswer".encode()
-                )
+                head = f"{names.Header.STAMP}: s\r\n{names.Header.REQUEST_ID}: {self._id(seen)}"
+                self.wfile.write(f"HTTP/1.1 200 OK\r\n{head}\r\n\r\nanswer".encode())
                 self.close_connection = True
             case Behaviour.RUBBISH:
                 self.wfile.write(b"\x00\x01 rubbish\r\n\r\n")
--- a/tests/platform_side/test_documents.py
+++ b/tests/platform_side/test_documents.py
@@ -110,3 +110,28 @@
     assert run.returncode == 3
     assert "nodeName" in run.stderr
     assert "listen" in run.stderr
+
+
+def test_hang_up_while_libraries_are_loaded_does_not_end_the_process():
+    """Found by the soak, seed 8: an instance that had just been started again ended by itself."""
+    program = """
+import os, signal, sys
+
+class HangUp:
+    def find_spec(self, name, path=None, target=None):
+        if name == "eliot":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, HangUp())
+import carawaydoor.platformd
+print("alive")
+"""
+    run = subprocess.run(
+        [sys.executable, "-c", program],
+        env={"PYTHONPATH": "src"},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+    assert (run.returncode, run.stdout) == (0, "alive\n")
--- a/tests/platform_side/test_plain.py
+++ b/tests/platform_side/test_plain.py
@@ -110,6 +110,8 @@
         (Behaviour.RUBBISH, 502),
         (Behaviour.OTHER_ID, 502),
         (Behaviour.UNSTAMPED, 502),
+        (Behaviour.UNNAMED, 502),
+        (Behaviour.UNNAMED_REJECT, 502),
         (Behaviour.HANG, 504),
     ],
 )
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -110,3 +110,26 @@
 def test_excluded_engines_are_not_chosen():
     chosen = generation(view(decode("d"), decode("e"), prefill("p")), excluded={"d"})
     assert chosen.decode.id == "e"
+
+
+def test_instances_spread_over_equal_upstreams_where_they_see_each_other_late():
+    """Answers herding at 58 instances: all chose the engine that looked emptiest to all."""
+    engines = [decode(f"d{i}") for i in range(8)]
+    chosen = set()
+    for seed in range(40):
+        stale = dataclasses.replace(view(*engines, prefill("p")), staleness_s=0.4, seed=seed)
+        chosen.add(generation(stale).decode.id)
+    assert len(chosen) == 8
+
+
+def test_clearly_fuller_upstream_is_avoided_however_stale_the_view():
+    busy = view(decode("d"), decode("e"), prefill("p"), own={"d": WORK(7, 40_000)})
+    for seed in range(40):
+        stale = dataclasses.replace(busy, staleness_s=0.4, seed=seed)
+        assert generation(stale).decode.id == "e"
+
+
+def test_more_memory_stays_free_where_the_view_is_stale():
+    nearly = view(decode("d"), prefill("p"), own={"d": WORK(9, 51_000)})
+    assert generation(nearly) is not None
+    assert generation(dataclasses.replace(nearly, staleness_s=1.0)) is None
--- a/tests/policy/test_stages.py
+++ b/tests/policy/test_stages.py
@@ -31,32 +31,48 @@
 def test_idle_reader_generates_where_generation_is_full():
     """Answers six engines split three to three under prompts that keep a fifth of them busy."""
     state, order = decide(1, 40_000)
-    assert order is not None
-    assert (order.stage, order.upstream.stage) == (model.Stage.DECODE, model.Stage.PREFILL)
-    assert stages.decide(state, 11.0, SERVICE, ENGINES, load.EMPTY)[1] is None
+    assert [(each.stage, each.upstream.stage) for each in order] == [
+        (model.Stage.DECODE, model.Stage.PREFILL)
+    ]
+    assert stages.decide(state, 11.0, SERVICE, ENGINES, load.EMPTY)[1] == ()
 
 
 def test_nothing_is_ordered_on_a_calm_day():
-    assert decide(0, 10_000)[1] is None
+    assert decide(0, 10_000)[1] == ()
 
 
 def test_nothing_is_ordered_where_both_stages_are_busy():
-    assert decide(3, 55_000)[1] is None
+    assert decide(3, 55_000)[1] == ()
 
 
 def test_nothing_is_ordered_before_the_load_was_observed():
-    assert decide(1, 50_000, seconds=1.0)[1] is None
+    assert decide(1, 50_000, seconds=1.0)[1] == ()
 
 
 def test_two_readers_remain():
     engines = READERS[:2] + GENERATORS
-    assert decide(0, 55_000, engines=engines)[1] is None
+    assert decide(0, 55_000, engines=engines)[1] == ()
 
 
 def test_generator_reads_where_readers_are_the_bottleneck():
     _, order = decide(3, 10_000)
-    assert order is not None
-    assert order.stage is model.Stage.PREFILL
+    assert [each.stage for each in order] == [model.Stage.PREFILL]
+
+
+def test_several_engines_of_a_large_service_change_at_once():
+    """Answers thirty engines split one to two: one order in twelve seconds is too few."""
+    readers = tuple(builders.prefill(f"p{i:02}") for i in range(10))
+    generators = tuple(builders.decode(f"d{i:02}") for i in range(20))
+    engines = readers + generators
+    own = {each.id: load.Work(1, 5000) for each in readers[:2]}
+    own.update({each.id: load.Work(6, 36_000) for each in generators})
+    state, now_s = stages.Balance(), 0.0
+    while now_s <= 10.0:
+        state = stages.observe(state, now_s, SERVICE, engines, load.Load(own, {}))
+        now_s += 0.4
+    _, orders = stages.decide(state, now_s, SERVICE, engines, load.Load(own, {}))
+    assert 2 <= len(orders) <= 4
+    assert {each.upstream.id for each in orders}.isdisjoint({"p00", "p01"})
 
 
 def test_epochs_grow_with_the_revision_and_differ_between_instances():
@@ -67,4 +83,4 @@
 def test_refused_order_pauses():
     state, now_s, own = observed(1, 40_000)
     state = stages.refused(state, now_s, SERVICE.name)
-    assert stages.decide(state, now_s + 30.0, SERVICE, ENGINES, own)[1] is None
+    assert stages.decide(state, now_s + 30.0, SERVICE, ENGINES, own)[1] == ()
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real instances as processes, with faults from outside them."""
--- /dev/null
+++ b/tools/soak/checks.py
@@ -0,0 +1,89 @@
+"""The promises, judged by what callers and upstreams saw."""
+
+from __future__ import annotations
+
+import collections
+import http.client
+import time
+from collections.abc import Iterator
+from typing import Final
+
+from carawaydoor.platform import names
+from tests.platform_side import server as servers
+from tools.soak import callers, world
+
+READY_WITHIN_S: Final = 15.0
+# A request that is under way at the bound has this long to arrive.
+ON_THE_WAY_S: Final = 0.5
+_NOT_RUN: Final = frozenset({408, 421, 429, 503})
+_NO_RUN_BEHAVIOURS: Final = frozenset({servers.Behaviour.REJECT, servers.Behaviour.MISDIRECT})
+
+
+def stream() -> bytes:
+    """Return the whole stream of an engine."""
+    return b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, world.EVENTS + 1))
+
+
+def judge(the_world: world.World, outcomes: list[callers.Outcome]) -> Iterator[str]:
+    """Yield each broken promise."""
+    runs = collections.Counter(
+        seen.header(names.Header.REQUEST_ID)
+        for server in the_world.server_by_name.values()
+        for seen in server.seen
+        if not seen.header(names.Header.STAGE)
+        and not seen.header(names.Header.LAST_EVENT_ID)
+        and seen.behaviour not in _NO_RUN_BEHAVIOURS
+    )
+    sent = {each.id for each in outcomes}
+    for each in outcomes:
+        ran = runs[each.id]
+        continues = each.path.startswith("/stream")
+        if not each.path.startswith("/safe") and ran > (2 if continues else 1):
+            yield f"{each.id} {each.path} ran {ran} times"
+        if each.is_whole and each.status in _NOT_RUN and ran and not each.path.startswith("/safe"):
+            yield f"{each.id} {each.path} ran, and its caller was told {each.status}"
+        if each.is_whole and each.status == 200:
+            # Upstreams that misbehave answer generations like plain requests, stamped and whole.
+            expected = (stream(), b"answer") if continues else (b"answer",)
+            if each.body not in expected or each.echoed != each.id:
+                yield f"{each.id} {each.path} got another answer: {each.body[:60]!r}"
+        withdrawn_s = the_world.withdrawn_s_by_key.get(each.key)
+        if withdrawn_s is not None and each.sent_s > withdrawn_s + world.WITHDRAWAL_S and ran:
+            late_s = each.sent_s - withdrawn_s
+            yield f"{each.id} ran with a key that was withdrawn {late_s:.1f} s before"
+    for server in the_world.server_by_name.values():
+        for seen in server.seen:
+            if seen.header(names.Header.KEY) is not None:
+                yield f"an upstream saw the key of {seen.header(names.Header.REQUEST_ID)}"
+            if seen.header(names.Header.REQUEST_ID) not in sent:
+                yield f"an upstream got {seen.header(names.Header.REQUEST_ID)}, which nobody sent"
+
+
+def settle(the_world: world.World) -> Iterator[str]:
+    """Wait for the fleet after the faults and yield what does not come back."""
+    until_s = time.monotonic() + READY_WITHIN_S
+    waiting = list(the_world.instances)
+    while waiting and time.monotonic() < until_s:
+        for instance in the_world.instances:
+            instance.restart_if_ended()
+        waiting = [each for each in waiting if not each.is_ready()]
+        time.sleep(0.1)
+    for instance in waiting:
+        yield f"{instance.name} is not ready {READY_WITHIN_S:.0f} s after the faults"
+
+
+def held(the_world: world.World) -> Iterator[str]:
+    """Yield what instances still hold once no request is under way."""
+    time.sleep(callers.PATIENCE_S + ON_THE_WAY_S)
+    for instance in the_world.instances:
+        instance.restart_if_ended()
+    for instance in the_world.instances:
+        try:
+            status = instance.status()
+        except (OSError, http.client.HTTPException) as error:
+            yield f"{instance.name} does not tell its status: {error!r}"
+            continue
+        if status["requests_at_work"]:
+            yield f"{instance.name} holds {status['requests_at_work']} requests"
+        if instance.ended_by_itself:
+            yield f"{instance.name} ended by itself {instance.ended_by_itself} times"
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,124 @@
+"""Draws faults from a seed and applies them, in series that overlap."""
+
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from typing import Final
+
+from tests.platform_side import server as servers
+from tests.platform_side import store as stores
+from tools.soak import proxy, world
+
+LONGEST_S: Final = 4.0
+GAP_S: Final = 0.8
+
+
+class Faults:
+    """Applies one fault after the other until told to stop; each ends by itself."""
+
+    def __init__(self, the_world: world.World, seed: int) -> None:
+        self._world = the_world
+        self._random = random.Random(seed)
+        self._timers: list[threading.Timer] = []
+        self.applied: list[str] = []
+        self._kinds: tuple[Callable[[float], str], ...] = (
+            self._pause,
+            self._kill,
+            self._terminate,
+            self._hang_up,
+            self._harm_upstream,
+            self._harm_store,
+            self._store_trouble,
+            self._bad_answers,
+            self._withdraw,
+            self._drain_upstream,
+        )
+
+    def run(self, seconds: float) -> None:
+        """Apply faults for a time, then wait for the last to end."""
+        until_s = time.monotonic() + seconds
+        while time.monotonic() < until_s:
+            lasting_s = self._random.uniform(0.3, LONGEST_S)
+            self.applied.append(self._random.choice(self._kinds)(lasting_s))
+            for instance in self._world.instances:
+                instance.restart_if_ended()
+            time.sleep(self._random.uniform(0.1, GAP_S * 2))
+        for timer in self._timers:
+            timer.join()
+
+    def _after(self, seconds: float, end: Callable[[], object]) -> None:
+        timer = threading.Timer(seconds, end)
+        timer.daemon = True
+        timer.start()
+        self._timers.append(timer)
+
+    def _pause(self, lasting_s: float) -> str:
+        instance = self._random.choice(self._world.instances)
+        instance.send(signal.SIGSTOP)
+        self._after(lasting_s, lambda: instance.send(signal.SIGCONT))
+        return f"pause {instance.name} {lasting_s:.1f}"
+
+    def _kill(self, lasting_s: float) -> str:
+        count = self._random.choice((1, 1, 1, len(self._world.instances)))
+        chosen = self._random.sample(self._world.instances, count)
+        for instance in chosen:
+            instance.is_expected_to_end = True
+            instance.send(signal.SIGKILL)
+        return f"kill {count}"
+
+    def _terminate(self, lasting_s: float) -> str:
+        instance = self._random.choice(self._world.instances)
+        instance.is_expected_to_end = True
+        instance.send(signal.SIGTERM)
+        return f"terminate {instance.name}"
+
+    def _hang_up(self, lasting_s: float) -> str:
+        instance = self._random.choice(self._world.instances)
+        instance.send(signal.SIGHUP)
+        return f"hang up {instance.name}"
+
+    def _harm_upstream(self, lasting_s: float) -> str:
+        name = self._random.choice(sorted(self._world.proxy_by_name))
+        return self._harm(self._world.proxy_by_name[name], name, lasting_s)
+
+    def _harm_store(self, lasting_s: float) -> str:
+        return self._harm(self._world.store_proxy, "store", lasting_s)
+
+    def _harm(self, target: proxy.Proxy, name: str, lasting_s: float) -> str:
+        mode = self._random.choice(tuple(proxy.Mode))
+        target.mode = mode
+        self._after(lasting_s, lambda: setattr(target, "mode", proxy.Mode.PASS))
+        return f"{mode.value} {name} {lasting_s:.1f}"
+
+    def _store_trouble(self, lasting_s: float) -> str:
+        if self._random.random() < 0.3:
+            self._world.store.forget_history()
+            return "forget history"
+        mode = self._random.choice(tuple(stores.Mode))
+        self._world.store.mode = mode
+        self._after(lasting_s, lambda: setattr(self._world.store, "mode", stores.Mode.GOOD))
+        return f"store {mode.value} {lasting_s:.1f}"
+
+    def _bad_answers(self, lasting_s: float) -> str:
+        name = self._random.choice(sorted(self._world.server_by_name))
+        behaviours = self._random.choices(tuple(servers.Behaviour), k=4)
+        self._world.server_by_name[name].behaviours.extend(behaviours)
+        return f"bad answers {name}"
+
+    def _withdraw(self, lasting_s: float) -> str:
+        if self._world.withdrawn_s_by_key:
+            return "withdrawn already"
+        key = self._random.choice(world.KEYS)
+        self._world.configure(tuple(each for each in world.KEYS if each != key))
+        return f"withdraw {key}"
+
+    def _drain_upstream(self, lasting_s: float) -> str:
+        if self._world.draining_since_s_by_name:
+            return "drained already"
+        name, stage = self._random.choice((("s3", None), ("d3", "decode")))
+        self._world.publish(name, stage, "draining")
+        return f"drain {name}"
--- /dev/null
+++ b/tools/soak/proxy.py
@@ -0,0 +1,86 @@
+"""A loopback proxy that harms the connections through it."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import select
+import socket
+import struct
+import threading
+import time
+
+
+class Mode(enum.Enum):
+    """What happens to connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+
+
+DELAY_S = 0.15
+
+
+class Proxy:
+    """Forwards connections from a port of its own to a target."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.mode = Mode.PASS
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.port: int = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop accepting."""
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                inbound, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._forward, args=(inbound,), daemon=True).start()
+
+    def _forward(self, inbound: socket.socket) -> None:
+        try:
+            outbound = socket.create_connection(self._target, timeout=1.0)
+        except OSError:
+            _reset(inbound)
+            return
+        outbound.settimeout(None)
+        with contextlib.suppress(OSError):
+            while self._pump(inbound, outbound):
+                pass
+        for each in (inbound, outbound):
+            with contextlib.suppress(OSError):
+                each.close()
+
+    def _pump(self, inbound: socket.socket, outbound: socket.socket) -> bool:
+        mode = self.mode
+        if mode is Mode.RESET:
+            _reset(inbound)
+            return False
+        if mode is Mode.SILENT:
+            time.sleep(0.05)
+            return True
+        sources = [inbound] if mode is Mode.ONE_WAY else [inbound, outbound]
+        readable, _, _ = select.select(sources, [], [], 0.1)
+        for source in readable:
+            content = source.recv(65_536)
+            if not content:
+                return False
+            if mode is Mode.DELAY:
+                time.sleep(DELAY_S)
+            (outbound if source is inbound else inbound).sendall(content)
+        return True
+
+
+def _reset(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
