--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(BIN)/carawaydoor check examples/orden-claro
 	$(BIN)/carawaydoor check examples/boekenkast
 	$(BIN)/python -m pytest tests
+	$(BIN)/python -m tools.soak --seed 1 --seconds 8 --instances 3
 
 bench: $(STAMP)
 	$(BIN)/python -m tools.bench
