Give back to a workspace's cap what a refused request took; measure the platform path's slopes

Cause: a request that was refused for want of room had been charged to its workspace's cap, so that its caller met the cap when it came back. Found by reading; a test, failing before. Totals of a peer's earlier incarnations are forgotten now, datagrams and first bytes are counted, and the two sets of instruments and bodies share their code.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 capacity: $(STAMP)
 	$(BIN)/python -m tools.capacity
+	$(BIN)/python -m tools.platform_capacity
 
 soak: $(STAMP)
 	$(BIN)/python -m tools.soak $(if $(SEED),--seed $(SEED),--minutes $(MINUTES))
--- a/src/carawaydoor/interface/front.py
+++ b/src/carawaydoor/interface/front.py
@@ -5,7 +5,7 @@
 import contextlib
 import http.client
 import uuid
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import eliot
@@ -27,6 +27,7 @@
 from carawaydoor.interface import exchange as exchanges
 from carawaydoor.interface import gateway as gateways
 from carawaydoor.interface import supervisor as supervisors
+from carawaydoor.serving import body as bodies
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -35,26 +36,6 @@
 DEFAULT_DEADLINE_S: Final = 60.0
 
 
-class Body:
-    """The body of a response; frees what the request holds once it is sent or given up."""
-
-    def __init__(self, chunks: Iterator[bytes], finish: Callable[[], None]) -> None:
-        self._chunks = chunks
-        self._finish = finish
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._chunks
-
-    def close(self) -> None:
-        """Free what the request holds."""
-        try:
-            close = getattr(self._chunks, "close", None)
-            if close is not None:
-                close()
-        finally:
-            self._finish()
-
-
 class Front:
     """Leads each request through the filters and on to the server that answers it."""
 
@@ -94,7 +75,7 @@
             response = result.ok
         headers = [*response.headers, *self._extra_headers(exchange)]
         start_response(_status_line(response.status), headers)
-        return Body(response.chunks, lambda: self._finish(exchange, response.status))
+        return bodies.Body(response.chunks, lambda: self._finish(exchange, response.status))
 
     def _lead(self, exchange: exchanges.Exchange, header_bytes: int) -> filters.Served:
         early = self._refuse_early(exchange, header_bytes)
--- a/src/carawaydoor/operating/metrics.py
+++ b/src/carawaydoor/operating/metrics.py
@@ -4,11 +4,7 @@
 
 from typing import Final
 
-import prometheus_client
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk_metrics
-from opentelemetry.sdk import resources
-from opentelemetry.sdk.metrics import view as metric_views
+from carawaydoor.operating import meters
 
 LATENCY_BOUNDS_S: Final = (
     0.002,
@@ -31,15 +27,8 @@
     """The instruments of one instance."""
 
     def __init__(self, instance: str) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = prometheus.PrometheusMetricReader(registry=self._registry)
-        aggregation = metric_views.ExplicitBucketHistogramAggregation(LATENCY_BOUNDS_S)
-        provider = sdk_metrics.MeterProvider(
-            metric_readers=[reader],
-            resource=resources.Resource.create({"service.instance.id": instance}),
-            views=[metric_views.View(instrument_name="*_seconds", aggregation=aggregation)],
-        )
-        meter = provider.get_meter("carawaydoor")
+        self._meters = meters.Meters(instance, LATENCY_BOUNDS_S)
+        meter = self._meters.meter
         self.requests: Final = meter.create_counter(
             "carawaydoor_requests", description="Requests that ended, by route and outcome."
         )
@@ -73,4 +62,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the text format that a scraper reads."""
-        return prometheus_client.generate_latest(self._registry)
+        return self._meters.render()
--- a/src/carawaydoor/operating/telemetry.py
+++ b/src/carawaydoor/operating/telemetry.py
@@ -4,11 +4,7 @@
 
 from typing import Final
 
-import prometheus_client
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk_metrics
-from opentelemetry.sdk import resources
-from opentelemetry.sdk.metrics import view as metric_views
+from carawaydoor.operating import meters
 
 # Bounds in seconds around the targets of the users: 0.2 and 0.4 for calls, 0.9 for first events.
 LATENCY_BOUNDS_S: Final = (0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 4.0, 14.0)
@@ -18,15 +14,8 @@
     """The instruments of one instance."""
 
     def __init__(self, instance: str) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = prometheus.PrometheusMetricReader(registry=self._registry)
-        aggregation = metric_views.ExplicitBucketHistogramAggregation(LATENCY_BOUNDS_S)
-        provider = sdk_metrics.MeterProvider(
-            metric_readers=[reader],
-            resource=resources.Resource.create({"service.instance.id": instance}),
-            views=[metric_views.View(instrument_name="*_seconds", aggregation=aggregation)],
-        )
-        meter = provider.get_meter("carawaydoor")
+        self._meters = meters.Meters(instance, LATENCY_BOUNDS_S)
+        meter = self._meters.meter
         self.requests: Final = meter.create_counter(
             "carawaydoor_requests", description="Requests that ended, by route and status."
         )
@@ -51,4 +40,4 @@
 
     def render(self) -> bytes:
         """Return all metrics in the text format that a scraper reads."""
-        return prometheus_client.generate_latest(self._registry)
+        return self._meters.render()
--- a/src/carawaydoor/serving/app.py
+++ b/src/carawaydoor/serving/app.py
@@ -5,13 +5,14 @@
 import contextlib
 import http.client
 import json
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import eliot
 import expression
 
 from carawaydoor.policy import model
+from carawaydoor.serving import body as bodies
 from carawaydoor.serving import border as borders
 from carawaydoor.serving import calls, filters, generation, plain, refusals
 from carawaydoor.serving import exchange as exchanges
@@ -24,26 +25,6 @@
 DEFAULT_PATIENCE_S: Final = 30.0
 
 
-class Body:
-    """The body of an answer; ends the request once it is sent or given up."""
-
-    def __init__(self, chunks: Iterator[bytes], finish: Callable[[], None]) -> None:
-        self._chunks = chunks
-        self._finish = finish
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._chunks
-
-    def close(self) -> None:
-        """Free what the request holds."""
-        try:
-            close = getattr(self._chunks, "close", None)
-            if close is not None:
-                close()
-        finally:
-            self._finish()
-
-
 class App:
     """Leads each request through the filters and on to the server that answers it."""
 
@@ -83,7 +64,10 @@
         if response.length is not None:
             headers.append(("Content-Length", str(response.length)))
         self._start(start_response, response.status, response.reason, headers)
-        return Body(response.chunks, lambda: self._finish(exchange, response))
+        begun_s = self._instance.clock.now_s() - exchange.received_s
+        route = exchange.route.name if exchange.route else ""
+        self._instance.telemetry.first_byte_seconds.record(begun_s, {"route": route})
+        return bodies.Body(response.chunks, lambda: self._finish(exchange, response))
 
     def _lead(self, exchange: exchanges.Exchange) -> filters.Served:
         for each in self._filters:
@@ -111,9 +95,11 @@
         self._start(start_response, refusal.status, "", headers)
         if exchange is None:
             return [content]
+        if refusal.did_not_run and exchange.admitted_tokens > 0.0:
+            self._instance.give_back(exchange.workspace_name, exchange.admitted_tokens)
         self._log(exchange, int(refusal.status), refusal=refusal)
         # What follows a refusal, such as freeing memory, must not hold the answer up.
-        return Body(iter([content]), lambda: self._end(exchange))
+        return bodies.Body(iter([content]), lambda: self._end(exchange))
 
     def _finish(self, exchange: exchanges.Exchange, response: exchanges.Response) -> None:
         self._log(exchange, response.status, upstream=response.upstream)
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -164,11 +164,6 @@
         """Return a random number from 0 to 1."""
         return self._random.random()
 
-    def view(self) -> placement.View:
-        """Return what placements are decided from."""
-        with self._lock:
-            return self._view()
-
     def begin_plain(self, service: str, excluded: frozenset[str]) -> model.Upstream | None:
         """Choose an upstream of a plain service and count the request there."""
         with self._lock:
@@ -368,10 +363,12 @@
                 hosts.extend(host for host in seeds if host not in hosts)
             interval_s = membership.round_interval_s(self.membership)
         others = [host for host in hosts if host != self.options.peer_host]
+        self.telemetry.datagrams.add(len(others), {"direction": "sent"})
         return report, others, interval_s
 
     def hear(self, report: membership.Report) -> None:
         """Take the report of a peer."""
+        self.telemetry.datagrams.add(1, {"direction": "heard"})
         with self._lock:
             now_s = self.clock.now_s()
             self.membership, effects = membership.hear(self.membership, now_s, report)
@@ -406,12 +403,19 @@
                     self.strikes, now_s - strike.at_s, fingerprint, strike.id
                 )
             case membership.PeerJoined(contact, incarnation):
+                self._forget_usage(contact.instance, incarnation)
                 eliot.log_message(
                     message_type="peer_joined", peer=contact.instance, incarnation=incarnation
                 )
             case membership.PeerLost(contact, is_leaving):
                 eliot.log_message(message_type="peer_lost", peer=contact.instance, left=is_leaving)
 
+    def _forget_usage(self, peer: str, incarnation: int) -> None:
+        """Forget the totals of a peer's earlier incarnations."""
+        for key in tuple(self.caps.used_by_peer):
+            if key.startswith(f"{peer}/") and key != f"{peer}/{incarnation}":
+                self.caps = caps.forget(self.caps, key)
+
     def _recent_strikes(self, now_s: float) -> tuple[membership.SharedStrike, ...]:
         return tuple(
             membership.SharedStrike(fingerprint, strikes.Strike(strike.id, now_s - strike.at_s))
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -78,6 +78,11 @@
     detail: str
     retry_after_s: float | None = None
 
+    @property
+    def did_not_run(self) -> bool:
+        """Whether this promises that the request has not run and never will."""
+        return self.status in (Status.TOO_MANY_REQUESTS, Status.UNAVAILABLE)
+
     @property
     def status(self) -> Status:
         """HTTP status of this refusal."""
--- a/tests/platform_side/test_generation.py
+++ b/tests/platform_side/test_generation.py
@@ -155,3 +155,17 @@
         harness.instance.drain_began_s = clock.now_s()
         clock.advance(2.9)
         assert harness.stream().read().status == 503
+
+
+def test_refusal_for_want_of_room_does_not_use_up_the_cap(harness):
+    """Found by reading: a caller that was turned away and came back met its workspace's cap."""
+    small = model.Workspace("w", None, 1000.0, 1000.0, True, 200.0)
+    harness.configure(revision=2, workspace_by_key={harnesses.KEY: small})
+    harness.add("p", READ)
+    harness.add("d", WRITE)
+    full = load.Load({"d": load.Work(10, 59_000)}, {})
+    for _ in range(2):
+        harness.instance.load = full
+        assert harness.stream(patience_ms=2000).read().status == 503
+    harness.instance.load = load.EMPTY
+    assert harness.stream().read().status == 200
