Let a configuration that can't be decoded prove nothing

Cause: a read or a watch that brought such a configuration proved the former one newest, so that a key withdrawn in the newer one was accepted for as long as the store answered. Found by reading; the tests failed before. Ruled out: adopting parts of it, since nothing says which parts are sound. Peers don't prove the former one to each other either: a proof of an older revision is not taken.

--- a/src/carawaydoor/operating/source.py
+++ b/src/carawaydoor/operating/source.py
@@ -24,11 +24,14 @@
     :ivar configuration: the newest configuration, None where it has not changed
     :ivar upstream_by_id: upstreams; None stands for one that was removed
     :ivar revision: the source's revision that this reflects
+    :ivar configuration_revision: revision of the newest configuration, also where that can't be
+        decoded; zero where it has not changed
     """
 
     configuration: model.Configuration | None
     upstream_by_id: Mapping[str, model.Upstream | None]
     revision: int
+    configuration_revision: int = 0
 
 
 class Source(abc.ABC):
--- a/src/carawaydoor/operating/watching.py
+++ b/src/carawaydoor/operating/watching.py
@@ -69,8 +69,7 @@
         asked_s = self._clock.now_s()
         news = self._source.read(READ_S)
         self._regain()
-        if news.configuration is not None:
-            self._instance.adopt(news.configuration)
+        self._take_configuration(news)
         listed = {key: each for key, each in news.upstream_by_id.items() if each is not None}
         self._instance.update_directory(directory.Listed(listed, news.revision))
         self._instance.prove(self._instance.configuration.revision, asked_s)
@@ -81,9 +80,8 @@
         asked_s = self._clock.now_s()
         news = self._source.watch(after, self._watch_s, self._watch_s + ANSWER_S)
         self._regain()
-        is_quiet = not news.upstream_by_id and news.configuration is None
-        if news.configuration is not None:
-            self._instance.adopt(news.configuration)
+        is_quiet = not news.upstream_by_id and not news.configuration_revision
+        self._take_configuration(news)
         if news.upstream_by_id:
             self._instance.update_directory(directory.Changed(news.upstream_by_id, news.revision))
         # A watch that ran its whole time without a change saw none until its end.
@@ -95,6 +93,12 @@
             self._stopped.wait(SETTLE_S)
         return max(after, news.revision)
 
+    def _take_configuration(self, news: sources.News) -> None:
+        if news.configuration is not None:
+            self._instance.adopt(news.configuration)
+        # One that can't be decoded may withdraw keys: what is in force is no longer the newest.
+        self._instance.supersede(news.configuration_revision)
+
     def _lose(self, error: sources.SourceError) -> None:
         self._count("failed")
         if self._away_since_s is not None:
--- a/src/carawaydoor/platform/source.py
+++ b/src/carawaydoor/platform/source.py
@@ -41,16 +41,20 @@
 
 
 def _news(items: store.Items) -> source.News:
-    return source.News(_configuration(items.items), _upstreams(items.items), items.revision)
+    written = [each for each in items.items if each.key == names.CONFIGURATION_KEY]
+    return source.News(
+        _newest_readable(written),
+        _upstreams(items.items),
+        items.revision,
+        max((each.revision for each in written), default=0),
+    )
 
 
-def _configuration(items: Iterable[store.Item]) -> model.Configuration | None:
+def _newest_readable(written: Iterable[store.Item]) -> model.Configuration | None:
     newest = None
-    for item in items:
-        if item.key != names.CONFIGURATION_KEY or item.value is None:
-            continue
+    for item in written:
         try:
-            newest = documents.decode_configuration(item.value, item.revision)
+            newest = documents.decode_configuration(item.value or b"", item.revision)
         except documents.DocumentError as error:
             eliot.log_message(
                 message_type="configuration_malformed", revision=item.revision, detail=str(error)
--- a/src/carawaydoor/policy/freshness.py
+++ b/src/carawaydoor/policy/freshness.py
@@ -13,7 +13,7 @@
 class Freshness:
     """When a revision was proven to be the newest.
 
-    :ivar revision: the store's revision up to which everything is known
+    :ivar revision: the newest revision of the configuration that is known to exist
     :ivar proven_s: latest time in seconds at which nothing newer existed
     """
 
@@ -30,6 +30,11 @@
     return Freshness(revision, proven_s)
 
 
+def supersede(state: Freshness, revision: int) -> Freshness:
+    """Note that a revision exists, so that nothing proves an older one any more."""
+    return dataclasses.replace(state, revision=max(state.revision, revision))
+
+
 def age_s(state: Freshness, now_s: float) -> float:
     """Return how long ago the configuration was proven newest, in seconds."""
     return now_s - state.proven_s
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -127,6 +127,11 @@
         with self._lock:
             self.freshness = freshness.prove(self.freshness, revision, proven_s)
 
+    def supersede(self, revision: int) -> None:
+        """Take note that the source holds a configuration, whether it could be decoded or not."""
+        with self._lock:
+            self.freshness = freshness.supersede(self.freshness, revision)
+
     def update_directory(self, message: directory.Message) -> None:
         """Apply news about upstreams and act on what has changed."""
         with self._lock:
--- a/tests/platform_side/test_store.py
+++ b/tests/platform_side/test_store.py
@@ -140,3 +140,27 @@
         eventually(lambda: instance.clock.now_s() > instance_clock_s + 2.0)
         instance.expire()
         assert "i-4" not in instance.directory.upstream_by_id
+
+
+@pytest.mark.parametrize("content", [b"\x00\xff", b"{}", b'{"version": 8, "routes": 3}'])
+def test_unreadable_configuration_leaves_the_former_one_unproven(store, content):
+    with watched(store) as instance:
+        in_force = instance.configuration.revision
+        revision = store.put(names.CONFIGURATION_KEY, content)
+        eventually(lambda: instance.freshness.revision == revision)
+        proven_s = instance.freshness.proven_s
+        put_server(store, 1, state="draining")
+        eventually(lambda: instance.directory.upstream_by_id["i-1"].is_leaving)
+        instance.prove(in_force, instance.clock.now_s())
+        assert instance.configuration.revision == in_force, "it goes on with the former one"
+        assert instance.freshness.proven_s == proven_s, "but nothing proves that one any more"
+        store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 9})
+        eventually(lambda: instance.configuration.version == 9)
+        eventually(lambda: instance.freshness.proven_s > proven_s)
+
+
+def test_unreadable_configuration_is_told_at_the_first_read(store):
+    revision = store.put(names.CONFIGURATION_KEY, b"\x00")
+    news = client(store).read(1.0)
+    assert news.configuration is None
+    assert news.configuration_revision == revision
--- a/tests/policy/test_routes.py
+++ b/tests/policy/test_routes.py
@@ -73,3 +73,11 @@
             state, allowed = retries.take(state)
             taken += allowed
     assert taken <= 3.0 + 0.2 * attempts
+
+
+def test_a_newer_revision_ends_the_proofs_of_the_older_one():
+    state = freshness.supersede(freshness.prove(freshness.Freshness(), 7, 10.0), 8)
+    assert freshness.age_s(state, 11.0) == 1.0, "what was proven stays proven"
+    assert freshness.prove(state, 7, 20.0) == state
+    assert freshness.prove(state, 8, 20.0).proven_s == 20.0
+    assert freshness.supersede(state, 7) == state
