Split placing and judging upstreams off the instance; drop what nothing decides by

serving/instance.py had grown to some 500 lines with two concerns: what an instance believes of configuration, peers, caps and retries, and where requests are at work. Options that nothing is decided by are gone (their settings are still checked where a wrong one would matter later), the version is a module's, and two reserves of one name have two names. Ruled out: a base class for both, since they share only the lock and the clock.

--- a/src/carawaydoor/cli.py
+++ b/src/carawaydoor/cli.py
@@ -10,7 +10,7 @@
 
 import cyclopts
 
-from carawaydoor import VERSION
+from carawaydoor import release
 from carawaydoor.homes import replay
 from carawaydoor.interface import authentication
 from carawaydoor.operating import exitcodes
@@ -22,7 +22,7 @@
 MANIFEST_NAME = "manifest.json"
 PARTS_NAME = "parts"
 
-app = cyclopts.App(name="carawaydoor", version=VERSION, help=__doc__)
+app = cyclopts.App(name="carawaydoor", version=release.VERSION, help=__doc__)
 keys = cyclopts.App(name="keys", help="Work with keys of workspaces.")
 app.command(keys)
 
--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -14,7 +14,7 @@
 import eliot
 import waitress.server
 
-from carawaydoor import VERSION
+from carawaydoor import release
 from carawaydoor.homes import core as cores
 from carawaydoor.homes import events, membership, messages, trace
 from carawaydoor.homes import state as states
@@ -33,7 +33,7 @@
 MAX_DRAIN_S: Final = 120.0
 BODY_LIMIT_FACTOR: Final = 4
 
-app = cyclopts.App(name="carawaydoord", version=VERSION, help=__doc__)
+app = cyclopts.App(name="carawaydoord", version=release.VERSION, help=__doc__)
 
 
 class Daemon:
@@ -74,7 +74,7 @@
             each.start()
         for server in self._servers:
             threading.Thread(target=server.run, name="http", daemon=True).start()
-        self._trail.add(audit.Change.STARTED, detail=VERSION)
+        self._trail.add(audit.Change.STARTED, detail=release.VERSION)
 
     def drain(self) -> None:
         """Finish the requests at work, hand over what this instance holds, and stop."""
--- a/src/carawaydoor/operating/balancing.py
+++ b/src/carawaydoor/operating/balancing.py
@@ -60,9 +60,9 @@
         except (connections.UpstreamError, sockets.WaitError) as error:
             eliot.log_message(message_type="order_failed", upstream=upstream.id, detail=repr(error))
         if outcome is borders.OrderOutcome.FENCED:
-            self._instance.pause_orders(upstream.service)
+            self._instance.places.pause_orders(upstream.service)
         if outcome in (borders.OrderOutcome.ACCEPTED, borders.OrderOutcome.UNANSWERED):
-            self._instance.set_aside(upstream)
+            self._instance.places.set_aside(upstream.id)
         eliot.log_message(
             message_type="stage_ordered",
             upstream=upstream.id,
--- a/src/carawaydoor/operating/options.py
+++ b/src/carawaydoor/operating/options.py
@@ -21,10 +21,7 @@
     """Times within which an instance has to act, in seconds, and shares that it may use.
 
     :ivar withdrawal_s: from the acknowledgement of a withdrawn key to its last use anywhere
-    :ivar configuration_s: from the acknowledgement of a configuration to its use everywhere
-    :ivar drain_s: from the report of a leaving upstream to the last request sent to it
     :ivar grace_s: from the signal to stop until the process is killed
-    :ivar address_reuse_s: time for which the address of an upstream that ended is not reused
     :ivar retry_ratio: repeated sends to a service for each of its requests, all instances together
     :ivar retry_slack: repeated sends to a service beyond that ratio in one window
     :ivar retry_window_s: length of that window
@@ -34,10 +31,7 @@
     """
 
     withdrawal_s: float
-    configuration_s: float
-    drain_s: float
     grace_s: float
-    address_reuse_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
@@ -52,19 +46,15 @@
 
     :ivar seeds: peer addresses of instances that may know others; may be stale
     :ivar first_port: first of the ports that are free for traffic between instances
-    :ivar memory_bytes: memory beyond which the process is killed
     """
 
     instance: str
     domain: str
-    domains: tuple[str, ...]
     front: Address
     ready: Address
     peer_host: str
     first_port: int
     seeds: tuple[Address, ...]
     store: Address
-    heartbeat_s: float
     bounds: Bounds
-    memory_bytes: int
     max_descriptors: int
--- a/src/carawaydoor/operating/probes.py
+++ b/src/carawaydoor/operating/probes.py
@@ -56,12 +56,12 @@
                 "stage": each.stage.value,
                 "domain": each.domain,
                 "leaving": each.is_leaving,
-                "requests": instance.load.at(each.id).requests,
+                "requests": instance.places.load.at(each.id).requests,
                 "suspect_for_s": max(
                     0.0,
                     (
                         round(record.suspect_until_s - now_s, 3)
-                        if (record := instance.health.get(each.id))
+                        if (record := instance.places.health.get(each.id))
                         else 0.0
                     ),
                 ),
--- a/src/carawaydoor/platform/settings.py
+++ b/src/carawaydoor/platform/settings.py
@@ -15,7 +15,6 @@
 from carawaydoor.platform import names
 
 _MS_PER_S: Final = 1000.0
-_BYTES_PER_MB: Final = 1_000_000
 
 Positive = Annotated[float, pydantic.Field(gt=0.0, allow_inf_nan=False)]
 NonNegative = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
@@ -48,6 +47,8 @@
 
 
 class _Bounds(_Model):
+    # Bounds that nothing is decided by yet are checked all the same: an operator learns of a wrong
+    # one before it matters.
     # How long nothing has to be disturbed for, not a window of measurements.
     stableWindowMs: Positive = 3000.0  # noqa: N815
     addressReuseS: NonNegative = 2.0  # noqa: N815
@@ -70,13 +71,10 @@
     nodeName: str = pydantic.Field(min_length=1, max_length=200)  # noqa: N815
     ipAddress: pydantic.IPvAnyAddress  # noqa: N815
     zone: str
-    zones: dict[str, str] = {}
     # First and last of the ports for traffic between instances.
     internalPortRange: tuple[Port, Port]  # noqa: N815
     # Peer addresses of other instances, which may be down or replaced; not a list of all.
     seeds: list[AddressText] = []
-    # Interval of the servers' heartbeats to the store, not of the instances'.
-    heartbeatMs: Positive = 1200.0  # noqa: N815
     listen: _Listen
     limits: _Limits
     bounds: _Bounds = _Bounds()
@@ -110,20 +108,15 @@
     return options.Options(
         instance=settings.nodeName,
         domain=settings.zone,
-        domains=tuple(settings.zones) or (settings.zone,),
         front=_address(settings.listen.frontend),
         ready=_address(settings.listen.ready),
         peer_host=str(settings.ipAddress),
         first_port=settings.internalPortRange[0],
         seeds=tuple(_address(each) for each in settings.seeds),
         store=_address(settings.platform.address),
-        heartbeat_s=settings.heartbeatMs / _MS_PER_S,
         bounds=options.Bounds(
             withdrawal_s=bounds.revocationMs / _MS_PER_S,
-            configuration_s=bounds.configurationMs / _MS_PER_S,
-            drain_s=bounds.drainMs / _MS_PER_S,
             grace_s=bounds.graceS,
-            address_reuse_s=bounds.addressReuseS,
             retry_ratio=bounds.retryBudgetRatio,
             retry_slack=bounds.budgetSlack,
             retry_window_s=bounds.budgetWindowS,
@@ -131,7 +124,6 @@
             cap_window_s=bounds.quotaWindowS,
             cap_overshoot=bounds.quotaOvershoot,
         ),
-        memory_bytes=int(settings.limits.memoryMb * _BYTES_PER_MB),
         max_descriptors=settings.limits.fileDescriptors,
     )
 
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -15,7 +15,7 @@
 
 import eliot
 
-from carawaydoor import VERSION
+from carawaydoor import release
 from carawaydoor.fleet import exchange
 from carawaydoor.operating import (
     balancing,
@@ -167,7 +167,7 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     daemon = Daemon(result.ok, clock)
     daemon.start()
-    eliot.log_message(message_type="started", version=VERSION, process=os.getpid())
+    eliot.log_message(message_type="started", version=release.VERSION, process=os.getpid())
     daemon.run(stopping, reloading)
     daemon.drain()
     sink.stop(LOG_FLUSH_S)
--- a/src/carawaydoor/serving/calls.py
+++ b/src/carawaydoor/serving/calls.py
@@ -137,7 +137,7 @@
             raise self._fail(exchange, upstream, failure_of(error), error) from error
         self._instance.pool.give_back(begun.connection, begun.answer)
         failed = begun.answer.status >= FIRST_FAILURE_STATUS
-        self._instance.record(
+        self._instance.places.record(
             upstream, health.Outcome.FAILED if failed else health.Outcome.ANSWERED
         )
         return content
@@ -201,7 +201,7 @@
     ) -> CallError:
         outcome = _OUTCOME_BY_FAILURE.get(failure)
         if outcome is not None:
-            self._instance.record(upstream, outcome)
+            self._instance.places.record(upstream, outcome)
         if failure is Failure.BROKEN:
             self.look_for_crash(exchange, upstream)
         eliot.log_message(
--- a/src/carawaydoor/serving/exchange.py
+++ b/src/carawaydoor/serving/exchange.py
@@ -5,7 +5,6 @@
 import contextlib
 import dataclasses
 from collections.abc import Callable, Iterator
-from typing import Final
 
 from carawaydoor.policy import model
 
@@ -83,6 +82,3 @@
     chunks: Iterator[bytes]
     length: int | None
     upstream: str = ""
-
-
-NO_CHUNKS: Final[tuple[bytes, ...]] = ()
--- a/src/carawaydoor/serving/filters.py
+++ b/src/carawaydoor/serving/filters.py
@@ -23,7 +23,7 @@
 # about two seconds to turn away, and long streams take most of the grace time.
 STREAMS_TAKEN_S: Final = 2.8
 # Part of the grace time in seconds that is left for the end of the process.
-STOP_RESERVE_S: Final = 1.0
+ANSWER_RESERVE_S: Final = 1.0
 
 
 class Filter(abc.ABC):
@@ -95,7 +95,7 @@
             is_too_late = drained_s > STREAMS_TAKEN_S
         else:
             left_s = self._instance.options.bounds.grace_s - drained_s
-            is_too_late = left_s < route.timeout_s + STOP_RESERVE_S
+            is_too_late = left_s < route.timeout_s + ANSWER_RESERVE_S
         if is_too_late:
             return _refuse(
                 refusals.Reason.INSTANCE_LEAVING, "this instance is leaving", LEAVING_RETRY_S
--- a/src/carawaydoor/serving/generation.py
+++ b/src/carawaydoor/serving/generation.py
@@ -61,11 +61,11 @@
         super().__init__(instance)
         self._caller = caller
         self._border = border
-        self._places = threading.BoundedSemaphore(MAX_GENERATIONS)
+        self._streams = threading.BoundedSemaphore(MAX_GENERATIONS)
 
     def serve(self, exchange: exchanges.Exchange) -> filters.Served:
         """Return the answer as a stream."""
-        if not self._places.acquire(blocking=False):
+        if not self._streams.acquire(blocking=False):
             return expression.Error(
                 refusals.Refusal(
                     refusals.Reason.INSTANCE_BUSY,
@@ -73,7 +73,7 @@
                     BUSY_RETRY_S,
                 )
             )
-        exchange.cleanup.callback(self._places.release)
+        exchange.cleanup.callback(self._streams.release)
         service = exchange.service
         assert service is not None
         self._instance.record_attempt(service.name)
@@ -117,7 +117,7 @@
         terms = waiting.terms(arrival, placement.direct_read_s(prompt))
         excluded: set[str] = set()
         while True:
-            chosen = self._instance.begin_generation(
+            chosen = self._instance.places.begin_generation(
                 service, prompt, frozenset(excluded), terms.reserve_share
             )
             now_s = self._instance.clock.now_s()
@@ -138,7 +138,7 @@
                     load=self._describe_load(),
                 )
                 return None
-            self._instance.wait_for_room(min(terms.until_s - now_s, sockets.POLL_S))
+            self._instance.places.wait_for_room(min(terms.until_s - now_s, sockets.POLL_S))
 
     def _hold(
         self,
@@ -150,11 +150,11 @@
         """Return the run with a connection to its decode engine, None where that is gone."""
         held = exchange.cleanup.enter_context(contextlib.ExitStack())
         memory = load.Work(1, prompt.memory_tokens)
-        held.callback(self._instance.end, chosen.decode.id, memory)
+        held.callback(self._instance.places.end, chosen.decode.id, memory)
         reading = contextlib.ExitStack()
         if chosen.prefill is not None:
             work = load.Work(1, prompt.tokens)
-            reading.callback(self._instance.end, chosen.prefill.id, work)
+            reading.callback(self._instance.places.end, chosen.prefill.id, work)
         exchange.cleanup.push(reading)
         try:
             connection = self._caller.connect(exchange, chosen.decode)
@@ -182,7 +182,7 @@
         )
 
     def _describe_load(self) -> dict[str, tuple[int, int]]:
-        loads = self._instance.load
+        loads = self._instance.places.load
         works = {key: loads.at(key) for key in {*loads.own_by_id, *loads.peers_by_id}}
         return {key: (work.requests, work.tokens) for key, work in works.items()}
 
@@ -246,10 +246,10 @@
             )
 
     def _back_up(self, run: _Run) -> model.Upstream | None:
-        backup = self._instance.begin_backup(run.service, run.prompt, run.decode)
+        backup = self._instance.places.begin_backup(run.service, run.prompt, run.decode)
         if backup is not None:
             memory = load.Work(0, run.prompt.memory_tokens)
-            run.held.callback(self._instance.end, backup.id, memory)
+            run.held.callback(self._instance.places.end, backup.id, memory)
         return backup
 
     def _may_go_on(self, run: _Run, error: calls.CallError) -> bool:
@@ -262,12 +262,12 @@
         """Choose another decode engine and connect to it; return whether there was one."""
         tried = set(excluded)
         while True:
-            decode = self._instance.begin_decode(run.service, run.prompt, frozenset(tried))
+            decode = self._instance.places.begin_decode(run.service, run.prompt, frozenset(tried))
             if decode is None:
                 return False
             held = run.exchange.cleanup.enter_context(contextlib.ExitStack())
             memory = load.Work(1, run.prompt.memory_tokens)
-            held.callback(self._instance.end, decode.id, memory)
+            held.callback(self._instance.places.end, decode.id, memory)
             try:
                 run.connection = self._caller.connect(run.exchange, decode)
             except calls.CallError:
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -18,15 +18,13 @@
     caps,
     directory,
     freshness,
-    health,
-    load,
     model,
-    placement,
     retries,
     stages,
     strikes,
 )
 from carawaydoor.serving import connections
+from carawaydoor.serving import places as placing
 
 # Part of the retry budget that instances use, so that restarted ones don't exceed it.
 RETRY_SHARE: Final = 0.6
@@ -39,11 +37,6 @@
 # Part of the longest patience of a route's callers that first attempts have at least: callers
 # differ by some 15% either way.
 FIRST_PATIENCE: Final = 0.7
-# Time in seconds after which an engine whose entry shows no new stage is used as before: a change
-# takes about six seconds, and running work ends first.
-SET_ASIDE_S: Final = 15.0
-# Age in seconds up to which the sum of the peers' work is used again: less than a round of reports.
-LOAD_SUM_S: Final = 0.03
 # Age in seconds that stands for a configuration that was never proven newest.
 MAX_AGE_S: Final = 1e6
 
@@ -64,16 +57,11 @@
         self.configuration = model.EMPTY
         self.freshness = freshness.Freshness()
         self.directory = directory.EMPTY
-        self.load = load.EMPTY
-        self.health: health.Health = {}
         bounds = options.bounds
         self.caps = caps.Caps(caps.Rules(bounds.cap_window_s, bounds.cap_overshoot), clock.now_s())
         self.strikes = strikes.EMPTY
         self.budget_by_service: Mapping[str, retries.RetryBudget] = {}
         self._source_since_s: float | None = None
-        self._load_summed_s = float("-inf")
-        self.balance_state = stages.Balance()
-        self._set_aside_until_s_by_id: dict[str, float] = {}
         self.membership = membership.Membership(options.instance, {})
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
@@ -82,7 +70,14 @@
         self.requests_at_work = 0
         self._random = random.Random()
         self._lock = threading.RLock()
-        self._room = threading.Condition(self._lock)
+        self.places = placing.Places(
+            options.domain,
+            clock,
+            telemetry,
+            self._lock,
+            lambda: self.directory.upstream_by_id.values(),
+            lambda: self.membership,
+        )
 
     @property
     def is_draining(self) -> bool:
@@ -169,59 +164,6 @@
         """Return a random number from 0 to 1."""
         return self._random.random()
 
-    def begin_plain(self, service: str, excluded: frozenset[str]) -> model.Upstream | None:
-        """Choose an upstream of a plain service and count the request there."""
-        with self._lock:
-            upstream = placement.choose_plain(self._view(), service, excluded)
-            if upstream is not None:
-                self.load = load.step(self.load, load.Begun(upstream.id, load.Work(1)))
-            return upstream
-
-    def begin_generation(
-        self,
-        service: model.Service,
-        prompt: model.Prompt,
-        excluded: frozenset[str],
-        reserve_share: float,
-    ) -> placement.Generation | None:
-        """Choose the engines of a generation and count the request at both."""
-        with self._lock:
-            chosen = placement.choose_generation(
-                self._view(), service, prompt, excluded, reserve_share
-            )
-            if chosen is None:
-                return None
-            self._begin(chosen.decode.id, load.Work(1, prompt.memory_tokens))
-            if chosen.prefill is not None:
-                self._begin(chosen.prefill.id, load.Work(1, prompt.tokens))
-            return chosen
-
-    def begin_decode(
-        self, service: model.Service, prompt: model.Prompt, excluded: frozenset[str]
-    ) -> model.Upstream | None:
-        """Choose another decode engine for a prompt that was read, and count the request there."""
-        with self._lock:
-            decode = placement.choose_decode(self._view(), service, prompt, excluded)
-            if decode is not None:
-                self._begin(decode.id, load.Work(1, prompt.memory_tokens))
-            return decode
-
-    def begin_backup(
-        self, service: model.Service, prompt: model.Prompt, decode: model.Upstream
-    ) -> model.Upstream | None:
-        """Choose an engine for a copy of a run's memory, and count that memory there."""
-        with self._lock:
-            backup = placement.choose_backup(self._view(), service, prompt, decode)
-            if backup is not None:
-                self._begin(backup.id, load.Work(0, prompt.memory_tokens))
-            return backup
-
-    def end(self, upstream: str, work: load.Work) -> None:
-        """Take a request that has ended off the load of an upstream."""
-        with self._lock:
-            self.load = load.step(self.load, load.Ended(upstream, work))
-            self._room.notify_all()
-
     def first_sent_s(self, route: str, patience_s: float | None, received_s: float) -> float:
         """Return when a caller sent its first attempt, judged by what is left of its patience.
 
@@ -238,29 +180,6 @@
             received_s if patience_s > full_s * FIRST_PATIENCE else received_s - full_s + patience_s
         )
 
-    def wait_for_room(self, timeout_s: float) -> None:
-        """Wait until a request ends anywhere.
-
-        :param timeout_s: longest wait in seconds
-        """
-        with self._lock:
-            self._room.wait(timeout_s)
-
-    def record(self, upstream: model.Upstream, outcome: health.Outcome) -> None:
-        """Judge an upstream by how a call ended."""
-        with self._lock:
-            now_s = self.clock.now_s()
-            was_suspect = health.is_suspect(self.health, now_s, upstream.id)
-            self.health = health.record(self.health, now_s, upstream.id, outcome)
-            is_suspect = health.is_suspect(self.health, now_s, upstream.id)
-        self.telemetry.calls.add(1, {"service": upstream.service, "outcome": outcome.value})
-        if is_suspect != was_suspect:
-            eliot.log_message(
-                message_type="upstream_suspected" if is_suspect else "upstream_trusted",
-                upstream=upstream.id,
-                outcome=outcome.value,
-            )
-
     def admit(self, workspace: model.Workspace, amount: float) -> caps.Admitted | caps.Exceeded:
         """Charge a request to its workspace's cap."""
         with self._lock:
@@ -307,31 +226,9 @@
 
     def balance(self) -> list[stages.Order]:
         """Observe the stages of every service and return the orders that are due."""
-        orders: list[stages.Order] = []
         may_order = self.may_order()
         with self._lock:
-            view = self._view()
-            for service in self.configuration.service_by_name.values():
-                self.balance_state = stages.observe(
-                    self.balance_state, view.now_s, service, view.upstreams, view.load
-                )
-                if not may_order:
-                    continue
-                self.balance_state, due = stages.decide(
-                    self.balance_state, view.now_s, service, view.upstreams, view.load
-                )
-                orders.extend(due)
-        return orders
-
-    def pause_orders(self, service: str) -> None:
-        """Give no orders for a service for a while: another instance gives them."""
-        with self._lock:
-            self.balance_state = stages.refused(self.balance_state, self.clock.now_s(), service)
-
-    def set_aside(self, upstream: model.Upstream) -> None:
-        """Send an engine that changes its stage nothing until its entry shows the new one."""
-        with self._lock:
-            self._set_aside_until_s_by_id[upstream.id] = self.clock.now_s() + SET_ASIDE_S
+            return self.places.balance(self.configuration.service_by_name.values(), may_order)
 
     def compose_report(self) -> tuple[membership.Report, list[str], float]:
         """Return the next report, its hosts, and the time in seconds to the one after it."""
@@ -348,7 +245,7 @@
                 is_leaving=self.is_draining,
                 revision=self.configuration.revision,
                 proof_age_s=min(self.proof_age_s(), MAX_AGE_S),
-                work_by_upstream=self.load.own_by_id,
+                work_by_upstream=self.places.load.own_by_id,
                 used_by_workspace=caps.own_used(self.caps),
                 echo_by_instance=membership.echoes(self.membership, contacts),
                 contacts=membership.some_contacts(self.membership),
@@ -356,11 +253,7 @@
                 source_steady_s=(
                     0.0 if self._source_since_s is None else now_s - self._source_since_s
                 ),
-                set_aside_s_by_upstream={
-                    key: until_s - now_s
-                    for key, until_s in self._set_aside_until_s_by_id.items()
-                    if until_s > now_s
-                },
+                set_aside_s_by_upstream=self.places.set_aside_s_by_upstream(),
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
@@ -400,9 +293,8 @@
             case membership.Usage(peer, used_by_workspace):
                 self.caps = caps.hear(self.caps, now_s, peer, used_by_workspace)
             case membership.SetAside(key, for_s):
-                known_s = self._set_aside_until_s_by_id.get(key, 0.0)
                 if key in self.directory.upstream_by_id:
-                    self._set_aside_until_s_by_id[key] = max(known_s, now_s + for_s)
+                    self.places.set_aside(key, for_s)
             case membership.SharedStrike(fingerprint, strike):
                 self.strikes = strikes.add(
                     self.strikes, now_s - strike.at_s, fingerprint, strike.id
@@ -429,39 +321,6 @@
             if now_s - strike.at_s < SHARED_STRIKE_S
         )[-MAX_SHARED_STRIKES:]
 
-    def _view(self) -> placement.View:
-        now_s = self.clock.now_s()
-        if now_s - self._load_summed_s >= LOAD_SUM_S:
-            # Summed where it is used: reports come far more often than placements.
-            self._load_summed_s = now_s
-            peers_by_id = membership.peer_work(self.membership, now_s)
-            self.load = load.step(self.load, load.Reported(peers_by_id))
-        return placement.View(
-            now_s,
-            self.options.domain,
-            self._usable_upstreams(),
-            self.load,
-            self.health,
-            membership.staleness_s(self.membership),
-            self._random.getrandbits(32),
-        )
-
-    def _usable_upstreams(self) -> tuple[model.Upstream, ...]:
-        upstreams = self.directory.upstream_by_id.values()
-        if not self._set_aside_until_s_by_id:
-            return tuple(upstreams)
-        now_s = self.clock.now_s()
-        aside = {
-            key: until_s
-            for key, until_s in self._set_aside_until_s_by_id.items()
-            if until_s > now_s
-        }
-        self._set_aside_until_s_by_id = aside
-        return tuple(each for each in upstreams if each.id not in aside)
-
-    def _begin(self, upstream: str, work: load.Work) -> None:
-        self.load = load.step(self.load, load.Begun(upstream, work))
-
     def _budget(self, service: str) -> retries.RetryBudget:
         budget = self.budget_by_service.get(service)
         if budget is not None:
@@ -479,7 +338,7 @@
         match effect:
             case directory.Gone():
                 self.pool.drop(upstream)
-                self.health = health.forget(self.health, upstream.id)
+                self.places.forget(upstream.id)
                 change = "upstream_gone"
             case directory.Leaving():
                 self.pool.drop(upstream)
@@ -487,8 +346,8 @@
             case directory.Joined():
                 change = "upstream_joined"
             case directory.StageChanged():
-                self._set_aside_until_s_by_id.pop(upstream.id, None)
-                self.health = health.forget(self.health, upstream.id)
+                self.places.take_back(upstream.id)
+                self.places.forget(upstream.id)
                 change = "upstream_stage_changed"
         eliot.log_message(
             message_type=change,
--- /dev/null
+++ b/src/carawaydoor/serving/places.py
@@ -0,0 +1,213 @@
+"""Where requests are at work, and which upstreams may get new ones."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Final
+
+import eliot
+
+from carawaydoor.fleet import membership
+from carawaydoor.operating import clock as clocks
+from carawaydoor.operating import telemetry as telemetries
+from carawaydoor.policy import health, load, model, placement, stages
+
+# Time in seconds after which an engine whose entry shows no new stage is used as before: a change
+# takes about six seconds, and running work ends first.
+SET_ASIDE_S: Final = 15.0
+# Age in seconds up to which the sum of the peers' work is used again: less than a round of reports.
+LOAD_SUM_S: Final = 0.03
+
+
+class Places:
+    """Holds load and health of the upstreams and applies the decisions on placement to them.
+
+    :ivar load: work under way at each upstream
+    :ivar health: how calls to each upstream ended lately
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        clock: clocks.Clock,
+        telemetry: telemetries.Telemetry,
+        lock: threading.RLock,
+        upstreams: Callable[[], Collection[model.Upstream]],
+        members: Callable[[], membership.Membership],
+    ) -> None:
+        self.load = load.EMPTY
+        self.health: health.Health = {}
+        self._domain = domain
+        self._clock = clock
+        self._telemetry = telemetry
+        self._lock = lock
+        self._room = threading.Condition(lock)
+        self._upstreams = upstreams
+        self._members = members
+        self._load_summed_s = float("-inf")
+        self._balance = stages.Balance()
+        self._set_aside_until_s_by_id: dict[str, float] = {}
+        self._random = random.Random()
+
+    def begin_plain(self, service: str, excluded: frozenset[str]) -> model.Upstream | None:
+        """Choose an upstream of a plain service and count the request there."""
+        with self._lock:
+            upstream = placement.choose_plain(self._view(), service, excluded)
+            if upstream is not None:
+                self._begin(upstream.id, load.Work(1))
+            return upstream
+
+    def begin_generation(
+        self,
+        service: model.Service,
+        prompt: model.Prompt,
+        excluded: frozenset[str],
+        reserve_share: float,
+    ) -> placement.Generation | None:
+        """Choose the engines of a generation and count the request at both."""
+        with self._lock:
+            chosen = placement.choose_generation(
+                self._view(), service, prompt, excluded, reserve_share
+            )
+            if chosen is None:
+                return None
+            self._begin(chosen.decode.id, load.Work(1, prompt.memory_tokens))
+            if chosen.prefill is not None:
+                self._begin(chosen.prefill.id, load.Work(1, prompt.tokens))
+            return chosen
+
+    def begin_decode(
+        self, service: model.Service, prompt: model.Prompt, excluded: frozenset[str]
+    ) -> model.Upstream | None:
+        """Choose another decode engine for a prompt that was read, and count the request there."""
+        with self._lock:
+            decode = placement.choose_decode(self._view(), service, prompt, excluded)
+            if decode is not None:
+                self._begin(decode.id, load.Work(1, prompt.memory_tokens))
+            return decode
+
+    def begin_backup(
+        self, service: model.Service, prompt: model.Prompt, decode: model.Upstream
+    ) -> model.Upstream | None:
+        """Choose an engine for a copy of a run's memory, and count that memory there."""
+        with self._lock:
+            backup = placement.choose_backup(self._view(), service, prompt, decode)
+            if backup is not None:
+                self._begin(backup.id, load.Work(0, prompt.memory_tokens))
+            return backup
+
+    def end(self, upstream: str, work: load.Work) -> None:
+        """Take a request that has ended off the load of an upstream."""
+        with self._lock:
+            self.load = load.step(self.load, load.Ended(upstream, work))
+            self._room.notify_all()
+
+    def wait_for_room(self, timeout_s: float) -> None:
+        """Wait until a request ends anywhere.
+
+        :param timeout_s: longest wait in seconds
+        """
+        with self._lock:
+            self._room.wait(timeout_s)
+
+    def record(self, upstream: model.Upstream, outcome: health.Outcome) -> None:
+        """Judge an upstream by how a call ended."""
+        with self._lock:
+            now_s = self._clock.now_s()
+            was_suspect = health.is_suspect(self.health, now_s, upstream.id)
+            self.health = health.record(self.health, now_s, upstream.id, outcome)
+            is_suspect = health.is_suspect(self.health, now_s, upstream.id)
+        self._telemetry.calls.add(1, {"service": upstream.service, "outcome": outcome.value})
+        if is_suspect != was_suspect:
+            eliot.log_message(
+                message_type="upstream_suspected" if is_suspect else "upstream_trusted",
+                upstream=upstream.id,
+                outcome=outcome.value,
+            )
+
+    def forget(self, upstream: str) -> None:
+        """Forget how calls to an upstream ended that has gone or changed its stage."""
+        with self._lock:
+            self.health = health.forget(self.health, upstream)
+
+    def balance(self, services: Iterable[model.Service], may_order: bool) -> list[stages.Order]:
+        """Observe the stages of services and return the orders that are due.
+
+        :param may_order: whether this instance is the one that gives orders
+        """
+        orders: list[stages.Order] = []
+        with self._lock:
+            view = self._view()
+            for service in services:
+                self._balance = stages.observe(
+                    self._balance, view.now_s, service, view.upstreams, view.load
+                )
+                if not may_order:
+                    continue
+                self._balance, due = stages.decide(
+                    self._balance, view.now_s, service, view.upstreams, view.load
+                )
+                orders.extend(due)
+        return orders
+
+    def pause_orders(self, service: str) -> None:
+        """Give no orders for a service for a while: another instance gives them."""
+        with self._lock:
+            self._balance = stages.refused(self._balance, self._clock.now_s(), service)
+
+    def set_aside(self, upstream: str, for_s: float = SET_ASIDE_S) -> None:
+        """Send an engine that changes its stage nothing until its entry shows the new one."""
+        with self._lock:
+            until_s = max(
+                self._set_aside_until_s_by_id.get(upstream, 0.0), self._clock.now_s() + for_s
+            )
+            self._set_aside_until_s_by_id[upstream] = until_s
+
+    def take_back(self, upstream: str) -> None:
+        """Use an engine again whose entry shows its new stage."""
+        with self._lock:
+            self._set_aside_until_s_by_id.pop(upstream, None)
+
+    def set_aside_s_by_upstream(self) -> Mapping[str, float]:
+        """Return for how many more seconds engines are set aside."""
+        with self._lock:
+            now_s = self._clock.now_s()
+            return {
+                key: until_s - now_s
+                for key, until_s in self._set_aside_until_s_by_id.items()
+                if until_s > now_s
+            }
+
+    def _view(self) -> placement.View:
+        now_s = self._clock.now_s()
+        members = self._members()
+        if now_s - self._load_summed_s >= LOAD_SUM_S:
+            # Summed where it is used: reports come far more often than placements.
+            self._load_summed_s = now_s
+            peers_by_id = membership.peer_work(members, now_s)
+            self.load = load.step(self.load, load.Reported(peers_by_id))
+        return placement.View(
+            now_s,
+            self._domain,
+            self._usable_upstreams(now_s),
+            self.load,
+            self.health,
+            membership.staleness_s(members),
+            self._random.getrandbits(32),
+        )
+
+    def _usable_upstreams(self, now_s: float) -> tuple[model.Upstream, ...]:
+        if not self._set_aside_until_s_by_id:
+            return tuple(self._upstreams())
+        self._set_aside_until_s_by_id = {
+            key: until_s
+            for key, until_s in self._set_aside_until_s_by_id.items()
+            if until_s > now_s
+        }
+        aside = self._set_aside_until_s_by_id
+        return tuple(each for each in self._upstreams() if each.id not in aside)
+
+    def _begin(self, upstream: str, work: load.Work) -> None:
+        self.load = load.step(self.load, load.Begun(upstream, work))
--- a/src/carawaydoor/serving/plain.py
+++ b/src/carawaydoor/serving/plain.py
@@ -41,7 +41,7 @@
         while exchange.attempts < route.max_attempts:
             if exchange.attempts > 0 and not self._instance.may_retry(service.name):
                 break
-            upstream = self._instance.begin_plain(service.name, frozenset(excluded))
+            upstream = self._instance.places.begin_plain(service.name, frozenset(excluded))
             if upstream is None:
                 break
             excluded.add(upstream.id)
@@ -55,7 +55,7 @@
                     break
                 continue
             finally:
-                self._instance.end(upstream.id, _ONE)
+                self._instance.places.end(upstream.id, _ONE)
             exchange.attempts += 1
             last = response
             if response.status < calls.FIRST_FAILURE_STATUS or route.repeat.runs_once:
--- a/src/carawaydoor/serving/relaying.py
+++ b/src/carawaydoor/serving/relaying.py
@@ -118,9 +118,9 @@
     def _note(self, decode: model.Upstream, error: Exception) -> None:
         failure = calls.failure_of(error)
         if failure is calls.Failure.SILENT:
-            self._instance.record(decode, health.Outcome.SILENT)
+            self._instance.places.record(decode, health.Outcome.SILENT)
         elif failure is not calls.Failure.CALLER_GONE:
-            self._instance.record(decode, health.Outcome.BROKEN)
+            self._instance.places.record(decode, health.Outcome.BROKEN)
             self._caller.look_for_crash(self._exchange, decode)
         eliot.log_message(
             message_type="stream_broken",
@@ -134,6 +134,6 @@
     def _end(self, decode: model.Upstream, begun: calls.Begun) -> None:
         if begun.answer.is_complete:
             self._instance.pool.give_back(begun.connection, begun.answer)
-            self._instance.record(decode, health.Outcome.ANSWERED)
+            self._instance.places.record(decode, health.Outcome.ANSWERED)
         else:
             begun.connection.close()
--- a/tests/platform_side/harness.py
+++ b/tests/platform_side/harness.py
@@ -37,16 +37,13 @@
     values: dict[str, Any] = {
         "instance": "m",
         "domain": "a",
-        "domains": ("a", "b"),
         "front": options.Address("127.0.0.1", 0),
         "ready": options.Address("127.0.0.1", 0),
         "peer_host": "127.0.0.1",
         "first_port": 0,
         "seeds": (),
         "store": options.Address("127.0.0.1", 1),
-        "heartbeat_s": 1.2,
-        "bounds": options.Bounds(5.0, 2.0, 2.0, 8.0, 2.0, 0.2, 54.0, 10.0, 3.0, 8.0, 0.25),
-        "memory_bytes": 150_000_000,
+        "bounds": options.Bounds(5.0, 8.0, 0.2, 54.0, 10.0, 3.0, 8.0, 0.25),
         "max_descriptors": 1000,
     }
     return options.Options(**{**values, **changes})
@@ -159,7 +156,7 @@
 
     def is_idle(self) -> bool:
         """Return whether nothing is held for any request."""
-        work = self.instance.load.own_by_id
+        work = self.instance.places.load.own_by_id
         return not work and self.instance.requests_at_work == 0
 
 
--- a/tests/platform_side/test_documents.py
+++ b/tests/platform_side/test_documents.py
@@ -88,7 +88,8 @@
         return
     assert result.is_ok(), result.error
     assert str(result.ok.front) == "10.1.0.25:8221"
-    assert result.ok.bounds.drain_s == 2.0
+    assert result.ok.bounds.withdrawal_s == 5.0
+    assert result.ok.bounds.grace_s == 8.0
     assert [str(each) for each in result.ok.seeds] == ["10.1.0.25:8229", "10.2.0.17:8229"]
 
 
--- a/tests/platform_side/test_strikes.py
+++ b/tests/platform_side/test_strikes.py
@@ -28,7 +28,7 @@
         answer = harness.call("/unsafe/x", method="POST", body=b"killer")
         server.stop()
         assert answer.read().status == 502
-        harness.instance.health = {}
+        harness.instance.places.health = {}
         harness.instance.update_directory(
             harnesses.directory.Changed({f"s{number}": None}, number + 2)
         )
@@ -43,7 +43,7 @@
     server = harness.add("s1")
     for _ in range(4):
         server.behaviours = [Behaviour.RESET]
-        harness.instance.health = {}
+        harness.instance.places.health = {}
         assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 502
     assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 200
 
@@ -61,5 +61,5 @@
     monkeypatch.setattr(harness.instance.pool, "take", cut_off)
     for _ in range(3):
         server.behaviours = [Behaviour.RESET]
-        harness.instance.health = {}
+        harness.instance.places.health = {}
         assert harness.call("/unsafe/x", method="POST", body=b"b").read().status == 502
