Share the retry budget over all instances

Ruled out: that no other engine had room (a second attempt ended well in 126 of 133 cases) and that handles had lapsed. Now requests and repeats are counted in a sliding window over all instances, by the same counts as workspaces' caps (policy/windows.py), and an instance may take one and a half equal shares of what is left within a second, so that all at once stay within the budget.

Engines still reject at too low a believed fill; next.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -54,6 +54,8 @@
         ],
         set_aside_s_by_upstream=dict(report.set_aside_s_by_upstream),
         source_steady_s=report.source_steady_s,
+        requests_by_service=dict(report.requests_by_service),
+        repeats_by_service=dict(report.repeats_by_service),
     )
     message.write(cybin.TCyBinaryProtocol(transport))
     content = bytes(transport.getvalue())
@@ -95,6 +97,8 @@
             ),
             set_aside_s_by_upstream=message.set_aside_s_by_upstream,
             source_steady_s=float(message.source_steady_s),
+            requests_by_service=message.requests_by_service or {},
+            repeats_by_service=message.repeats_by_service or {},
         )
     except Exception as error:
         # The library raises whatever the malformed bytes lead it into.
--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -61,6 +61,8 @@
     :ivar set_aside_s_by_upstream: engines that change their stage, and for how many seconds more
         nothing is sent to them
     :ivar source_steady_s: for how many seconds the sender has had its source without a break
+    :ivar requests_by_service: requests taken since the sender's start
+    :ivar repeats_by_service: repeated sends since the sender's start
     """
 
     contact: Contact
@@ -78,6 +80,8 @@
     strikes: tuple[SharedStrike, ...]
     set_aside_s_by_upstream: Mapping[str, float]
     source_steady_s: float
+    requests_by_service: Mapping[str, float]
+    repeats_by_service: Mapping[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,10 +118,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
-    """A peer's admitted tokens since its start."""
+    """What a peer has counted since its start: admitted tokens, requests and repeated sends."""
 
     peer: str
     used_by_workspace: Mapping[str, float]
+    requests_by_service: Mapping[str, float]
+    repeats_by_service: Mapping[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,7 +172,14 @@
     for contact in report.contacts:
         if contact.instance != state.instance and contact.instance not in peers:
             peers[contact.instance] = Peer(contact, now_s, float("-inf"), None)
-    effects.append(Usage(f"{name}/{report.incarnation}", report.used_by_workspace))
+    effects.append(
+        Usage(
+            f"{name}/{report.incarnation}",
+            report.used_by_workspace,
+            report.requests_by_service,
+            report.repeats_by_service,
+        )
+    )
     effects.extend(report.strikes)
     effects.extend(SetAside(*each) for each in report.set_aside_s_by_upstream.items())
     echo_s = report.echo_by_instance.get(state.instance)
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -8,5 +8,6 @@
   6: double sent_s, 7: bool leaving, 8: i64 revision, 9: double proof_age_s,
   10: map<string, Work> work_by_upstream, 11: map<string, double> used_by_workspace,
   12: map<string, double> echo_by_instance, 13: list<Contact> contacts, 14: list<Strike> strikes,
-  15: map<string, double> set_aside_s_by_upstream, 16: double source_steady_s
+  15: map<string, double> set_aside_s_by_upstream, 16: double source_steady_s,
+  17: map<string, double> requests_by_service, 18: map<string, double> repeats_by_service
 }
--- a/src/carawaydoor/policy/caps.py
+++ b/src/carawaydoor/policy/caps.py
@@ -3,14 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 from collections.abc import Mapping
-from typing import Final
 
-from carawaydoor.policy import model
-
-# Length in seconds of the slots that a window is counted in.
-SLOT_S: Final = 0.25
+from carawaydoor.policy import model, windows
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,41 +20,28 @@
     overshoot: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Usage:
-    """What a workspace has used in the window, as this instance knows it.
-
-    :ivar used_by_slot: tokens admitted anywhere, by number of the slot, oldest first
-    :ivar limit: full limit of the window when the usage was last counted
-    :ivar own_used: tokens that this instance has admitted since its start
-    """
-
-    used_by_slot: Mapping[int, float]
-    limit: float
-    own_used: float = 0.0
-
-    @property
-    def total(self) -> float:
-        """Tokens used in the window."""
-        return sum(self.used_by_slot.values())
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Caps:
     """Usage by workspace.
 
     :ivar started_s: start of this instance; what was used before is not known
-    :ivar used_by_peer: total tokens that each peer has admitted since its start, by workspace
+    :ivar counts: tokens admitted in the window, by workspace
+    :ivar limit_by_workspace: full limits of the window when the usage was last counted
     :ivar share: part of the caps that this instance counts on, below 1 where peers are unheard
     """
 
     rules: Rules
     started_s: float
-    usage_by_workspace: Mapping[str, Usage] = dataclasses.field(default_factory=dict)
-    used_by_peer: Mapping[str, Mapping[str, float]] = dataclasses.field(default_factory=dict)
+    counts: windows.Counts
+    limit_by_workspace: Mapping[str, float] = dataclasses.field(default_factory=dict)
     share: float = 1.0
 
 
+def create(rules: Rules, now_s: float) -> Caps:
+    """Return the caps of an instance that starts."""
+    return Caps(rules, now_s, windows.Counts(rules.window_s))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
     """The request is within the cap."""
@@ -97,61 +79,38 @@
     """
     if workspace.tokens_per_s <= 0.0:
         return state, Admitted()
-    usage = _current(state, now_s, workspace)
+    state = _lowered(state, now_s, workspace)
     limit = _limit(state, now_s, workspace)
-    used = usage.total
+    used = windows.used(state.counts, now_s, workspace.name)
     if used > 0.0 and used + amount > limit:
-        retry_after_s = _room_in_s(state, now_s, usage, limit - amount)
-        return _put(state, workspace.name, usage), Exceeded(used, limit, retry_after_s)
-    charged = dataclasses.replace(
-        _add(usage, _slot(now_s), amount), own_used=usage.own_used + amount
-    )
-    return _put(state, workspace.name, charged), Admitted()
+        retry_after_s = _room_in_s(state, now_s, workspace.name, limit - amount)
+        return state, Exceeded(used, limit, retry_after_s)
+    counts = windows.add(state.counts, now_s, workspace.name, amount)
+    return dataclasses.replace(state, counts=counts), Admitted()
 
 
-def own_used(state: Caps) -> dict[str, float]:
+def own_used(state: Caps) -> Mapping[str, float]:
     """Return the tokens that this instance has admitted since its start, by workspace."""
-    return {name: usage.own_used for name, usage in state.usage_by_workspace.items()}
+    return state.counts.own_by_name
 
 
 def give_back(state: Caps, now_s: float, workspace: str, amount: float) -> Caps:
     """Put back what a request took that did not run anywhere."""
-    usage = state.usage_by_workspace.get(workspace)
-    if usage is None:
+    if workspace not in state.counts.own_by_name:
         return state
-    after = dataclasses.replace(
-        _add(usage, _slot(now_s), -amount), own_used=usage.own_used - amount
-    )
-    return _put(state, workspace, after)
+    counts = windows.add(state.counts, now_s, workspace, -amount)
+    return dataclasses.replace(state, counts=counts)
 
 
 def hear(state: Caps, now_s: float, peer: str, used_by_workspace: Mapping[str, float]) -> Caps:
-    """Count what a peer has admitted since its last report.
-
-    A peer that is heard for the first time has a total that reaches back too far: only what it
-    adds from then on counts.
-    """
-    before = state.used_by_peer.get(peer)
-    if before == used_by_workspace:
-        return state
-    usages = dict(state.usage_by_workspace)
-    for workspace, used in used_by_workspace.items():
-        added = used - before.get(workspace, 0.0) if before is not None else 0.0
-        if added == 0.0:
-            continue
-        usage = usages.get(workspace) or Usage({}, 0.0)
-        usages[workspace] = _add(usage, _slot(now_s), added)
-    return dataclasses.replace(
-        state,
-        usage_by_workspace=usages,
-        used_by_peer={**state.used_by_peer, peer: dict(used_by_workspace)},
-    )
+    """Count what a peer has admitted since its last report."""
+    counts = windows.hear(state.counts, now_s, peer, used_by_workspace)
+    return dataclasses.replace(state, counts=counts)
 
 
 def forget(state: Caps, peer: str) -> Caps:
     """Forget the totals of a peer that has ended."""
-    used = {each: totals for each, totals in state.used_by_peer.items() if each != peer}
-    return dataclasses.replace(state, used_by_peer=used)
+    return dataclasses.replace(state, counts=windows.forget(state.counts, peer))
 
 
 def with_share(state: Caps, heard: int, known: int) -> Caps:
@@ -174,38 +133,21 @@
     return workspace.tokens_per_s * state.rules.window_s + workspace.burst_tokens
 
 
-def _current(state: Caps, now_s: float, workspace: model.Workspace) -> Usage:
+def _lowered(state: Caps, now_s: float, workspace: model.Workspace) -> Caps:
+    """Weigh earlier use by the cap that it was within where the cap was lowered since."""
     full = _full_limit(state, workspace)
-    usage = state.usage_by_workspace.get(workspace.name)
-    if usage is None:
-        return Usage({}, full)
-    first = _slot(now_s - state.rules.window_s)
-    used = {slot: each for slot, each in usage.used_by_slot.items() if slot > first}
-    if usage.limit > full > 0.0:
-        # A lowered cap weighs earlier use by the cap that it was within.
-        used = {slot: each * full / usage.limit for slot, each in used.items()}
-    return dataclasses.replace(usage, used_by_slot=used, limit=full)
-
-
-def _room_in_s(state: Caps, now_s: float, usage: Usage, room_at: float) -> float:
-    used = usage.total
-    for slot, amount in sorted(usage.used_by_slot.items()):
+    before = state.limit_by_workspace.get(workspace.name, full)
+    counts = state.counts
+    if before > full > 0.0:
+        counts = windows.weigh(counts, now_s, workspace.name, full / before)
+    limits = {**state.limit_by_workspace, workspace.name: full}
+    return dataclasses.replace(state, counts=counts, limit_by_workspace=limits)
+
+
+def _room_in_s(state: Caps, now_s: float, workspace: str, room_at: float) -> float:
+    used = windows.used(state.counts, now_s, workspace)
+    for slot, amount in sorted(windows.by_slot(state.counts, now_s, workspace).items()):
         used -= amount
         if used <= room_at:
-            return max(SLOT_S, (slot + 1) * SLOT_S + state.rules.window_s - now_s)
+            return max(windows.SLOT_S, windows.leaves_window_in_s(state.counts, now_s, slot))
     return state.rules.window_s
-
-
-def _slot(at_s: float) -> int:
-    return math.floor(at_s / SLOT_S)
-
-
-def _add(usage: Usage, slot: int, amount: float) -> Usage:
-    used = dict(usage.used_by_slot)
-    used[slot] = used.get(slot, 0.0) + amount
-    return dataclasses.replace(usage, used_by_slot=used)
-
-
-def _put(state: Caps, workspace: str, usage: Usage) -> Caps:
-    usages = {**state.usage_by_workspace, workspace: usage}
-    return dataclasses.replace(state, usage_by_workspace=usages)
--- /dev/null
+++ b/src/carawaydoor/policy/repeats.py
@@ -0,0 +1,146 @@
+"""Retry budget of each service over all instances: what is left of it goes where it is needed."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Final
+
+from carawaydoor.policy import windows
+
+# Part of the budget that instances use: what others take is known with a lag.
+USED_SHARE: Final = 0.6
+# Part that instances use in the first window after their start, when they don't know what was taken
+# before: both together are less than the whole where all instances start anew at once.
+START_SHARE: Final = 0.3
+# Time in seconds after which most peers have told what they took.
+LAG_S: Final = 1.0
+# Part of an equal share of what is left that one instance may take within that time. Repeats come
+# in bursts at some instances; even if all took this at once they would stay within the budget.
+LAG_SHARES: Final = 1.5
+# Instances that share the budget at least, before peers have been heard.
+MIN_INSTANCES: Final = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """Bounds on the repeats to one service, all instances together.
+
+    :ivar ratio: repeated sends for each request
+    :ivar slack: repeated sends beyond that
+    :ivar window_s: length in seconds of the window that they are counted in
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Repeats:
+    """Requests and repeated sends by service.
+
+    :ivar started_s: start of this instance; repeats before that are not known
+    :ivar heard: instances whose counts are known, this one included
+    :ivar known: instances that share the budget
+    :ivar recent: this instance's repeats within the time that peers need to hear of them
+    """
+
+    rules: Rules
+    started_s: float
+    requests: windows.Counts
+    repeats: windows.Counts
+    recent: windows.Counts
+    heard: int = 1
+    known: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counted:
+    """What is known of the requests and repeats to a service.
+
+    :ivar requests: requests in the window, all instances together
+    :ivar repeats: repeated sends in the window, all instances together
+    :ivar own_recent: repeated sends of this instance that peers may not know of
+    """
+
+    requests: float
+    repeats: float
+    own_recent: float
+
+
+def create(rules: Rules, now_s: float) -> Repeats:
+    """Return the budget of an instance that starts."""
+    return Repeats(
+        rules,
+        now_s,
+        windows.Counts(rules.window_s),
+        windows.Counts(rules.window_s),
+        windows.Counts(LAG_S),
+    )
+
+
+def record_request(state: Repeats, now_s: float, service: str) -> Repeats:
+    """Count a request, which earns a part of a repeat."""
+    requests = windows.add(state.requests, now_s, service, 1.0)
+    return dataclasses.replace(state, requests=requests)
+
+
+def take(state: Repeats, now_s: float, service: str) -> tuple[Repeats, bool]:
+    """Take one repeated send to a service where the budget has one."""
+    known = counted(state, now_s, service)
+    left = _allowed(state, now_s, known.requests) - known.repeats
+    instances = max(MIN_INSTANCES, state.known)
+    if left < 1.0 or known.own_recent + 1.0 > max(1.0, left * LAG_SHARES / instances):
+        return state, False
+    after = dataclasses.replace(
+        state,
+        repeats=windows.add(state.repeats, now_s, service, 1.0),
+        recent=windows.add(state.recent, now_s, service, 1.0),
+    )
+    return after, True
+
+
+def hear(
+    state: Repeats,
+    now_s: float,
+    peer: str,
+    requests_by_service: Mapping[str, float],
+    repeats_by_service: Mapping[str, float],
+) -> Repeats:
+    """Count what a peer has sent since its last report."""
+    return dataclasses.replace(
+        state,
+        requests=windows.hear(state.requests, now_s, peer, requests_by_service),
+        repeats=windows.hear(state.repeats, now_s, peer, repeats_by_service),
+    )
+
+
+def forget(state: Repeats, peer: str) -> Repeats:
+    """Forget the totals of a peer that has ended."""
+    return dataclasses.replace(
+        state,
+        requests=windows.forget(state.requests, peer),
+        repeats=windows.forget(state.repeats, peer),
+    )
+
+
+def with_share(state: Repeats, heard: int, known: int) -> Repeats:
+    """Return the budget for an instance that hears ``heard`` of ``known`` instances."""
+    return dataclasses.replace(state, heard=heard, known=max(known, heard, 1))
+
+
+def counted(state: Repeats, now_s: float, service: str) -> Counted:
+    """Return what the budget of a service is judged from."""
+    return Counted(
+        windows.used(state.requests, now_s, service),
+        windows.used(state.repeats, now_s, service),
+        windows.used(state.recent, now_s, service),
+    )
+
+
+def _allowed(state: Repeats, now_s: float, requests: float) -> float:
+    """Return the repeats that instances which hear each other may send in a window."""
+    is_new = now_s - state.started_s < state.rules.window_s
+    slack = state.rules.slack * state.heard / state.known
+    return (START_SHARE if is_new else USED_SHARE) * (slack + state.rules.ratio * requests)
--- a/src/carawaydoor/serving/generation.py
+++ b/src/carawaydoor/serving/generation.py
@@ -76,7 +76,7 @@
         exchange.cleanup.callback(self._streams.release)
         service = exchange.service
         assert service is not None
-        self._instance.record_attempt(service.name)
+        self._instance.record_request(service.name)
         prompt = exchange.inbound.prompt or UNKNOWN_PROMPT
         arrival = self._arrival(exchange)
         run = self._place(exchange, service, prompt, arrival)
@@ -256,7 +256,8 @@
         """Return whether a generation that an engine did not take may go to another one."""
         if error.failure is calls.Failure.NOT_SENT:
             return True
-        return error.failure.did_not_run and self._instance.may_retry(run.service.name)
+        request = run.exchange.inbound.id
+        return error.failure.did_not_run and self._instance.may_repeat(request, run.service.name)
 
     def _move(self, run: _Run, excluded: frozenset[str]) -> bool:
         """Choose another decode engine and connect to it; return whether there was one."""
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import threading
-from collections.abc import Mapping
 from typing import Final
 
 import eliot
@@ -19,17 +18,13 @@
     directory,
     freshness,
     model,
-    retries,
+    repeats,
     stages,
     strikes,
 )
 from carawaydoor.serving import connections
 from carawaydoor.serving import places as placing
 
-# Part of the retry budget that instances use, so that restarted ones don't exceed it.
-RETRY_SHARE: Final = 0.6
-# Instances that share the budget at least, before peers have been heard.
-MIN_INSTANCES: Final = 8
 # Age in seconds up to which a strike is reported to peers: some rounds of reports.
 SHARED_STRIKE_S: Final = 2.0
 # Strikes in one report.
@@ -58,9 +53,12 @@
         self.freshness = freshness.Freshness()
         self.directory = directory.EMPTY
         bounds = options.bounds
-        self.caps = caps.Caps(caps.Rules(bounds.cap_window_s, bounds.cap_overshoot), clock.now_s())
+        now_s = clock.now_s()
+        self.caps = caps.create(caps.Rules(bounds.cap_window_s, bounds.cap_overshoot), now_s)
+        self.repeats = repeats.create(
+            repeats.Rules(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s), now_s
+        )
         self.strikes = strikes.EMPTY
-        self.budget_by_service: Mapping[str, retries.RetryBudget] = {}
         self._source_since_s: float | None = None
         self.membership = membership.Membership(options.instance, {})
         self._incarnation = secrets.randbits(62)
@@ -191,18 +189,28 @@
         with self._lock:
             self.caps = caps.give_back(self.caps, self.clock.now_s(), workspace, amount)
 
-    def record_attempt(self, service: str) -> None:
-        """Count a first send to a service, which earns a part of a retry."""
+    def record_request(self, service: str) -> None:
+        """Count a request for a service, which earns a part of a repeat."""
         with self._lock:
-            budget = retries.record_attempt(self._budget(service))
-            self.budget_by_service = {**self.budget_by_service, service: budget}
+            self.repeats = repeats.record_request(self.repeats, self.clock.now_s(), service)
 
-    def may_retry(self, service: str) -> bool:
-        """Take one repeated send from this instance's part of the budget of a service."""
+    def may_repeat(self, request: str, service: str) -> bool:
+        """Take one repeated send of a request from the retry budget of its service."""
         with self._lock:
-            budget, allowed = retries.take(self._budget(service))
-            self.budget_by_service = {**self.budget_by_service, service: budget}
-            return allowed
+            now_s = self.clock.now_s()
+            self.repeats, allowed = repeats.take(self.repeats, now_s, service)
+            counted = repeats.counted(self.repeats, now_s, service)
+        if not allowed:
+            eliot.log_message(
+                message_type="repeat_not_allowed",
+                request=request,
+                service=service,
+                requests=counted.requests,
+                repeats=counted.repeats,
+                own_recent=counted.own_recent,
+                peers_heard=self.repeats.heard - 1,
+            )
+        return allowed
 
     def strike(self, fingerprint: str, upstream: model.Upstream) -> None:
         """Note that an upstream crashed while it ran a request."""
@@ -253,6 +261,8 @@
                 source_steady_s=(
                     0.0 if self._source_since_s is None else now_s - self._source_since_s
                 ),
+                requests_by_service=self.repeats.requests.own_by_name,
+                repeats_by_service=self.repeats.repeats.own_by_name,
                 set_aside_s_by_upstream=self.places.set_aside_s_by_upstream(),
             )
             hosts = [each.host for each in contacts]
@@ -283,6 +293,7 @@
                 self._apply(effect, now_s)
             heard, known = membership.heard_and_known(self.membership, now_s)
             self.caps = caps.with_share(self.caps, heard, known)
+            self.repeats = repeats.with_share(self.repeats, heard, known)
         self.pool.close_expired()
 
     def _apply(self, effect: membership.Effect, now_s: float) -> None:
@@ -290,8 +301,9 @@
             case membership.Proof(revision, proven_s):
                 if revision == self.configuration.revision:
                     self.freshness = freshness.prove(self.freshness, revision, proven_s)
-            case membership.Usage(peer, used_by_workspace):
+            case membership.Usage(peer, used_by_workspace, requested, repeated):
                 self.caps = caps.hear(self.caps, now_s, peer, used_by_workspace)
+                self.repeats = repeats.hear(self.repeats, now_s, peer, requested, repeated)
             case membership.SetAside(key, for_s):
                 if key in self.directory.upstream_by_id:
                     self.places.set_aside(key, for_s)
@@ -309,9 +321,10 @@
 
     def _forget_usage(self, peer: str, incarnation: int) -> None:
         """Forget the totals of a peer's earlier incarnations."""
-        for key in tuple(self.caps.used_by_peer):
+        for key in tuple(self.caps.counts.totals_by_peer):
             if key.startswith(f"{peer}/") and key != f"{peer}/{incarnation}":
                 self.caps = caps.forget(self.caps, key)
+                self.repeats = repeats.forget(self.repeats, key)
 
     def _recent_strikes(self, now_s: float) -> tuple[membership.SharedStrike, ...]:
         return tuple(
@@ -321,18 +334,6 @@
             if now_s - strike.at_s < SHARED_STRIKE_S
         )[-MAX_SHARED_STRIKES:]
 
-    def _budget(self, service: str) -> retries.RetryBudget:
-        budget = self.budget_by_service.get(service)
-        if budget is not None:
-            return budget
-        bounds = self.options.bounds
-        return retries.create(
-            bounds.retry_ratio * RETRY_SHARE,
-            bounds.retry_slack
-            * RETRY_SHARE
-            / max(MIN_INSTANCES, len(self.membership.peer_by_instance) + 1),
-        )
-
     def _follow(self, effect: directory.Effect) -> None:
         upstream = effect.upstream
         match effect:
--- a/src/carawaydoor/serving/plain.py
+++ b/src/carawaydoor/serving/plain.py
@@ -37,9 +37,10 @@
             refusals.Reason.NO_UPSTREAM, f"service {service.name} has no upstream", RETRY_S
         )
         last: exchanges.Response | None = None
-        self._instance.record_attempt(service.name)
+        self._instance.record_request(service.name)
         while exchange.attempts < route.max_attempts:
-            if exchange.attempts > 0 and not self._instance.may_retry(service.name):
+            is_repeat = exchange.attempts > 0
+            if is_repeat and not self._instance.may_repeat(exchange.inbound.id, service.name):
                 break
             upstream = self._instance.places.begin_plain(service.name, frozenset(excluded))
             if upstream is None:
--- a/src/carawaydoor/serving/relaying.py
+++ b/src/carawaydoor/serving/relaying.py
@@ -87,8 +87,8 @@
 
     def _continue(self, backup: model.Upstream) -> calls.Begun | None:
         """Go on with the run at the engine that keeps a copy of its memory."""
-        service = self._exchange.service
-        if service is None or not self._instance.may_retry(service.name):
+        service, request = self._exchange.service, self._exchange.inbound.id
+        if service is None or not self._instance.may_repeat(request, service.name):
             return None
         self._splitter.drop_rest()
         left_s = self._exchange.deadline_s - self._instance.clock.now_s()
--- a/tests/policy/test_caps.py
+++ b/tests/policy/test_caps.py
@@ -6,7 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from carawaydoor.policy import caps, model
+from carawaydoor.policy import caps, model, windows
 
 RULES = caps.Rules(window_s=8.0, overshoot=0.25)
 WORKSPACE = model.Workspace("w", None, 1000.0, 1000.0, True, 200.0)
@@ -14,7 +14,7 @@
 
 
 def steady(started_s=-100.0):
-    return caps.Caps(RULES, started_s)
+    return caps.create(RULES, started_s)
 
 
 def admit(state, now_s, amount, workspace=WORKSPACE):
@@ -144,11 +144,11 @@
     @hypothesis.stateful.invariant()
     def window_holds(self):
         start_s = self.now_s - RULES.window_s
-        used = sum(amount for at_s, amount in self.admitted if at_s > start_s + caps.SLOT_S)
+        used = sum(amount for at_s, amount in self.admitted if at_s > start_s + windows.SLOT_S)
         # Two sides that were just cut may each still use their part of a window that was full.
         assert used <= LIMIT * (1.0 + RULES.overshoot) * 2.0
         if not self.is_cut and all(each.share == 1.0 for each in self.states):
-            recent = [a for at_s, a in self.admitted if at_s > start_s + caps.SLOT_S]
+            recent = [a for at_s, a in self.admitted if at_s > start_s + windows.SLOT_S]
             assert not recent or used - max(recent) <= LIMIT * (1.0 + RULES.overshoot) * 2.0
 
 
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -31,6 +31,8 @@
         strikes=(),
         set_aside_s_by_upstream={},
         source_steady_s=1.0,
+        requests_by_service={"s": 3.0},
+        repeats_by_service={"s": 1.0},
     )
     return dataclasses.replace(base, **changes)
 
@@ -153,6 +155,8 @@
     ).map(tuple),
     set_aside_s_by_upstream=st.dictionaries(NAMES, FLOATS),
     source_steady_s=FLOATS,
+    requests_by_service=st.dictionaries(NAMES, FLOATS),
+    repeats_by_service=st.dictionaries(NAMES, FLOATS),
 )
 
 
--- a/tools/platform_capacity.py
+++ b/tools/platform_capacity.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from carawaydoor.fleet import codec, membership
-from carawaydoor.policy import caps, load, model, placement
+from carawaydoor.policy import caps, load, model, placement, windows
 
 INSTANCES: Final = (8, 85, 710)
 UPSTREAMS: Final = (10, 74, 1000, 12_000)
@@ -36,6 +36,8 @@
         strikes=(),
         set_aside_s_by_upstream={},
         source_steady_s=1.0,
+        requests_by_service={"s1": 1e5, "s2": 1e5},
+        repeats_by_service={"s1": 1e3, "s2": 1e3},
     )
 
 
@@ -91,8 +93,8 @@
         )
     workspace = model.Workspace("w1", None, 1e9, 1e9, True, 1.0)
     for count in (20, 1000, 30_000):
-        usages = {f"w{n}": caps.Usage({0: 1.0}, 1.0) for n in range(count)}
-        state_ = caps.Caps(caps.Rules(8.0, 0.25), 0.0, usages)
+        counts = windows.Counts(8.0, {f"w{n}": {0: 1.0} for n in range(count)})
+        state_ = caps.Caps(caps.Rules(8.0, 0.25), 0.0, counts)
         timed(
             "admit a request, by workspaces",
             count,
