--- a/src/carawaydoor/fleet/exchange.py
+++ b/src/carawaydoor/fleet/exchange.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import abc
 import socket
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Final
 
 import eliot
 
 from carawaydoor.fleet import codec, membership
+from carawaydoor.operating import clock as clocks
 from carawaydoor.operating import options
 
 # Time in seconds from the start to the first round of reports.
@@ -17,21 +19,35 @@
 # Largest datagram of UDP over IPv4 in bytes.
 MAX_DATAGRAM_BYTES: Final = 65_507
 
-Receive = Callable[[membership.Report], None]
-# Returns the next report, the hosts that it goes to, and the time in seconds to the one after it.
-Compose = Callable[[], tuple[membership.Report, Iterable[str], float]]
+
+class Correspondent(abc.ABC):
+    """Writes the reports that are sent and reads those that are received."""
+
+    @abc.abstractmethod
+    def compose_report(self) -> tuple[membership.Report, Iterable[str], float]:
+        """Return the next report, its hosts, and the time in seconds to the one after it."""
+
+    @abc.abstractmethod
+    def compose_work_report(self) -> tuple[membership.WorkReport, Iterable[str]]:
+        """Return a report on the work just begun, and the hosts that it goes to."""
+
+    @abc.abstractmethod
+    def hear(self, report: codec.Message) -> None:
+        """Take the report of a peer."""
 
 
 class Exchange:
     """Owns the socket for datagrams between instances."""
 
-    def __init__(self, address: options.Address, compose: Compose, receive: Receive) -> None:
+    def __init__(
+        self, address: options.Address, correspondent: Correspondent, clock: clocks.Clock
+    ) -> None:
         self._port = address.port
-        self._compose = compose
-        self._receive = receive
+        self._correspondent = correspondent
+        self._clock = clock
+        self._has_new_work = threading.Event()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((address.host, address.port))
-        self._stopped = threading.Event()
         self._threads = (
             threading.Thread(target=self._listen, name="peer-listener", daemon=True),
             threading.Thread(target=self._report, name="peer-reporter", daemon=True),
@@ -42,9 +58,17 @@
         for thread in self._threads:
             thread.start()
 
+    def tell_work(self) -> None:
+        """Tell peers of work that has just begun, without waiting for the next round."""
+        self._has_new_work.set()
+
     def send_now(self) -> float:
         """Send a round of reports and return the time in seconds to the next."""
-        report, hosts, interval_s = self._compose()
+        report, hosts, interval_s = self._correspondent.compose_report()
+        self._send(report, hosts)
+        return interval_s
+
+    def _send(self, report: codec.Message, hosts: Iterable[str]) -> None:
         content = codec.encode(report)
         for host in hosts:
             try:
@@ -52,22 +76,27 @@
             except OSError as error:
                 # Datagrams may be lost at any time; the next round carries the same and more.
                 eliot.log_message(message_type="report_not_sent", host=host, detail=repr(error))
-        return interval_s
 
     def _listen(self) -> None:
         while True:
             try:
                 content, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                self._receive(codec.decode(content))
+                self._correspondent.hear(codec.decode(content))
             except codec.CodecError as error:
                 eliot.log_message(message_type="report_malformed", detail=str(error))
             except Exception:
                 eliot.write_traceback()
 
     def _report(self) -> None:
-        interval_s = FIRST_ROUND_S
-        while not self._stopped.wait(interval_s):
+        round_s = self._clock.now_s() + FIRST_ROUND_S
+        while True:
             try:
-                interval_s = self.send_now()
+                left_s = round_s - self._clock.now_s()
+                if left_s > 0.0 and self._has_new_work.wait(left_s):
+                    self._has_new_work.clear()
+                    self._send(*self._correspondent.compose_work_report())
+                else:
+                    round_s = self._clock.now_s() + self.send_now()
             except Exception:
                 eliot.write_traceback()
+                round_s = self._clock.now_s() + FIRST_ROUND_S
--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -26,6 +26,9 @@
 # Time in seconds over which the work of a silent peer is counted less and less: runs of an instance
 # that lost power go on at their engines until they end by themselves.
 WORK_LIFE_S: Final = 5.0
+# Datagrams about work just begun that one instance sends a second on average, and at once: to each
+# peer of a fleet of some sixty. They are small.
+WORK_DATAGRAMS_PER_S: Final = 60.0
 # Peers that one round of reports goes to, so that its cost does not grow with the fleet.
 FAN_OUT: Final = 12
 # Contacts that one report passes on.
@@ -84,6 +87,16 @@
     repeats_by_service: Mapping[str, float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkReport:
+    """What one instance has at work, told as soon as there is more of it."""
+
+    instance: str
+    incarnation: int
+    sequence: int
+    work_by_upstream: Mapping[str, load.Work]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
     """Another instance; ``report`` is None before it was heard."""
@@ -100,12 +113,16 @@
 
     :ivar turn: rounds of reports so far; the peers take turns where a round can't reach all
     :ivar changed_s: when a peer last joined, left, or was heard again after a silence
+    :ivar work_datagrams: datagrams about new work that may be sent at once
+    :ivar work_told_s: when that was counted, in seconds
     """
 
     instance: str
     peer_by_instance: Mapping[str, Peer]
     turn: int = 0
     changed_s: float = float("-inf")
+    work_datagrams: float = WORK_DATAGRAMS_PER_S
+    work_told_s: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,6 +208,22 @@
     return after, tuple(effects)
 
 
+def hear_work(state: Membership, now_s: float, report: WorkReport) -> Membership:
+    """Take what a known peer has at work now."""
+    before = state.peer_by_instance.get(report.instance)
+    if before is None or before.report is None:
+        return state
+    known = before.report
+    if known.incarnation != report.incarnation or known.sequence >= report.sequence:
+        return state
+    newer = dataclasses.replace(
+        known, sequence=report.sequence, work_by_upstream=report.work_by_upstream
+    )
+    peer = dataclasses.replace(before, report=newer, heard_s=now_s)
+    peers = {**state.peer_by_instance, report.instance: peer}
+    return dataclasses.replace(state, peer_by_instance=peers)
+
+
 def expire(state: Membership, now_s: float) -> tuple[Membership, tuple[Effect, ...]]:
     """Forget the peers that were silent for long."""
     gone = [each for each in state.peer_by_instance.values() if _is_gone(each, now_s)]
@@ -211,9 +244,17 @@
     return max(1, min(FAN_OUT, len(state.peer_by_instance))) / DATAGRAMS_PER_S
 
 
-def staleness_s(state: Membership) -> float:
-    """Return the mean age in seconds of what is known of peers: half a turn through all."""
-    return len(state.peer_by_instance) / DATAGRAMS_PER_S / 2.0
+def staleness_s(state: Membership, now_s: float) -> float:
+    """Return the mean age in seconds of what is known of peers' work.
+
+    It is half a turn through all peers, as far as they can't tell of new work at once: about as far
+    as this instance can't.
+    """
+    peers = len(state.peer_by_instance)
+    if peers == 0:
+        return 0.0
+    told_late = 1.0 - min(1.0, _work_datagrams(state, now_s) / peers)
+    return peers / DATAGRAMS_PER_S / 2.0 * told_late
 
 
 def silent_after_s(state: Membership) -> float:
@@ -231,6 +272,21 @@
     return after, tuple((contacts + contacts)[first : first + FAN_OUT])
 
 
+def work_recipients(state: Membership, now_s: float) -> tuple[Membership, tuple[Contact, ...]]:
+    """Return the peers that are told of new work at once, in turn where not all can be."""
+    contacts = [each.contact for each in state.peer_by_instance.values() if each.report is not None]
+    left = _work_datagrams(state, now_s)
+    count = min(len(contacts), int(left))
+    first = state.turn * FAN_OUT % max(1, len(contacts))
+    after = dataclasses.replace(state, work_datagrams=left - count, work_told_s=now_s)
+    return after, tuple((contacts + contacts)[first : first + count])
+
+
+def _work_datagrams(state: Membership, now_s: float) -> float:
+    earned = max(0.0, now_s - state.work_told_s) * WORK_DATAGRAMS_PER_S
+    return min(WORK_DATAGRAMS_PER_S, state.work_datagrams + earned)
+
+
 def echoes(state: Membership, contacts: tuple[Contact, ...]) -> dict[str, float]:
     """Return the clocks of some peers as they were last heard."""
     peers = (state.peer_by_instance.get(each.instance) for each in contacts)
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -1,4 +1,4 @@
-// What one instance tells its peers, whole in each datagram.
+// What one instance tells its peers: a datagram holds one or the other.
 
 struct Work { 1: i32 requests, 2: i32 tokens }
 struct Contact { 1: string instance, 2: string host }
@@ -11,3 +11,7 @@
   15: map<string, double> set_aside_s_by_upstream, 16: double source_steady_s,
   17: map<string, double> requests_by_service, 18: map<string, double> repeats_by_service
 }
+struct WorkReport {
+  1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream
+}
+struct Datagram { 1: Report report, 2: WorkReport work }
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -65,9 +65,10 @@
         )
         self._exchange = exchange.Exchange(
             options.Address(settings_.peer_host, settings_.first_port),
-            self._instance.compose_report,
-            self._instance.hear,
+            self._instance,
+            clock,
         )
+        self._instance.places.on_begun = self._exchange.tell_work
         platform_border = border.PlatformBorder()
         self._callers = callers.CallerServer(
             app.App(self._instance, platform_border),
--- a/src/carawaydoor/policy/caps.py
+++ b/src/carawaydoor/policy/caps.py
@@ -105,6 +105,8 @@
 def hear(state: Caps, now_s: float, peer: str, used_by_workspace: Mapping[str, float]) -> Caps:
     """Count what a peer has admitted since its last report."""
     counts = windows.hear(state.counts, now_s, peer, used_by_workspace)
+    if counts is state.counts:
+        return state
     return dataclasses.replace(state, counts=counts)
 
 
--- a/src/carawaydoor/policy/repeats.py
+++ b/src/carawaydoor/policy/repeats.py
@@ -109,11 +109,11 @@
     repeats_by_service: Mapping[str, float],
 ) -> Repeats:
     """Count what a peer has sent since its last report."""
-    return dataclasses.replace(
-        state,
-        requests=windows.hear(state.requests, now_s, peer, requests_by_service),
-        repeats=windows.hear(state.repeats, now_s, peer, repeats_by_service),
-    )
+    requests = windows.hear(state.requests, now_s, peer, requests_by_service)
+    repeats = windows.hear(state.repeats, now_s, peer, repeats_by_service)
+    if requests is state.requests and repeats is state.repeats:
+        return state
+    return dataclasses.replace(state, requests=requests, repeats=repeats)
 
 
 def forget(state: Repeats, peer: str) -> Repeats:
--- a/src/carawaydoor/serving/instance.py
+++ b/src/carawaydoor/serving/instance.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from carawaydoor.fleet import membership
+from carawaydoor.fleet import codec, exchange, membership
 from carawaydoor.operating import clock as clocks
 from carawaydoor.operating import options as optioning
 from carawaydoor.operating import telemetry as telemetries
@@ -36,7 +36,7 @@
 MAX_AGE_S: Final = 1e6
 
 
-class Instance:
+class Instance(exchange.Correspondent):
     """Holds what an instance believes and applies the decisions to it, one at a time."""
 
     def __init__(
@@ -274,14 +274,33 @@
         self.telemetry.datagrams.add(len(others), {"direction": "sent"})
         return report, others, interval_s
 
-    def hear(self, report: membership.Report) -> None:
+    def compose_work_report(self) -> tuple[membership.WorkReport, list[str]]:
+        """Return a report on the work just begun, and the hosts that it goes to."""
+        with self._lock:
+            now_s = self.clock.now_s()
+            self.membership, contacts = membership.work_recipients(self.membership, now_s)
+            self._sequence += 1
+            report = membership.WorkReport(
+                self.options.instance,
+                self._incarnation,
+                self._sequence,
+                self.places.load.own_by_id,
+            )
+        self.telemetry.datagrams.add(len(contacts), {"direction": "sent"})
+        return report, [each.host for each in contacts]
+
+    def hear(self, report: codec.Message) -> None:
         """Take the report of a peer."""
         self.telemetry.datagrams.add(1, {"direction": "heard"})
         with self._lock:
             now_s = self.clock.now_s()
-            self.membership, effects = membership.hear(self.membership, now_s, report)
-            for effect in effects:
-                self._apply(effect, now_s)
+            match report:
+                case membership.WorkReport():
+                    self.membership = membership.hear_work(self.membership, now_s, report)
+                case membership.Report():
+                    self.membership, effects = membership.hear(self.membership, now_s, report)
+                    for effect in effects:
+                        self._apply(effect, now_s)
 
     def expire(self) -> None:
         """Apply what follows from time alone."""
--- a/src/carawaydoor/serving/places.py
+++ b/src/carawaydoor/serving/places.py
@@ -26,6 +26,7 @@
 
     :ivar load: work under way at each upstream
     :ivar health: how calls to each upstream ended lately
+    :ivar on_begun: called when a generation was placed
     """
 
     def __init__(
@@ -39,6 +40,7 @@
     ) -> None:
         self.load = load.EMPTY
         self.health: health.Health = {}
+        self.on_begun: Callable[[], None] = _do_nothing
         self._domain = domain
         self._clock = clock
         self._telemetry = telemetry
@@ -76,7 +78,8 @@
             self._begin(chosen.decode.id, load.Work(1, prompt.memory_tokens))
             if chosen.prefill is not None:
                 self._begin(chosen.prefill.id, load.Work(1, prompt.tokens))
-            return chosen
+        self.on_begun()
+        return chosen
 
     def begin_decode(
         self, service: model.Service, prompt: model.Prompt, excluded: frozenset[str]
@@ -194,7 +197,7 @@
             self._usable_upstreams(now_s),
             self.load,
             self.health,
-            membership.staleness_s(members),
+            membership.staleness_s(members, now_s),
             self._random.getrandbits(32),
         )
 
@@ -211,3 +214,7 @@
 
     def _begin(self, upstream: str, work: load.Work) -> None:
         self.load = load.step(self.load, load.Begun(upstream, work))
+
+
+def _do_nothing() -> None:
+    """Tell nobody."""
--- a/tests/platform_side/server.py
+++ b/tests/platform_side/server.py
@@ -46,6 +46,7 @@
     headers: dict[str, str]
     body: bytes
     behaviour: Behaviour = Behaviour.ANSWER
+    at_s: float = dataclasses.field(default_factory=time.monotonic)
     caller_left: threading.Event = dataclasses.field(default_factory=threading.Event)
 
     def header(self, name: str) -> str | None:
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -115,6 +115,33 @@
     assert len(reached) == 40
 
 
+def test_new_work_is_told_to_all_at_once_as_far_as_the_budget_reaches():
+    state, _ = heard(*(report(f"{chr(65 + i)}{i}") for i in range(40)))
+    state, first = membership.work_recipients(state, 200.0)
+    assert len({each.instance for each in first}) == 40
+    assert membership.staleness_s(state, 200.0) > 0.0
+    state, second = membership.work_recipients(state, 200.0)
+    assert len(second) == membership.WORK_DATAGRAMS_PER_S - 40
+    state, third = membership.work_recipients(state, 200.0)
+    assert third == ()
+    state, later = membership.work_recipients(state, 201.0)
+    assert len(later) == 40
+    assert membership.staleness_s(state, 202.0) == 0.0
+
+
+def test_told_work_replaces_what_the_last_report_said():
+    state, _ = heard(report(sequence=4))
+    known = state.peer_by_instance["p"].report
+    told = membership.WorkReport("p", known.incarnation, 5, {"d": load.Work(2, 900)})
+    after = membership.hear_work(state, 101.0, told)
+    assert membership.peer_work(after, 101.0) == {"d": load.Work(2, 900)}
+    assert after.peer_by_instance["p"].heard_s == 101.0
+    for change in ({"sequence": 4}, {"incarnation": 99}, {"instance": "q"}):
+        assert membership.hear_work(state, 101.0, dataclasses.replace(told, **change)) == state
+    older, _ = membership.hear(after, 102.0, report(sequence=4))
+    assert older == after, "the round that was overtaken brings nothing"
+
+
 def test_longest_steady_source_of_a_heard_peer():
     state, _ = heard(report("p", source_steady_s=9.0), report("q", source_steady_s=4.0))
     assert membership.longest_steady_source_s(state, 100.0) == 9.0
@@ -160,7 +187,16 @@
 )
 
 
-@given(REPORTS)
+WORK_REPORTS = st.builds(
+    membership.WorkReport,
+    NAMES,
+    st.integers(0, 2**62),
+    st.integers(0, 2**62),
+    st.dictionaries(NAMES, st.builds(load.Work, st.integers(0, 99), st.integers(0, 2**31 - 1))),
+)
+
+
+@given(REPORTS | WORK_REPORTS)
 def test_report_survives_the_wire(value):
     assert codec.decode(codec.encode(value)) == value
 
