Compare policies over modelled engines; drop the benchmark's baselines

It takes the place of the baselines that ran as processes in tools/bench. The soak judges two more promises: no request that was read is cut by a signal to stop, and none reaches an upstream long after it began to leave; every third seed does planned work alone, since only then every cut is a broken promise.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CODE := src tools tests
 MINUTES ?= 1
 
-.PHONY: demo test bench capacity soak format clean
+.PHONY: demo test bench experiment capacity soak format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,6 +28,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m tools.bench
 
+experiment: $(STAMP)
+	$(BIN)/python -m tools.experiment
+
 capacity: $(STAMP)
 	$(BIN)/python -m tools.capacity
 	$(BIN)/python -m tools.platform_capacity
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -1,4 +1,6 @@
-"""Measures the users' measures over fixed seeds, beside baselines, for both deployments.
+"""Measures the users' measures over fixed seeds for both deployments.
+
+Policies are compared by ``tools.experiment``, over modelled engines.
 
 Writes ``build/bench/report.json`` and ``build/bench/report.png``.
 """
@@ -33,7 +35,6 @@
 PREFILL_TOKENS_PER_S: Final = 20_000.0
 SLOTS: Final = 20
 OURS: Final = "carawaydoor"
-POLICIES: Final = (OURS, "round_robin", "least_busy")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +119,6 @@
     """Run the benchmark."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--deployment", choices=("orden-claro", "boekenkast"))
-    parser.add_argument("--policy", choices=POLICIES)
     parser.add_argument("--scenario", choices=[each.name for each in SCENARIOS])
     parser.add_argument("--before", type=pathlib.Path, help="checkout of an earlier version")
     parser.add_argument("--out", type=pathlib.Path, default=OUT)
@@ -134,9 +134,7 @@
 
 
 def _policies(options: argparse.Namespace) -> Iterator[tuple[str, pathlib.Path | None]]:
-    for policy in POLICIES:
-        if options.policy in (None, policy):
-            yield policy, None
+    yield OURS, None
     if options.before is not None:
         yield "carawaydoor-before", options.before
 
@@ -147,9 +145,8 @@
     source: pathlib.Path | None,
     only: str | None,
 ) -> Iterator[dict[str, Any]]:
-    baseline = policy if policy in POLICIES and policy != OURS else None
     idle_p99_s = 0.0
-    with fleet.Fleet(deployment, baseline=baseline, source=source) as running:
+    with fleet.Fleet(deployment, source=source) as running:
         time.sleep(WARM_UP_S)
         for scenario in SCENARIOS:
             if only not in (None, scenario.name) and scenario.name != "idle":
@@ -168,7 +165,7 @@
         ports=session.ports(running),
         seed=SEED,
         duration_s=DURATION_S,
-        streams=tuple(_streams(deployment, scenario, limits, policy)),
+        streams=tuple(_streams(deployment, scenario, limits)),
     )
     before = session.inspect(running)
     stolen_s = _stolen_s()
@@ -200,7 +197,6 @@
     deployment: deployments.Deployment,
     scenario: Scenario,
     limits: Mapping[str, buckets.Limit],
-    policy: str,
 ) -> Sequence[load.Stream]:
     total = scenario.load * best_requests_per_s(deployment)
     rate = sum(each.rate_per_s for each in limits.values())
@@ -210,8 +206,7 @@
         cost = (sum(PROMPT_TOKENS) + sum(MAX_TOKENS)) / 2
         per_workspace[noisy] = NOISY_FACTOR * limits[noisy].rate_per_s / cost
     plain = session.plain_streams(deployment, "status", STATUS_PER_S)
-    if policy == OURS:
-        plain.extend(session.plain_streams(deployment, "booking", BOOKINGS_PER_S))
+    plain.extend(session.plain_streams(deployment, "booking", BOOKINGS_PER_S))
     if total <= 0.0:
         return plain
     completions = session.completion_streams(deployment, per_workspace, PROMPT_TOKENS, MAX_TOKENS)
--- /dev/null
+++ b/tools/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of engines and callers under the product's own decisions, in simulated time."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -41,7 +41,6 @@
 class Fleet:
     """A running deployment; every process is a child of this one and is ended by its id.
 
-    :ivar baseline: baseline policy that runs in place of the daemon, None for the daemon itself
     :ivar source: checkout whose daemon runs, None for this one
     :ivar cuttable: failure domain whose traffic with the others and the platform passes a relay
     """
@@ -50,12 +49,10 @@
         self,
         deployment: deployments.Deployment,
         lag_s: float = 0.0,
-        baseline: str | None = None,
         source: pathlib.Path | None = None,
         cuttable: str = "",
     ) -> None:
         self.deployment = deployment
-        self._baseline = baseline
         self._source = source
         self._cuttable = cuttable
         self._relay_port_by_port: dict[int, int] = {}
@@ -177,9 +174,6 @@
 
     def start_instance(self, instance: str) -> None:
         """Start the daemon of an instance."""
-        if self._baseline is not None:
-            self._start_baseline(instance, self._baseline)
-            return
         ports = self.ports_by_instance[instance]
         far = self._domain_by_instance[instance] == self._cuttable
         platform_port = self.platform_port
@@ -208,19 +202,6 @@
             environment["PYTHONPATH"] = str(self._source / "src")
         self._spawn(instance, "-m", "carawaydoor", "--settings", str(path), env=environment)
 
-    def _start_baseline(self, instance: str, policy: str) -> None:
-        ports = Ports(*(3 * [self.ports_by_instance[instance].caller]))
-        self.ports_by_instance[instance] = ports
-        self._spawn(
-            instance,
-            "-m",
-            "tools.baselines",
-            *("--policy", policy, "--port", str(ports.caller)),
-            *("--number", str(list(self.ports_by_instance).index(instance))),
-            *("--view", str(self.directory / "view.json")),
-            *("--config", str(self.deployment.config_directory)),
-        )
-
     def add_instance(self, instance: str, failure_domain: str) -> None:
         """Start an instance that the view does not know yet, and publish it."""
         self._domain_by_instance[instance] = failure_domain
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -15,6 +15,10 @@
 READY_WITHIN_S: Final = 15.0
 # A request that is under way at the bound has this long to arrive.
 ON_THE_WAY_S: Final = 0.5
+# Time without disturbance after which an instance has to keep its bounds.
+STEADY_S: Final = 3.0
+# A request has been read this long after its sending.
+READ_S: Final = 0.2
 _NOT_RUN: Final = frozenset({408, 421, 429, 503})
 _NO_RUN_BEHAVIOURS: Final = frozenset({servers.Behaviour.REJECT, servers.Behaviour.MISDIRECT})
 
@@ -51,6 +55,8 @@
         if withdrawn_s is not None and each.sent_s > withdrawn_s + world.WITHDRAWAL_S and ran:
             late_s = each.sent_s - withdrawn_s
             yield f"{each.id} ran with a key that was withdrawn {late_s:.1f} s before"
+    yield from _cut_by_a_stop(the_world, outcomes)
+    yield from _sent_to_leaving(the_world, outcomes)
     for server in the_world.server_by_name.values():
         for seen in server.seen:
             if seen.header(names.Header.KEY) is not None:
@@ -59,6 +65,40 @@
                 yield f"an upstream got {seen.header(names.Header.REQUEST_ID)}, which nobody sent"
 
 
+def _cut_by_a_stop(the_world: world.World, outcomes: list[callers.Outcome]) -> Iterator[str]:
+    """Yield requests that an instance had read and cut since it was told to stop."""
+    upstreams = {*the_world.proxy_by_name, "store"}
+    for each in outcomes:
+        stopped_s = the_world.history.last_stop_s(each.instance, each.ended_s)
+        if each.is_whole or stopped_s is None or each.sent_s > stopped_s + world.GRACE_S:
+            continue
+        was_read = each.ended_s - each.sent_s > READ_S
+        gave_up = each.ended_s - each.sent_s > callers.PATIENCE_S - READ_S
+        calm = the_world.history.is_calm(
+            {each.instance, *upstreams}, min(stopped_s, each.sent_s) - STEADY_S, each.ended_s
+        )
+        if calm and was_read and not gave_up:
+            yield (
+                f"{each.id} {each.path} was cut at {each.instance}, sent "
+                f"{each.sent_s - stopped_s:+.2f} s from the signal to stop, after "
+                f"{each.ended_s - each.sent_s:.2f} s"
+            )
+
+
+def _sent_to_leaving(the_world: world.World, outcomes: list[callers.Outcome]) -> Iterator[str]:
+    """Yield requests that reached an upstream long after all could know that it leaves."""
+    instance_by_id = {each.id: each.instance for each in outcomes}
+    for name, since_s in the_world.draining_since_s_by_name.items():
+        for seen in the_world.server_by_name[name].seen:
+            instance = instance_by_id.get(seen.header(names.Header.REQUEST_ID) or "", "")
+            late_s = seen.at_s - since_s
+            if late_s <= world.DRAIN_S + ON_THE_WAY_S:
+                continue
+            began_s = seen.at_s - world.DRAIN_S - ON_THE_WAY_S - STEADY_S
+            if the_world.history.is_calm({instance, name, "store"}, began_s, seen.at_s):
+                yield f"{name} got a request of {instance} {late_s:.1f} s after it began to leave"
+
+
 def settle(the_world: world.World) -> Iterator[str]:
     """Wait for the fleet after the faults and yield what does not come back."""
     until_s = time.monotonic() + READY_WITHIN_S
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,10 +11,12 @@
 
 from tests.platform_side import server as servers
 from tests.platform_side import store as stores
-from tools.soak import proxy, world
+from tools.soak import history, proxy, world
 
 LONGEST_S: Final = 4.0
 GAP_S: Final = 0.8
+# One seed of so many does planned work only.
+PLANNED_EVERY: Final = 3
 
 
 class Faults:
@@ -22,10 +24,21 @@
 
     def __init__(self, the_world: world.World, seed: int) -> None:
         self._world = the_world
+        self._history = the_world.history
         self._random = random.Random(seed)
         self._timers: list[threading.Timer] = []
         self.applied: list[str] = []
-        self._kinds: tuple[Callable[[float], str], ...] = (
+        planned: tuple[Callable[[float], str], ...] = (
+            self._terminate,
+            self._terminate,
+            self._hang_up,
+            self._withdraw,
+            self._drain_upstream,
+            self._reconfigure,
+        )
+        # Planned work alone, in series: only then is every cut request a broken promise.
+        self._is_planned = seed % PLANNED_EVERY == 0
+        unplanned: tuple[Callable[[float], str], ...] = (
             self._pause,
             self._kill,
             self._terminate,
@@ -37,6 +50,7 @@
             self._withdraw,
             self._drain_upstream,
         )
+        self._kinds = planned if self._is_planned else unplanned
 
     def run(self, seconds: float) -> None:
         """Apply faults for a time, then wait for the last to end."""
@@ -59,6 +73,7 @@
     def _pause(self, lasting_s: float) -> str:
         instance = self._random.choice(self._world.instances)
         instance.send(signal.SIGSTOP)
+        self._history.disturb(instance.name, time.monotonic(), lasting_s)
         self._after(lasting_s, lambda: instance.send(signal.SIGCONT))
         return f"pause {instance.name} {lasting_s:.1f}"
 
@@ -67,12 +82,14 @@
         chosen = self._random.sample(self._world.instances, count)
         for instance in chosen:
             instance.is_expected_to_end = True
+            self._history.disturb(instance.name, time.monotonic(), GAP_S * 2)
             instance.send(signal.SIGKILL)
         return f"kill {count}"
 
     def _terminate(self, lasting_s: float) -> str:
         instance = self._random.choice(self._world.instances)
         instance.is_expected_to_end = True
+        self._history.stop(instance.name, time.monotonic())
         instance.send(signal.SIGTERM)
         return f"terminate {instance.name}"
 
@@ -91,15 +108,18 @@
     def _harm(self, target: proxy.Proxy, name: str, lasting_s: float) -> str:
         mode = self._random.choice(tuple(proxy.Mode))
         target.mode = mode
+        self._history.disturb(name, time.monotonic(), lasting_s)
         self._after(lasting_s, lambda: setattr(target, "mode", proxy.Mode.PASS))
         return f"{mode.value} {name} {lasting_s:.1f}"
 
     def _store_trouble(self, lasting_s: float) -> str:
         if self._random.random() < 0.3:
+            self._history.disturb("store", time.monotonic(), 0.0)
             self._world.store.forget_history()
             return "forget history"
         mode = self._random.choice(tuple(stores.Mode))
         self._world.store.mode = mode
+        self._history.disturb("store", time.monotonic(), lasting_s)
         self._after(lasting_s, lambda: setattr(self._world.store, "mode", stores.Mode.GOOD))
         return f"store {mode.value} {lasting_s:.1f}"
 
@@ -107,8 +127,14 @@
         name = self._random.choice(sorted(self._world.server_by_name))
         behaviours = self._random.choices(tuple(servers.Behaviour), k=4)
         self._world.server_by_name[name].behaviours.extend(behaviours)
+        # They are used up one a request, at a time that is not known.
+        self._history.disturb(history.ALL, time.monotonic(), float("inf"))
         return f"bad answers {name}"
 
+    def _reconfigure(self, lasting_s: float) -> str:
+        self._world.configure(self._world.keys)
+        return "configure"
+
     def _withdraw(self, lasting_s: float) -> str:
         if self._world.withdrawn_s_by_key:
             return "withdrawn already"
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -16,7 +16,7 @@
 from carawaydoor.platform import names
 from tests.platform_side import server as servers
 from tests.platform_side import store as stores
-from tools.soak import proxy
+from tools.soak import history, proxy
 
 FRONT_PORT: Final = 18221
 READY_PORT: Final = 18224
@@ -134,6 +134,7 @@
         self.proxy_by_name: dict[str, proxy.Proxy] = {}
         self.draining_since_s_by_name: dict[str, float] = {}
         self.withdrawn_s_by_key: dict[str, float] = {}
+        self.history = history.History()
         self._version = 1
         for name, stage in (
             ("p1", "prefill"),
@@ -178,6 +179,7 @@
     def configure(self, keys: tuple[str, ...]) -> None:
         """Publish a configuration with some keys."""
         self._version += 1
+        self.keys = keys
         engine = {
             "slots": 128,
             "kvCacheTokens": 60_000,
