--- a/tests/platform_side/server.py
+++ b/tests/platform_side/server.py
@@ -127,7 +127,10 @@
     do_GET = do_POST = do_DELETE = _handle  # noqa: N815
 
     def _behave(self, seen: Seen, behaviour: Behaviour) -> None:
-        stamp = {names.Header.STAMP: "s", names.Header.REQUEST_ID: self._id(seen)}
+        stamp: dict[str, str] = {
+            names.Header.STAMP: "s",
+            names.Header.REQUEST_ID: self._id(seen),
+        }
         match behaviour:
             case Behaviour.ANSWER if seen.header(names.Header.STAGE):
                 tokens = {"handle": f"h{len(self.server.owner.seen)}", "tokens": 5, "version": 1}
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -92,7 +92,11 @@
 def lose_platform(running: fleet.Fleet) -> Callable[[], None]:
     """Let the platform answer nothing; return what mends it."""
     running.control("platform", down=True)
-    return lambda: running.control("platform", down=False) and None
+
+    def mend() -> None:
+        running.control("platform", down=False)
+
+    return mend
 
 
 SCENARIOS: Final = (
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -12,12 +12,12 @@
 import pathlib
 import statistics
 from collections.abc import Mapping, Sequence
-from typing import Any, Final
+from typing import Final
 
 import matplotlib
 import matplotlib.pyplot as plt
 
-from tools.emulator import policies, traffic, world
+from tools.emulator import engines, policies, traffic, world
 
 OUT: Final = pathlib.Path("build/experiment")
 # Offered load as parts of what the generating engines' memory can serve at best.
@@ -62,12 +62,14 @@
 
 def best_per_s(deployment: world.Deployment, sample: traffic.Traffic) -> float:
     """Return the requests a second that the generating engines' memory can serve at best."""
-    run_s = sample.output_tokens * world.engines.STEP_S
+    run_s = sample.output_tokens * engines.STEP_S
     held_tokens = sample.prompt_tokens + sample.output_tokens / 2
     return deployment.generators * deployment.memory_tokens / held_tokens / run_s
 
 
-def measure(scenario: Scenario, policy: type[policies.Policy], load: float, seed: int) -> Any:
+def measure(
+    scenario: Scenario, policy: type[policies.Policy], load: float, seed: int
+) -> world.Result:
     """Return the result of one run."""
     sample = traffic.Traffic(per_s=1.0)
     per_s = load * best_per_s(scenario.deployment, sample)
