--- a/tests/platform_side/server.py
+++ b/tests/platform_side/server.py
@@ -144,7 +144,8 @@
             case Behaviour.FAIL:
                 self._answer(500, b"failed", stamp)
             case Behaviour.REJECT:
-                rejection = {names.Header.NOT_RUN: "1", names.Header.REQUEST_ID: self._id(seen)}
+                rejection: dict[str, str] = {names.Header.NOT_RUN: "1"}
+                rejection[names.Header.REQUEST_ID] = self._id(seen)
                 self._answer(503, b"", rejection)
             case Behaviour.UNNAMED:
                 self._answer(200, b"answer", {names.Header.STAMP: "s"})
