Gather changes of the store in larger fleets; sum peers' work and write reports more cheaply

Now a watch follows a change after 10 ms for each instance, 0.25 s at least and 0.8 s at most. Ruled out: fewer rounds of reports, which carry proofs of freshness within 4.4 s.

--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Mapping
 from typing import Final
@@ -31,8 +32,10 @@
 WORK_DATAGRAMS_PER_S: Final = 60.0
 # Peers that one round of reports goes to, so that its cost does not grow with the fleet.
 FAN_OUT: Final = 12
-# Contacts that one report passes on.
+# Contacts that one report passes on, and in a larger fleet only one round of so many: they are a
+# good part of a report, and new instances are rare.
 MAX_CONTACTS: Final = 12
+CONTACT_ROUNDS: Final = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -302,13 +305,16 @@
     heard = [each.contact for each in state.peer_by_instance.values() if each.report is not None]
     if len(heard) <= MAX_CONTACTS:
         return tuple(heard)
-    first = state.turn * MAX_CONTACTS % len(heard)
+    if state.turn % CONTACT_ROUNDS:
+        return ()
+    first = state.turn // CONTACT_ROUNDS * MAX_CONTACTS % len(heard)
     return tuple((heard + heard)[first : first + MAX_CONTACTS])
 
 
 def peer_work(state: Membership, now_s: float) -> dict[str, load.Work]:
     """Return the work of all peers by upstream, as far as it is recent."""
-    total: dict[str, load.Work] = {}
+    requests: dict[str, float] = collections.defaultdict(float)
+    tokens: dict[str, float] = collections.defaultdict(float)
     silent_after = silent_after_s(state)
     for peer in state.peer_by_instance.values():
         silent_s = max(0.0, now_s - peer.heard_s - silent_after)
@@ -316,9 +322,9 @@
             continue
         part = 1.0 - silent_s / WORK_LIFE_S
         for upstream, work in peer.report.work_by_upstream.items():
-            left = load.Work(round(work.requests * part), round(work.tokens * part))
-            total[upstream] = total.get(upstream, load.NO_WORK).plus(left)
-    return total
+            requests[upstream] += work.requests * part
+            tokens[upstream] += work.tokens * part
+    return {key: load.Work(round(requests[key]), round(tokens[key])) for key in requests}
 
 
 def heard_and_known(state: Membership, now_s: float) -> tuple[int, int]:
--- a/src/carawaydoor/operating/watching.py
+++ b/src/carawaydoor/operating/watching.py
@@ -18,14 +18,23 @@
 WATCH_SHARE: Final = 0.68
 # Time in seconds that an answer may take beyond that: a slow source answers in a quarter second.
 ANSWER_S: Final = 0.6
-# Time in seconds between two watches: changes that come in quick succession share one answer.
+# Time in seconds between a change and the next watch: changes that come in quick succession share
+# one answer. All instances are woken by each change and share what the source can answer, so that
+# it grows with their number, up to well below the two seconds for a leaving upstream.
 SETTLE_S: Final = 0.25
+SETTLE_S_PER_INSTANCE: Final = 0.01
+LONGEST_SETTLE_S: Final = 0.8
 # Time in seconds for reading everything, page by page.
 READ_S: Final = 1.0
 # Time in seconds between tries while the source does not answer.
 PAUSE_S: Final = 0.25
 
 
+def settle_s(instances: int) -> float:
+    """Return the time in seconds between a change and the next watch in a fleet of some size."""
+    return min(LONGEST_SETTLE_S, max(SETTLE_S, SETTLE_S_PER_INSTANCE * instances))
+
+
 class Watcher:
     """Reads the source once, then watches it."""
 
@@ -90,7 +99,7 @@
         self._instance.prove(self._instance.configuration.revision, proven_s)
         self._count("watch")
         if not is_quiet:
-            self._stopped.wait(SETTLE_S)
+            self._stopped.wait(settle_s(len(self._instance.membership.peer_by_instance) + 1))
         return max(after, news.revision)
 
     def _take_configuration(self, news: sources.News) -> None:
--- a/tests/platform_side/test_store.py
+++ b/tests/platform_side/test_store.py
@@ -164,3 +164,11 @@
     news = client(store).read(1.0)
     assert news.configuration is None
     assert news.configuration_revision == revision
+
+
+@pytest.mark.parametrize(
+    ("instances", "expected_s"), [(1, 0.25), (8, 0.25), (58, 0.58), (710, 0.8)]
+)
+def test_larger_fleets_gather_more_changes_in_one_answer(instances, expected_s):
+    """Load: servers that flap; each change woke 85 watches, 1.2 calls a second and instance."""
+    assert watching.settle_s(instances) == pytest.approx(expected_s)
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -115,6 +115,22 @@
     assert len(reached) == 40
 
 
+def test_contacts_are_passed_on_in_turn_and_in_large_fleets_not_in_each_round():
+    state, _ = heard(*(report(f"{chr(65 + i)}{i}") for i in range(40)))
+    passed, rounds = set(), 0
+    for _ in range(5 * membership.CONTACT_ROUNDS):
+        contacts = membership.some_contacts(state)
+        assert len(contacts) <= membership.MAX_CONTACTS
+        passed.update(each.instance for each in contacts)
+        rounds += bool(contacts)
+        state, _ = membership.recipients(state)
+    assert rounds == 5
+    assert len(passed) == 40
+    few, _ = heard(report("p"))
+    few, _ = membership.recipients(few)
+    assert membership.some_contacts(few)
+
+
 def test_new_work_is_told_to_all_at_once_as_far_as_the_budget_reaches():
     state, _ = heard(*(report(f"{chr(65 + i)}{i}") for i in range(40)))
     state, first = membership.work_recipients(state, 200.0)
