Note a peer's return from a whole report only

Found by reading: a report on new work from a peer that had been silent made it heard, so that its return no longer counted as a change of the fleet, which has to be unchanged for six seconds before orders are given. The test failed before. Ruled out: letting such a report count as the return; it says nothing of the peer's incarnation's caps and proofs.

--- a/src/carawaydoor/fleet/membership.py
+++ b/src/carawaydoor/fleet/membership.py
@@ -212,10 +212,12 @@
 
 
 def hear_work(state: Membership, now_s: float, report: WorkReport) -> Membership:
-    """Take what a known peer has at work now."""
+    """Take what a peer has at work now, unless its return has yet to be noted from a whole report."""
     before = state.peer_by_instance.get(report.instance)
     if before is None or before.report is None:
         return state
+    if before.heard_s < now_s - silent_after_s(state):
+        return state
     known = before.report
     if known.incarnation != report.incarnation or known.sequence >= report.sequence:
         return state
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -154,6 +154,7 @@
     assert after.peer_by_instance["p"].heard_s == 101.0
     for change in ({"sequence": 4}, {"incarnation": 99}, {"instance": "q"}):
         assert membership.hear_work(state, 101.0, dataclasses.replace(told, **change)) == state
+    assert membership.hear_work(state, 103.0, told) == state, "the peer has been silent"
     older, _ = membership.hear(after, 102.0, report(sequence=4))
     assert older == after, "the round that was overtaken brings nothing"
 
