Keep the emulator's instances in a module of their own

tools/emulator/world.py had grown past 400 lines with two concerns, the engines and callers and what instances tell each other.

--- a/tools/emulator/world.py
+++ b/tools/emulator/world.py
@@ -12,7 +12,7 @@
 
 from carawaydoor.fleet import membership
 from carawaydoor.policy import health, load, model, placement, repeats, waiting
-from tools.emulator import engines, policies, traffic
+from tools.emulator import engines, fleet, policies, traffic
 
 SERVICE_NAME: Final = "planner"
 # Time in seconds between two looks for room of a request that waits.
@@ -23,8 +23,6 @@
 RETRY_RATIO: Final = 0.2
 RETRY_SLACK_PER_ENGINE: Final = 5.0
 RETRY_WINDOW_S: Final = 10.0
-# Time in seconds that instances were up before the first request.
-UPTIME_S: Final = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,20 +67,10 @@
         return self.earned / self.offered if self.offered else 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Instance:
-    name: str
-    own: load.Load
-    health: health.Health
-    repeats: repeats.Repeats
-    members: membership.Membership
-    sequence: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class _Attempt:
     request: traffic.Request
-    instance: _Instance
+    instance: fleet.Instance
     prompt: model.Prompt
     arrival: waiting.Arrival
     terms: waiting.Terms
@@ -135,14 +123,15 @@
             )
             for name in names
         )
-        self._instances = {name: self._instance(name) for name in _names("i", deployment.instances)}
+        slack = RETRY_SLACK_PER_ENGINE * deployment.generators
+        rules = repeats.Rules(RETRY_RATIO, slack, RETRY_WINDOW_S)
+        self._fleet = fleet.Fleet(deployment.instances, rules, policy.tells_work)
 
     def run(self) -> Result:
         """Play all requests to their ends."""
         for request in traffic.requests(self._traffic, self._seed):
             self._at(request.sent_s, functools.partial(self._arrive, request, 0))
-        self._introduce()
-        for instance in self._instances.values():
+        for instance in self._fleet.instances:
             first_s = self._draw.uniform(0.0, membership.round_interval_s(instance.members))
             self._at(first_s, functools.partial(self._report, instance))
         self._at(CHECK_S, self._check)
@@ -157,87 +146,12 @@
     def _at(self, at_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_s, next(self._counter), action))
 
-    def _instance(self, name: str) -> _Instance:
-        slack = RETRY_SLACK_PER_ENGINE * self._deployment.generators
-        rules = repeats.Rules(RETRY_RATIO, slack, RETRY_WINDOW_S)
-        budget = repeats.create(rules, -UPTIME_S)
-        count = self._deployment.instances
-        budget = repeats.with_share(budget, count, count)
-        return _Instance(name, load.EMPTY, {}, budget, membership.Membership(name, {}))
-
-    def _introduce(self) -> None:
-        """Let every instance know every other one."""
-        for receiver in self._instances.values():
-            for sender in self._instances.values():
-                self._hear(receiver, self._full_report(sender))
-
-    def _report(self, sender: _Instance) -> None:
-        sender.members, contacts = membership.recipients(sender.members)
-        report = self._full_report(sender)
-        for contact in contacts:
-            self._hear(self._instances[contact.instance], report)
-        interval_s = membership.round_interval_s(sender.members)
+    def _report(self, sender: fleet.Instance) -> None:
+        interval_s = self._fleet.report(sender, self.now_s)
         self._at(self.now_s + interval_s, functools.partial(self._report, sender))
 
-    def _tell_work(self, sender: _Instance) -> None:
-        if not self._policy.tells_work:
-            return
-        sender.members, contacts = membership.work_recipients(sender.members, self.now_s)
-        sender.sequence += 1
-        work = sender.own.own_by_id
-        report = membership.WorkReport(sender.name, 1, sender.sequence, work)
-        for contact in contacts:
-            receiver = self._instances[contact.instance]
-            receiver.members = membership.hear_work(receiver.members, self.now_s, report)
-
-    def _full_report(self, sender: _Instance) -> membership.Report:
-        sender.sequence += 1
-        return membership.Report(
-            contact=membership.Contact(sender.name, sender.name),
-            domain="a",
-            incarnation=1,
-            sequence=sender.sequence,
-            sent_s=self.now_s,
-            is_leaving=False,
-            revision=1,
-            proof_age_s=0.0,
-            work_by_upstream=sender.own.own_by_id,
-            used_by_workspace={},
-            echo_by_instance={},
-            contacts=(),
-            strikes=(),
-            set_aside_s_by_upstream={},
-            source_steady_s=UPTIME_S,
-            requests_by_service=sender.repeats.requests.own_by_name,
-            repeats_by_service=sender.repeats.repeats.own_by_name,
-        )
-
-    def _hear(self, receiver: _Instance, report: membership.Report) -> None:
-        receiver.members, effects = membership.hear(receiver.members, self.now_s, report)
-        for effect in effects:
-            if isinstance(effect, membership.Usage):
-                receiver.repeats = repeats.hear(
-                    receiver.repeats,
-                    self.now_s,
-                    effect.peer,
-                    effect.requests_by_service,
-                    effect.repeats_by_service,
-                )
-
-    def _view(self, instance: _Instance) -> placement.View:
-        peers_by_id = membership.peer_work(instance.members, self.now_s)
-        staleness_s = len(instance.members.peer_by_instance) / membership.DATAGRAMS_PER_S / 2.0
-        if self._policy.tells_work:
-            staleness_s = membership.staleness_s(instance.members, self.now_s)
-        return placement.View(
-            self.now_s,
-            "a",
-            self._upstreams,
-            load.Load(instance.own.own_by_id, peers_by_id),
-            instance.health,
-            staleness_s,
-            self._draw.getrandbits(32),
-        )
+    def _view(self, instance: fleet.Instance) -> placement.View:
+        return self._fleet.view(instance, self.now_s, self._upstreams, self._draw.getrandbits(32))
 
     def _arrive(self, request: traffic.Request, number: int) -> None:
         if number == 0:
@@ -249,7 +163,7 @@
         deadline_s = request.sent_s + self._traffic.patience_s
         arrival = waiting.Arrival(self.now_s, request.sent_s, deadline_s, self._traffic.target_s)
         terms = self._policy.terms(arrival, placement.direct_read_s(prompt))
-        instance = self._draw.choice(list(self._instances.values()))
+        instance = self._draw.choice(self._fleet.instances)
         instance.repeats = repeats.record_request(instance.repeats, self.now_s, SERVICE_NAME)
         self._place(_Attempt(request, instance, prompt, arrival, terms, number))
 
@@ -271,7 +185,7 @@
             return
         work = load.Work(1, attempt.prompt.tokens)
         self._begin(attempt.instance, chosen.prefill.id, work)
-        self._tell_work(attempt.instance)
+        self._fleet.tell_work(attempt.instance, self.now_s)
         done_s = self._reader_by_id[chosen.prefill.id].read(self.now_s, attempt.prompt.tokens)
         self._at(
             done_s, functools.partial(self._has_read, attempt, chosen.prefill, chosen.decode, work)
@@ -402,10 +316,10 @@
                 generator.run_by_request[run.request] = run
                 return
 
-    def _begin(self, instance: _Instance, upstream: str, work: load.Work) -> None:
+    def _begin(self, instance: fleet.Instance, upstream: str, work: load.Work) -> None:
         instance.own = load.step(instance.own, load.Begun(upstream, work))
 
-    def _end(self, instance: _Instance, upstream: str, work: load.Work) -> None:
+    def _end(self, instance: fleet.Instance, upstream: str, work: load.Work) -> None:
         instance.own = load.step(instance.own, load.Ended(upstream, work))
 
     def is_idle(self) -> bool:
@@ -413,7 +327,7 @@
         held = any(
             each.run_by_request or each.copy_by_request for each in self.generator_by_id.values()
         )
-        return not held and not any(each.own.own_by_id for each in self._instances.values())
+        return not held and not any(each.own.own_by_id for each in self._fleet.instances)
 
 
 def _names(prefix: str, count: int) -> list[str]:
