Cut a paused stream only once another engine has accepted it

After 1.2 s the relay closed the connection to it (StreamStalledError) and offered the rest to the engine with the copy, which rejected it; the caller's connection was then closed in the middle of an answer that the first engine would have completed.

Now the continuation is offered from within the wait, and the first engine is given up only when another one has accepted. A stream whose engine really failed is offered again for 1.5 s, and on resumable routes also to engines without a copy, within the route's attempts and the retry budget. An engine that may have begun the continuation is not offered it again.

--- a/src/carawaydoor/serving/event_splitter.py
+++ b/src/carawaydoor/serving/event_splitter.py
@@ -5,13 +5,15 @@
 import re
 from typing import Final
 
+from carawaydoor.serving import connections
+
 _END_OF_EVENT: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID: Final = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 # The engines send far smaller events; a longer one means that the stream is malformed.
 MAX_EVENT_BYTES: Final = 1_000_000
 
 
-class EventTooLongError(Exception):
+class EventTooLongError(connections.MalformedResponseError):
     """An event exceeds the size limit."""
 
 
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -268,7 +268,9 @@
                     return expression.Error(refusal)
                 continue
             response = opened.response
-            relay = stream_relay.StreamRelay(self._instance, self._client, self._adapter, exchange)
+            relay = stream_relay.StreamRelay(
+                self._instance, self._client, self._adapter, exchange, placed.prompt
+            )
             chunks = relay.relay(placed.decode, opened, backup)
             return expression.Ok(
                 http_exchange.Response(
--- a/src/carawaydoor/serving/sockets.py
+++ b/src/carawaydoor/serving/sockets.py
@@ -4,8 +4,10 @@
 
 import abc
 import io
+import math
 import select
 import socket
+from collections.abc import Callable
 from typing import Any, Final
 
 from carawaydoor.operating import clocks
@@ -33,7 +35,11 @@
 
 
 class StreamStalledError(WaitAbortedError):
-    """No event arrived for so long that the engine is considered lost."""
+    """No event arrived for so long that the stream was replaced by one of another engine."""
+
+
+class TooManyBytesError(WaitAbortedError):
+    """The peer sent more bytes than the message may have."""
 
 
 class WaitLimit(abc.ABC):
@@ -54,7 +60,7 @@
 class CallerWaitLimit(WaitLimit):
     """Aborts waits at a deadline or when the caller disconnects."""
 
-    def __init__(self, clock: clocks.Clock, deadline_s: float, is_gone: Any) -> None:
+    def __init__(self, clock: clocks.Clock, deadline_s: float, is_gone: Callable[[], bool]) -> None:
         self._clock = clock
         self._deadline_s = deadline_s
         self._is_gone = is_gone
@@ -70,14 +76,25 @@
 
 
 class StreamWaitLimit(CallerWaitLimit):
-    """Aborts waits also when a stream delivers no event for too long."""
+    """Offers a stream that delivers no event for too long to a callback, which may replace it.
+
+    The callback runs inside the wait, since a response that is read in chunks can't be read further
+    after an exception. If it replaces the stream, the wait is aborted; otherwise it goes on, because
+    the upstream may only be slow.
+    """
 
     def __init__(
-        self, clock: clocks.Clock, deadline_s: float, is_gone: Any, stall_timeout_s: float
+        self,
+        clock: clocks.Clock,
+        deadline_s: float,
+        is_gone: Callable[[], bool],
+        stall_timeout_s: float,
+        replace_stream: Callable[[], bool],
     ) -> None:
         super().__init__(clock, deadline_s, is_gone)
         self._stall_timeout_s = stall_timeout_s
         self._stalled_at_s = clock.now_s() + stall_timeout_s
+        self._replace_stream = replace_stream
 
     def record_progress(self) -> None:
         """Restart the stall timeout after an event."""
@@ -85,15 +102,19 @@
 
     def next_wait_s(self) -> float:
         """Return the time left until the deadline, a stall or the next check of the caller."""
+        if self._clock.now_s() >= self._stalled_at_s:
+            if self._replace_stream():
+                raise StreamStalledError
+            self.record_progress()
         poll_s = super().next_wait_s()
-        left_s = self._stalled_at_s - self._clock.now_s()
-        if left_s <= 0.0:
-            raise StreamStalledError
-        return min(poll_s, left_s)
+        return min(poll_s, max(0.0, self._stalled_at_s - self._clock.now_s()))
 
 
 class InterruptibleSocket(io.RawIOBase):
-    """A connected socket for ``http.client`` whose reads and writes obey a wait limit."""
+    """A connected socket for ``http.client`` whose reads and writes obey a wait limit.
+
+    :ivar readable_bytes: how many more bytes may be read until the next request
+    """
 
     def __init__(self, connected: socket.socket, wait_limit: WaitLimit) -> None:
         connected.setblocking(False)
@@ -104,6 +125,7 @@
         self._writable.register(connected, select.POLLOUT)
         self._reader = _PersistentReader(self)
         self.wait_limit = wait_limit
+        self.readable_bytes: float = math.inf
 
     def sendall(self, content: bytes) -> None:
         """Write all bytes.
@@ -130,13 +152,23 @@
         """Read at least one byte; return zero if the peer closed the connection.
 
         :raises WaitAbortedError: if the wait limit is reached
+        :raises TooManyBytesError: if the peer has sent more than may be read
         :raises OSError: if the connection fails
         """
+        # Checked even if bytes are there: a peer that never stops sending must not outlast the
+        # deadline.
+        wait_s = self.wait_limit.next_wait_s()
         while True:
             try:
-                return self._socket.recv_into(buffer)
+                count = self._socket.recv_into(buffer)
             except BlockingIOError:
-                self._readable.poll(self.wait_limit.next_wait_s() * 1000.0)
+                self._readable.poll(wait_s * 1000.0)
+                wait_s = self.wait_limit.next_wait_s()
+                continue
+            self.readable_bytes -= count
+            if self.readable_bytes < 0:
+                raise TooManyBytesError
+            return count
 
     def is_idle(self) -> bool:
         """Return whether no bytes are unread and the peer has not closed the connection.
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -1,13 +1,15 @@
-"""Relays a stream to its caller and resumes it at a backup engine if the first one fails."""
+"""Relays a stream to its caller and continues it at another engine if the first one fails."""
 
 from __future__ import annotations
 
+import contextlib
+import dataclasses
 from collections.abc import Iterator
 from typing import Final
 
 import eliot
 
-from carawaydoor.policy import entities, health
+from carawaydoor.policy import entities, health, load
 from carawaydoor.serving import (
     connections,
     event_splitter,
@@ -21,6 +23,18 @@
 # Longer than any pause of a stream that meets its targets, and well below the time after which
 # callers abandon a stream.
 STREAM_STALL_TIMEOUT_S: Final = 1.2
+# Interval between attempts to continue a broken stream while every engine rejects it.
+CONTINUATION_RETRY_INTERVAL_S: Final = 0.15
+# Callers abandon a stream after a pause of two seconds.
+MAX_CONTINUATION_TIME_S: Final = 1.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Source:
+    """The engine that a stream comes from, with its response."""
+
+    engine: entities.Upstream
+    opened: upstream_client.OpenResponse
 
 
 class StreamRelay:
@@ -32,12 +46,17 @@
         client: upstream_client.UpstreamClient,
         adapter: protocol_adapter.ProtocolAdapter,
         exchange: http_exchange.HttpExchange,
+        prompt: entities.Prompt,
     ) -> None:
         self._instance = instance
         self._client = client
         self._adapter = adapter
         self._exchange = exchange
+        self._prompt = prompt
         self._splitter = event_splitter.EventSplitter(exchange.inbound.last_event_id)
+        self._backup: entities.Upstream | None = None
+        self._used_engines: set[str] = set()
+        self._continuation: _Source | None = None
 
     def relay(
         self,
@@ -49,70 +68,129 @@
 
         :param backup: engine that keeps a copy of the KV cache, None for no copy
         """
+        self._backup = backup
         # Registered here, since the iterator never runs if the caller disconnects before the first
         # chunk.
-        self._exchange.cleanup.callback(self._close, decode, opened)
-        return self._chunks(decode, opened, backup)
-
-    def _chunks(
-        self,
-        decode: entities.Upstream,
-        opened: upstream_client.OpenResponse,
-        backup: entities.Upstream | None,
-    ) -> Iterator[bytes]:
-        try:
-            yield from self._complete_events(opened, backup is not None)
-            return
-        except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
-            self._record_break(decode, error)
-            if (
-                backup is None
-                or upstream_client.classify_error(error) is upstream_client.Failure.CALLER_GONE
-            ):
-                raise
-            opened.connection.close()
-            resumed = self._resume_at_backup(backup)
-            if resumed is None:
-                raise
-        yield from self._complete_events(resumed, False)
-
-    def _complete_events(
-        self, opened: upstream_client.OpenResponse, has_backup: bool
-    ) -> Iterator[bytes]:
-        """Yield complete events, and at the end of the stream the bytes after the last one.
-
-        :param has_backup: whether the stream can be resumed, so that a stall ends the wait
-        """
-        if has_backup:
-            opened.connection.set_wait_limit(self._stall_limit())
-        for chunk in opened.response.chunks():
+        source = self._register(decode, opened)
+        return self._chunks(source)
+
+    def _register(self, engine: entities.Upstream, opened: upstream_client.OpenResponse) -> _Source:
+        self._used_engines.add(engine.id)
+        self._exchange.cleanup.callback(self._close, engine, opened)
+        return _Source(engine, opened)
+
+    def _chunks(self, first: _Source) -> Iterator[bytes]:
+        source = first
+        while True:
+            try:
+                yield from self._complete_events(source)
+                return
+            except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
+                self._record_break(source.engine, error)
+                # Two engines must not work on the stream at the same time.
+                source.opened.connection.close()
+                continuation = self._continuation or self._continue_broken(error)
+                if continuation is None:
+                    raise
+                self._continuation = None
+                source = continuation
+
+    def _complete_events(self, source: _Source) -> Iterator[bytes]:
+        """Yield complete events, and at the end of the stream the bytes after the last one."""
+        if self._may_continue():
+            source.opened.connection.set_wait_limit(self._stall_limit())
+        for chunk in source.opened.response.chunks():
             complete = self._splitter.feed(chunk)
             if complete:
-                opened.connection.record_progress()
+                source.opened.connection.record_progress()
                 yield complete
         remainder = self._splitter.take_remainder()
         if remainder:
             yield remainder
 
+    def _may_continue(self) -> bool:
+        route = self._exchange.route
+        return self._backup is not None or (route is not None and self._may_rerun(route))
+
+    def _may_rerun(self, route: entities.Route) -> bool:
+        """Return whether one more engine may run the request from the last event on."""
+        is_resumable = route.kind is entities.RouteKind.RESUMABLE_STREAM
+        return is_resumable and len(self._used_engines) < route.max_attempts
+
     def _stall_limit(self) -> sockets.StreamWaitLimit:
         return sockets.StreamWaitLimit(
             self._instance.clock,
             self._exchange.deadline_s,
             self._exchange.inbound.is_gone,
             STREAM_STALL_TIMEOUT_S,
+            self._replace_stalled,
         )
 
-    def _resume_at_backup(self, backup: entities.Upstream) -> upstream_client.OpenResponse | None:
-        """Resume the stream at the engine with the copy of the KV cache; None if that fails."""
+    def _replace_stalled(self) -> bool:
+        """Continue a stalled stream elsewhere; return False to go on waiting for its engine.
+
+        The engine may only have preempted the request, so its stream is kept until another engine
+        has accepted the continuation.
+        """
+        self._continuation = self._continue_once()
+        return self._continuation is not None
+
+    def _continue_broken(self, error: Exception) -> _Source | None:
+        """Continue a stream whose engine has failed; None if no engine accepts it in time."""
+        match upstream_client.classify_error(error):
+            case upstream_client.Failure.CALLER_GONE | upstream_client.Failure.SILENT:
+                # The caller's deadline has passed in the second case.
+                return None
+        clock = self._instance.clock
+        give_up_s = min(self._exchange.deadline_s, clock.now_s() + MAX_CONTINUATION_TIME_S)
+        while self._may_continue() and not self._exchange.inbound.is_gone():
+            continuation = self._continue_once()
+            if continuation is not None:
+                return continuation
+            if clock.now_s() + CONTINUATION_RETRY_INTERVAL_S >= give_up_s:
+                break
+            self._instance.selector.wait_for_release(CONTINUATION_RETRY_INTERVAL_S)
+        return None
+
+    def _continue_once(self) -> _Source | None:
+        """Offer the stream to the engine with the copy of its KV cache, then to another one."""
+        if self._backup is not None:
+            kv_source = self._adapter.backup_kv_source(self._backup, self._exchange.inbound.id)
+            continuation = self._continue_at(self._backup, kv_source)
+            if continuation is not None:
+                # The copy is used up.
+                self._backup = None
+                return continuation
+        return self._continue_without_copy()
+
+    def _continue_without_copy(self) -> _Source | None:
+        """Have another engine prefill the prompt again and go on after the last event."""
+        route, service = self._exchange.route, self._exchange.service
+        if route is None or service is None or not self._may_rerun(route):
+            return None
+        excluded = frozenset(self._used_engines)
+        engine = self._instance.selector.reserve_decode(service, self._prompt, excluded)
+        if engine is None:
+            return None
+        reservation = contextlib.ExitStack()
+        work = load.Work(1, self._prompt.mean_kv_tokens)
+        reservation.callback(self._instance.selector.release, engine.id, work)
+        continuation = self._continue_at(engine, "")
+        if continuation is None:
+            reservation.close()
+            return None
+        self._exchange.cleanup.push(reservation)
+        return continuation
+
+    def _continue_at(self, engine: entities.Upstream, kv_source: str) -> _Source | None:
+        """Continue the stream at an engine after the last complete event; None if that fails."""
         service, request_id = self._exchange.service, self._exchange.inbound.id
         if service is None or not self._instance.may_retry(request_id, service.name):
             return None
-        self._splitter.discard_incomplete()
         left_s = self._exchange.deadline_s - self._instance.clock.now_s()
-        kv_source = self._adapter.backup_kv_source(backup, self._exchange.inbound.id)
         last_id = self._splitter.last_id
         request = protocol_adapter.UpstreamRequest(
-            backup, left_s, kv_source=kv_source, last_event_id=last_id
+            engine, left_s, kv_source=kv_source, last_event_id=last_id
         )
         outcome = "continued"
         opened = None
@@ -120,19 +198,31 @@
             opened = self._client.send(self._exchange, request)
         except upstream_client.CallError as error:
             outcome = error.failure.value
+            if not error.failure.did_not_run:
+                self._exclude(engine)
         if opened is not None and opened.response.status >= upstream_client.MIN_FAILURE_STATUS:
             opened.connection.close()
             outcome, opened = f"status {opened.response.status}", None
-        if opened is not None:
-            self._exchange.cleanup.callback(self._close, backup, opened)
+            self._exclude(engine)
         eliot.log_message(
             message_type="stream_moved",
-            request=self._exchange.inbound.id,
-            upstream=backup.id,
+            request=request_id,
+            upstream=engine.id,
+            has_copy=bool(kv_source),
             after_event=last_id,
+            left_s=round(left_s, 3),
             outcome=outcome,
         )
-        return opened
+        if opened is None:
+            return None
+        self._splitter.discard_incomplete()
+        return self._register(engine, opened)
+
+    def _exclude(self, engine: entities.Upstream) -> None:
+        """Don't send the stream to an engine again that may have begun to work on it."""
+        self._used_engines.add(engine.id)
+        if self._backup is not None and self._backup.id == engine.id:
+            self._backup = None
 
     def _record_break(self, decode: entities.Upstream, error: Exception) -> None:
         failure = upstream_client.classify_error(error)
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -14,6 +14,8 @@
 from carawaydoor.platform import names
 
 EVENT_INTERVAL_S = 0.02
+# Longer than the pause after which the router looks for another engine.
+PAUSE_S = 2.0
 
 
 class Behaviour(enum.Enum):
@@ -35,6 +37,36 @@
     WITHOUT_LENGTH = "unframed"
     BREAK_STREAM = "break_stream"
     HANG_STREAM = "hang_stream"
+    PAUSE_STREAM = "pause_stream"
+    RESET_AFTER_ANSWER = "reset_after_answer"
+    ENDLESS_HEADER = "endless_header"
+    ENDLESS_INTERIM_RESPONSES = "endless_interim_responses"
+    ENDLESS_BODY = "endless_body"
+    ENDLESS_CHUNK_SIZE = "endless_chunk_size"
+    ENDLESS_TRAILERS = "endless_trailers"
+    ENDLESS_EVENT = "endless_event"
+    BEYOND_LENGTH = "beyond_length"
+
+
+# The start of a response without an end, and the bytes that are repeated after it.
+_ENDLESS_PARTS = {
+    Behaviour.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nX-Fill: ", b"x" * 4096),
+    Behaviour.ENDLESS_INTERIM_RESPONSES: (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    Behaviour.ENDLESS_BODY: (b"HTTP/1.1 200 OK\r\n%s\r\n", b"x" * 4096),
+    Behaviour.ENDLESS_CHUNK_SIZE: (
+        b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+        b"0" * 4096,
+    ),
+    Behaviour.ENDLESS_TRAILERS: (
+        b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+        b"X-Fill: x\r\n" * 256,
+    ),
+    Behaviour.ENDLESS_EVENT: (
+        b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\nid: 1\n",
+        b"data: x\n" * 512,
+    ),
+    Behaviour.BEYOND_LENGTH: (b"HTTP/1.1 200 OK\r\n%sContent-Length: 6\r\n\r\nanswer", b"x" * 4096),
+}
 
 
 @dataclasses.dataclass
@@ -140,7 +172,10 @@
                 }
                 self._send_response(200, json.dumps(prefilled).encode())
             case (
-                Behaviour.ANSWER | Behaviour.BREAK_STREAM | Behaviour.HANG_STREAM
+                Behaviour.ANSWER
+                | Behaviour.BREAK_STREAM
+                | Behaviour.HANG_STREAM
+                | Behaviour.PAUSE_STREAM
             ) if received.header(names.Header.TOKENS):
                 self._send_stream(received, behaviour, stamp)
             case Behaviour.ANSWER:
@@ -183,6 +218,23 @@
                 self._wait_for_disconnect(received)
             case Behaviour.RESET:
                 self._reset()
+            case Behaviour.RESET_AFTER_ANSWER:
+                self._send_response(200, b"answer", stamp)
+                self.wfile.flush()
+                self._reset()
+            case _ if behaviour in _ENDLESS_PARTS:
+                self._send_without_end(received, *_ENDLESS_PARTS[behaviour])
+
+    def _send_without_end(self, received: ReceivedRequest, start: bytes, repeated: bytes) -> None:
+        identity = f"{names.Header.STAMP}: s\r\n{names.Header.REQUEST_ID}: "
+        head = identity.encode() + self._request_id(received).encode() + b"\r\n"
+        self.close_connection = True
+        try:
+            self.wfile.write(start.replace(b"%s", head))
+            while not self.server.upstream.stopping.is_set():
+                self.wfile.write(repeated)
+        except OSError:
+            received.caller_disconnected.set()
 
     def _request_id(self, received: ReceivedRequest) -> str:
         return received.header(names.Header.REQUEST_ID) or ""
@@ -222,6 +274,8 @@
             if number == failing_number and behaviour is Behaviour.HANG_STREAM:
                 self._wait_for_disconnect(received)
                 return
+            if number == failing_number and behaviour is Behaviour.PAUSE_STREAM:
+                time.sleep(PAUSE_S)
             try:
                 self._send_chunk(event)
             except OSError:
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -28,6 +28,14 @@
     target_s=0.9,
     max_attempts=1,
 )
+RESUMABLE = builders.route(
+    entities.RouteKind.RESUMABLE_STREAM,
+    path_prefix="/resumable/",
+    service="planner",
+    timeout_s=10.0,
+    target_s=0.9,
+    max_attempts=2,
+)
 
 
 def example_options(**changes: Any) -> platform_options.Options:
@@ -94,7 +102,7 @@
         workspace_by_key: dict[str, entities.Workspace] | None = None,
     ) -> None:
         """Apply a configuration."""
-        all_routes = routes or (SAFE, UNSAFE, OPEN, STREAM)
+        all_routes = routes or (SAFE, UNSAFE, OPEN, STREAM, RESUMABLE)
         services = {each.name: each for each in (builders.MODEL_SERVICE, builders.PLAIN_SERVICE)}
         keys = {KEY: WORKSPACE} if workspace_by_key is None else workspace_by_key
         configuration = entities.Configuration(
@@ -147,10 +155,10 @@
         chunks = self.app(environ, lambda status, head: started.append((status, head)))
         return CallerResponse(*started[0], chunks)
 
-    def stream(self, **kwargs: Any) -> CallerResponse:
+    def stream(self, path: str = "/stream/1", **kwargs: Any) -> CallerResponse:
         """Send a generation request as a caller."""
         headers = {names.Header.TOKENS: "5000,2000", **kwargs.pop("headers", {})}
-        return self.call("/stream/1", method="POST", headers=headers, **kwargs)
+        return self.call(path, method="POST", headers=headers, **kwargs)
 
     def is_idle(self) -> bool:
         """Return whether no request is active or holds load at an upstream."""
