Bound endless responses, and keep a response whose connection is reset after it

Upstreams in trouble may send bytes without end. A response that is read as a whole has at most 4 MiB, since several of 16 MB filled a small machine.

Found on the way, and failing before: a reset that arrived after a complete response raised when the connection was checked for reuse.

--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -120,8 +120,13 @@
         self._end_request(exchange)
 
     def _end_request(self, exchange: http_exchange.HttpExchange) -> None:
-        exchange.cleanup.close()
-        self._instance.end_request()
+        try:
+            exchange.cleanup.close()
+        except Exception:
+            # The caller has its response; a failed cleanup must not keep the request counted.
+            eliot.write_traceback()
+        finally:
+            self._instance.end_request()
 
     def _log(
         self,
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -24,8 +24,13 @@
 # Applies to upstreams that state no keep-alive timeout.
 DEFAULT_MAX_IDLE_S: Final = 4.0
 MAX_CHUNK_BYTES: Final = 65_536
-# Applies to responses that are read as a whole; streams have no limit.
-MAX_RESPONSE_BYTES: Final = 16_000_000
+# Applies to responses that are read as a whole, so that a few endless ones fit into the memory of a
+# small machine.
+MAX_RESPONSE_BYTES: Final = 4_194_304
+# Bounds the status line, the headers and any interim responses before them.
+MAX_HEAD_BYTES: Final = 262_144
+# Bounds the body as it is transferred, with chunk sizes and trailers.
+MAX_TRANSFERRED_BODY_BYTES: Final = 64_000_000
 
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d+)")
 
@@ -84,6 +89,7 @@
         :raises WaitAbortedError: if the wait limit is reached
         """
         self._socket.wait_limit = wait_limit
+        self._socket.readable_bytes = MAX_HEAD_BYTES
         wait_limit.next_wait_s()
         try:
             self._write(request)
@@ -92,6 +98,7 @@
             raise ConnectionLostError(repr(error)) from error
         except (http.client.HTTPException, ValueError) as error:
             raise MalformedResponseError(repr(error)) from error
+        self._socket.readable_bytes = MAX_TRANSFERRED_BODY_BYTES
         return UpstreamResponse(self, response)
 
     def set_wait_limit(self, wait_limit: sockets.WaitLimit) -> None:
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -256,7 +256,7 @@
             return Failure.SILENT
         case connections.NotSentError():
             return Failure.NOT_SENT
-        case connections.MalformedResponseError():
+        case connections.MalformedResponseError() | sockets.TooManyBytesError():
             return Failure.MALFORMED
         case _:
             return Failure.BROKEN
