Let a few instances of each failure domain read the store for the others

Cause: each instance watched the store, and each change answered the watches of all.

In failure domains of nine instances or more three now watch, by an order that every instance computes from the peers it hears, those that reach the store first. They tell their domain of a change at once; the others fetch it over HTTP on the internal port, as the store gave it, with the age of its proof, counted from the request. Without a proof for 0.4 of the stable window an instance asks a reader, and reads the store itself if none answers or if the proofs are older than half of that window: before a leaving upstream has to be known. It reports no connection to the store while it doesn't use it, so that the directory's rules on outages see only instances that do.

Small domains read as before.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -49,6 +49,7 @@
         used_by_workspace=dict(report.used_by_workspace),
         requests_by_service=dict(report.requests_by_service),
         repeats_by_service=dict(report.repeats_by_service),
+        source_revision=report.source_revision,
     )
 
 
@@ -84,6 +85,7 @@
         source_steady_s=report.source_steady_s,
         requests_by_service=dict(report.requests_by_service),
         repeats_by_service=dict(report.repeats_by_service),
+        source_revision=report.source_revision,
     )
 
 
@@ -115,6 +117,7 @@
         message.used_by_workspace or {},
         message.requests_by_service or {},
         message.repeats_by_service or {},
+        int(message.source_revision or 0),
     )
 
 
@@ -147,6 +150,7 @@
         source_steady_s=float(message.source_steady_s),
         requests_by_service=message.requests_by_service or {},
         repeats_by_service=message.repeats_by_service or {},
+        source_revision=int(message.source_revision or 0),
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -81,6 +81,7 @@
         break
     :ivar requests_by_service: requests received since the sender's start
     :ivar repeats_by_service: retries since the sender's start
+    :ivar source_revision: revision of the source up to which the sender knows its content
     """
 
     contact: Contact
@@ -100,16 +101,20 @@
     source_steady_s: float
     requests_by_service: Mapping[str, float]
     repeats_by_service: Mapping[str, float]
+    source_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkReport:
-    """What has to be known before the next full report, sent when generations begin or end.
+    """What has to be known before the next full report.
+
+    It is sent when generations begin or end, and when the sender has read a change of the source.
 
     :ivar work_by_upstream: all work in progress
     :ivar used_by_workspace: as in a full report, but only what has changed lately
     :ivar requests_by_service: likewise
     :ivar repeats_by_service: likewise
+    :ivar source_revision: as in a full report
     """
 
     instance: str
@@ -119,6 +124,7 @@
     used_by_workspace: Mapping[str, float] = dataclasses.field(default_factory=dict)
     requests_by_service: Mapping[str, float] = dataclasses.field(default_factory=dict)
     repeats_by_service: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    source_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,6 +270,7 @@
         used_by_workspace={**known.used_by_workspace, **report.used_by_workspace},
         requests_by_service={**known.requests_by_service, **report.requests_by_service},
         repeats_by_service={**known.repeats_by_service, **report.repeats_by_service},
+        source_revision=max(known.source_revision, report.source_revision),
     )
     new_peer = dataclasses.replace(known_peer, report=new_report, last_report_s=now_s)
     peers = {**state.peer_by_instance, report.instance: new_peer}
@@ -390,6 +397,19 @@
     return live + 1, len(peers) + 1
 
 
+def live_peers_in_domain(state: Membership, now_s: float, domain: str) -> tuple[Peer, ...]:
+    """Return the peers of a failure domain that report and are not leaving."""
+    live_since_s = now_s - silence_timeout_s(state)
+    return tuple(
+        each
+        for each in state.peer_by_instance.values()
+        if each.report is not None
+        and each.report.domain == domain
+        and not each.report.is_leaving
+        and each.last_report_s >= live_since_s
+    )
+
+
 def longest_source_uptime_s(state: Membership, now_s: float) -> float:
     """Return the longest unbroken connection of a live peer to its source, in seconds."""
     live_since_s = now_s - silence_timeout_s(state)
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -9,11 +9,13 @@
   10: map<string, Work> work_by_upstream, 11: map<string, double> used_by_workspace,
   12: map<string, double> echo_by_instance, 13: list<Contact> contacts, 14: list<Strike> strikes,
   15: map<string, double> set_aside_s_by_upstream, 16: double source_steady_s,
-  17: map<string, double> requests_by_service, 18: map<string, double> repeats_by_service
+  17: map<string, double> requests_by_service, 18: map<string, double> repeats_by_service,
+  19: i64 source_revision
 }
 struct WorkReport {
   1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream,
   5: map<string, double> used_by_workspace, 6: map<string, double> requests_by_service,
-  7: map<string, double> repeats_by_service
+  7: map<string, double> repeats_by_service,
+  8: i64 source_revision
 }
 struct Datagram { 1: Report report, 2: WorkReport work }
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -62,6 +62,7 @@
     (_DOUBLE, "source_steady_s"),
     _amounts("requests_by_service"),
     _amounts("repeats_by_service"),
+    (_I64, "source_revision"),
 )
 WorkReport: Final = _declare(
     "WorkReport",
@@ -72,6 +73,7 @@
     _amounts("used_by_workspace"),
     _amounts("requests_by_service"),
     _amounts("repeats_by_service"),
+    (_I64, "source_revision"),
 )
 Datagram: Final = _declare(
     "Datagram",
--- /dev/null
+++ b/src/carawaydoor/fleet/source_relay.py
@@ -0,0 +1,99 @@
+"""Passes what one instance has read of the source on to another one, over HTTP.
+
+The response tells how old the proof of its content is. The caller counts that age from the moment at
+which it sent the request, so that a delay can't make the content look fresh.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import dataclasses
+import http.client
+import json
+import urllib.parse
+from typing import Any, Final
+
+from carawaydoor.operating import configuration_source
+
+CHANGES_PATH: Final = "/source/changes"
+# Both instances are in one failure domain, so a longer silence means that the other one has failed.
+TIMEOUT_S: Final = 0.5
+MAX_RESPONSE_BYTES: Final = 16_000_000
+_OK_STATUS: Final = 200
+
+
+class RelayError(Exception):
+    """The other instance gave no valid response, or doesn't know what has changed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedChanges:
+    """Changes of the source as another instance knows them.
+
+    :ivar proof_age_s: seconds since the other instance's configuration was last proven newest
+    :ivar steady_s: seconds for which the other instance has been connected to the source
+    """
+
+    changes: configuration_source.SourceChanges
+    proof_age_s: float
+    steady_s: float
+
+
+def encode(relayed: RelayedChanges) -> bytes:
+    """Encode the response to a request for changes."""
+    document = {
+        "revision": relayed.changes.revision,
+        "proof_age_s": relayed.proof_age_s,
+        "steady_s": relayed.steady_s,
+        "items": [
+            [
+                each.key,
+                None if each.value is None else base64.b64encode(each.value).decode(),
+                each.revision,
+            ]
+            for each in relayed.changes.items
+        ],
+    }
+    return json.dumps(document).encode()
+
+
+def decode(content: bytes) -> RelayedChanges:
+    """Decode the response to a request for changes.
+
+    :raises RelayError: if it is malformed
+    """
+    try:
+        document: dict[str, Any] = json.loads(content)
+        items = tuple(
+            configuration_source.SourceItem(
+                str(key),
+                None if value is None else base64.b64decode(value, validate=True),
+                int(revision),
+            )
+            for key, value, revision in document["items"]
+        )
+        changes = configuration_source.SourceChanges(items, int(document["revision"]))
+        return RelayedChanges(changes, float(document["proof_age_s"]), float(document["steady_s"]))
+    except (ValueError, KeyError, TypeError, binascii.Error) as error:
+        raise RelayError(f"malformed response: {error!r}") from error
+
+
+def fetch(host: str, port: int, after: int) -> RelayedChanges:
+    """Ask another instance for the changes after a revision.
+
+    :raises RelayError: if it doesn't know them or gives no valid response
+    """
+    query = urllib.parse.urlencode({"after": after})
+    connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+    try:
+        connection.request("GET", f"{CHANGES_PATH}?{query}")
+        response = connection.getresponse()
+        content = response.read(MAX_RESPONSE_BYTES)
+    except (OSError, http.client.HTTPException) as error:
+        raise RelayError(repr(error)) from error
+    finally:
+        connection.close()
+    if response.status != _OK_STATUS:
+        raise RelayError(f"status {response.status}")
+    return decode(content)
--- a/src/carawaydoor/fleet/transport.py
+++ b/src/carawaydoor/fleet/transport.py
@@ -35,8 +35,13 @@
         """Return the next report, the hosts to send it to, and the seconds until the next round."""
 
     @abc.abstractmethod
-    def compose_work_report(self) -> tuple[gossip.WorkReport, Iterable[str]]:
-        """Return a report of the current work and the hosts to send it to."""
+    def compose_work_report(
+        self, for_domain: bool = False
+    ) -> tuple[gossip.WorkReport, Iterable[str]]:
+        """Return a report of the current work and the hosts to send it to.
+
+        :param for_domain: whether it goes to the peers of the failure domain only
+        """
 
     @abc.abstractmethod
     def handle_report(self, report: codec.AnyReport) -> None:
@@ -52,7 +57,9 @@
         self._peer_port = address.port
         self._report_handler = report_handler
         self._clock = clock
-        self._new_work = threading.Event()
+        self._has_news = threading.Event()
+        self._has_new_work = False
+        self._has_source_change = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((address.host, address.port))
         self._threads = (
@@ -67,7 +74,13 @@
 
     def announce_work(self) -> None:
         """Send a work report promptly, without waiting for the next round."""
-        self._new_work.set()
+        self._has_new_work = True
+        self._has_news.set()
+
+    def announce_source_change(self) -> None:
+        """Tell the failure domain promptly that this instance has read a change of the source."""
+        self._has_source_change = True
+        self._has_news.set()
 
     def send_round(self) -> float:
         """Send a round of reports and return the seconds until the next round."""
@@ -75,6 +88,15 @@
         self._send(report, hosts)
         return interval_s
 
+    def _send_news(self) -> None:
+        # The flags are cleared first, so that what changes meanwhile is sent with the next report.
+        has_new_work, self._has_new_work = self._has_new_work, False
+        has_source_change, self._has_source_change = self._has_source_change, False
+        if has_new_work:
+            self._send(*self._report_handler.compose_work_report())
+        if has_source_change:
+            self._send(*self._report_handler.compose_work_report(for_domain=True))
+
     def _send(self, report: codec.AnyReport, hosts: Iterable[str]) -> None:
         content = codec.encode(report)
         for host in hosts:
@@ -119,9 +141,9 @@
         while True:
             try:
                 wait_s = next_round_s - self._clock.now_s()
-                if wait_s > 0.0 and self._new_work.wait(wait_s):
-                    self._new_work.clear()
-                    self._send(*self._report_handler.compose_work_report())
+                if wait_s > 0.0 and self._has_news.wait(wait_s):
+                    self._has_news.clear()
+                    self._send_news()
                     time.sleep(MIN_WORK_REPORT_INTERVAL_S)
                 else:
                     next_round_s = self._clock.now_s() + self.send_round()
--- a/src/carawaydoor/operating/configuration_source.py
+++ b/src/carawaydoor/operating/configuration_source.py
@@ -34,8 +34,43 @@
     configuration_revision: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourceItem:
+    """An item of the source as it was read, for instances that don't read it themselves.
+
+    :ivar value: None if the item was removed
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourceChanges:
+    """Items that have changed since a revision.
+
+    :ivar items: only the last change of each item, in the order of revisions
+    :ivar revision: revision of the source up to which the items are complete
+    """
+
+    items: tuple[SourceItem, ...]
+    revision: int
+
+
 class ConfigurationSource(abc.ABC):
-    """A source of the configuration and the upstreams that can be read and watched."""
+    """A source of the configuration and the upstreams that can be read and watched.
+
+    It also keeps what it has read, to pass it on to other instances.
+    """
+
+    @abc.abstractmethod
+    def changes_after(self, revision: int) -> SourceChanges | None:
+        """Return what is known to have changed after a revision, None if that isn't known."""
+
+    @abc.abstractmethod
+    def take_over(self, changes: SourceChanges) -> SourceUpdate:
+        """Decode and keep changes that another instance has read."""
 
     @abc.abstractmethod
     def read(self, timeout_s: float) -> SourceUpdate:
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import json
+import math
+import urllib.parse
 from collections.abc import Iterable
 from typing import Any, Final
 
+from carawaydoor.fleet import source_relay
+from carawaydoor.operating import configuration_source
 from carawaydoor.serving import instance_state
 
 TEXT_CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
@@ -37,6 +41,33 @@
         return _respond(start_response, "404 Not Found", TEXT_CONTENT_TYPE, b"")
 
 
+class RelayApp:
+    """Passes what this instance has read of the source on to the others of its failure domain."""
+
+    def __init__(
+        self,
+        instance: instance_state.InstanceState,
+        source: configuration_source.ConfigurationSource,
+    ) -> None:
+        self._instance = instance
+        self._source = source
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serve one request."""
+        if environ["PATH_INFO"] != source_relay.CHANGES_PATH:
+            return _respond(start_response, "404 Not Found", TEXT_CONTENT_TYPE, b"")
+        after = urllib.parse.parse_qs(environ.get("QUERY_STRING", "")).get("after", [""])[0]
+        # Taken before the content, which is then at least as new as this proof.
+        proof_age_s = self._instance.proof_age_s()
+        changes = self._source.changes_after(int(after)) if after.isdecimal() else None
+        if changes is None or not math.isfinite(proof_age_s):
+            return _respond(start_response, "410 Gone", TEXT_CONTENT_TYPE, b"")
+        relayed = source_relay.RelayedChanges(
+            changes, proof_age_s, self._instance.source_steady_s()
+        )
+        return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, source_relay.encode(relayed))
+
+
 def status_document(instance: instance_state.InstanceState) -> dict[str, Any]:
     """Return the status of an instance, with its view of the configuration and the upstreams."""
     now_s = instance.clock.now_s()
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -7,8 +7,9 @@
 
 import eliot
 
+from carawaydoor.fleet import source_relay
 from carawaydoor.operating import clocks, configuration_source
-from carawaydoor.policy import upstream_directory
+from carawaydoor.policy import source_reading, upstream_directory
 from carawaydoor.serving import instance_state
 
 # The source responds to a watch after this fraction of the stable window even if nothing has
@@ -24,6 +25,10 @@
 MIN_WATCH_DELAY_S: Final = 0.25
 WATCH_DELAY_S_PER_INSTANCE: Final = 0.01
 MAX_WATCH_DELAY_S: Final = 0.8
+# Applies instead of these where only a few instances of each failure domain watch the source.
+READER_WATCH_DELAY_S: Final = 0.4
+# Interval at which an instance that doesn't read the source checks whether it has to.
+FOLLOW_INTERVAL_S: Final = 0.2
 # Timeout of each page of a full read.
 READ_TIMEOUT_S: Final = 1.0
 RETRY_DELAY_S: Final = 0.25
@@ -50,7 +55,10 @@
         self._clock = clock
         # None while the source responds. The first read counts as the end of an outage.
         self._unreachable_since_s: float | None = clock.now_s()
-        self._watch_duration_s = WATCH_WINDOW_SHARE * instance.options.bounds.stable_window_s
+        stable_window_s = instance.options.bounds.stable_window_s
+        self._longest_watch_s = WATCH_WINDOW_SHARE * stable_window_s
+        self._timing = source_reading.timing(stable_window_s)
+        self._self_reading_until_s = float("-inf")
         self._stop_requested = threading.Event()
         self._thread = threading.Thread(target=self._run, name="source-watcher", daemon=True)
 
@@ -66,7 +74,12 @@
         revision = 0
         while not self._stop_requested.is_set():
             try:
-                revision = self._watch(revision) if revision else self._read()
+                if not revision:
+                    revision = self._read()
+                elif self._reads_source():
+                    revision = self._watch(revision)
+                else:
+                    revision = self._follow(revision)
             except configuration_source.HistoryGoneError:
                 eliot.log_message(message_type="source_history_gone", revision=revision)
                 revision = 0
@@ -78,6 +91,60 @@
                 revision = 0
                 self._stop_requested.wait(RETRY_DELAY_S)
 
+    def _reads_source(self) -> bool:
+        if self._clock.now_s() < self._self_reading_until_s:
+            return True
+        return self._instance.options.instance in self._instance.source_readers()
+
+    def _follow(self, revision: int) -> int:
+        """Wait for news from the instances that read the source, and fetch what they have read."""
+        self._instance.mark_source_unused()
+        has_news = self._instance.wait_for_source_news(revision, FOLLOW_INTERVAL_S)
+        if not has_news and self._instance.proof_age_s() < self._timing.proof_request_age_s:
+            return revision
+        for host in self._instance.source_reader_hosts():
+            try:
+                revision = self._fetch(host, revision)
+            except source_relay.RelayError as error:
+                eliot.log_message(message_type="relay_failed", peer=host, detail=str(error))
+                continue
+            if self._instance.proof_age_s() < self._timing.self_reading_age_s:
+                self._stop_requested.wait(FOLLOW_INTERVAL_S)
+                return revision
+        self._self_reading_until_s = self._clock.now_s() + source_reading.MIN_SELF_READING_S
+        eliot.log_message(
+            message_type="source_read_directly",
+            revision=revision,
+            proof_age_s=round(self._instance.proof_age_s(), 3),
+        )
+        return revision
+
+    def _fetch(self, host: str, revision: int) -> int:
+        requested_s = self._clock.now_s()
+        relayed = source_relay.fetch(host, self._instance.options.first_port, revision)
+        update = self._source.take_over(relayed.changes)
+        is_recovering = relayed.steady_s < upstream_directory.REAPPEARANCE_GRACE_S
+        if is_recovering and None in update.upstream_by_id.values():
+            self._instance.mark_source_recovering()
+        self._apply_configuration(update)
+        if update.upstream_by_id:
+            self._instance.update_directory(
+                upstream_directory.Changes(update.upstream_by_id, update.revision)
+            )
+        self._instance.confirm_revision(
+            self._instance.configuration.revision, requested_s - relayed.proof_age_s
+        )
+        self._count_store_call("relayed")
+        self._instance.source_revision = max(revision, update.revision)
+        return self._instance.source_revision
+
+    def _watch_times_s(self) -> tuple[float, float]:
+        """Return how long a watch lasts, and the delay after one with changes, in seconds."""
+        if self._instance.has_source_followers():
+            return self._timing.reader_watch_s, READER_WATCH_DELAY_S
+        count = len(self._instance.membership.peer_by_instance) + 1
+        return self._longest_watch_s, watch_delay_s(count)
+
     def _read(self) -> int:
         requested_s = self._clock.now_s()
         update = self._source.read(READ_TIMEOUT_S)
@@ -91,14 +158,15 @@
         )
         self._instance.confirm_revision(self._instance.configuration.revision, requested_s)
         self._count_store_call("read")
+        self._instance.source_revision = update.revision
         return update.revision
 
     def _watch(self, revision: int) -> int:
+        watch_s, delay_s = self._watch_times_s()
         requested_s = self._clock.now_s()
-        update = self._source.watch(
-            revision, self._watch_duration_s, self._watch_duration_s + RESPONSE_MARGIN_S
-        )
+        update = self._source.watch(revision, watch_s, watch_s + RESPONSE_MARGIN_S)
         self._record_recovery()
+        self._instance.mark_source_used()
         is_unchanged = not update.upstream_by_id and not update.configuration_revision
         self._apply_configuration(update)
         if update.upstream_by_id:
@@ -106,17 +174,16 @@
                 upstream_directory.Changes(update.upstream_by_id, update.revision)
             )
         # A watch without a change confirms the configuration up to the end of the watch.
-        lasted_whole_watch = (
-            is_unchanged and self._clock.now_s() - requested_s >= self._watch_duration_s
-        )
-        confirmed_s = requested_s + (self._watch_duration_s if lasted_whole_watch else 0.0)
+        lasted_whole_watch = is_unchanged and self._clock.now_s() - requested_s >= watch_s
+        confirmed_s = requested_s + (watch_s if lasted_whole_watch else 0.0)
         self._instance.confirm_revision(self._instance.configuration.revision, confirmed_s)
         self._count_store_call("watch")
+        self._instance.source_revision = max(revision, update.revision)
         if not is_unchanged:
-            self._stop_requested.wait(
-                watch_delay_s(len(self._instance.membership.peer_by_instance) + 1)
-            )
-        return max(revision, update.revision)
+            if self._instance.has_source_followers():
+                self._instance.on_source_changed()
+            self._stop_requested.wait(delay_s)
+        return self._instance.source_revision
 
     def _apply_configuration(self, update: configuration_source.SourceUpdate) -> None:
         if update.configuration is not None:
--- a/src/carawaydoor/platform/store_source.py
+++ b/src/carawaydoor/platform/store_source.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import threading
 from collections.abc import Iterable
 from typing import Final
 
@@ -11,6 +13,9 @@
 from carawaydoor.platform import names, store_client, store_documents
 from carawaydoor.policy import entities
 
+# Removed keys are kept for instances that were last up to date before; one that was so earlier reads
+# the store.
+MAX_KEPT_REMOVALS: Final = 2000
 # The empty prefix, so that one watch covers both the configuration and the servers.
 _ALL_KEYS_PREFIX: Final = ""
 
@@ -20,6 +25,56 @@
 
     def __init__(self, address: platform_options.Address) -> None:
         self._client = store_client.StoreClient(address)
+        self._lock = threading.Lock()
+        self._item_by_key: dict[str, configuration_source.SourceItem] = {}
+        self._removal_by_key: collections.OrderedDict[str, configuration_source.SourceItem] = (
+            collections.OrderedDict()
+        )
+        # All changes after this revision are known, up to the second one.
+        self._complete_after = 0
+        self._revision = 0
+
+    def changes_after(self, revision: int) -> configuration_source.SourceChanges | None:
+        """Return the changes after a revision, as far as they are kept."""
+        with self._lock:
+            if not 0 < self._complete_after <= revision <= self._revision:
+                return None
+            kept = (*self._item_by_key.values(), *self._removal_by_key.values())
+            changed = sorted(
+                (each for each in kept if each.revision > revision), key=lambda each: each.revision
+            )
+            return configuration_source.SourceChanges(tuple(changed), self._revision)
+
+    def take_over(
+        self, changes: configuration_source.SourceChanges
+    ) -> configuration_source.SourceUpdate:
+        """Decode and keep changes that another instance has read."""
+        items = tuple(
+            store_client.Item(each.key, each.value, each.revision) for each in changes.items
+        )
+        batch = store_client.ItemBatch(items, changes.revision)
+        self._keep_changes(batch)
+        return _decode_update(batch)
+
+    def _keep_snapshot(self, batch: store_client.ItemBatch) -> None:
+        with self._lock:
+            self._item_by_key = {each.key: _source_item(each) for each in batch.items}
+            self._removal_by_key.clear()
+            self._complete_after = self._revision = batch.revision
+
+    def _keep_changes(self, batch: store_client.ItemBatch) -> None:
+        with self._lock:
+            for each in map(_source_item, batch.items):
+                self._removal_by_key.pop(each.key, None)
+                if each.value is not None:
+                    self._item_by_key[each.key] = each
+                    continue
+                self._item_by_key.pop(each.key, None)
+                self._removal_by_key[each.key] = each
+                if len(self._removal_by_key) > MAX_KEPT_REMOVALS:
+                    _, oldest = self._removal_by_key.popitem(last=False)
+                    self._complete_after = max(self._complete_after, oldest.revision)
+            self._revision = max(self._revision, batch.revision)
 
     def read(self, timeout_s: float) -> configuration_source.SourceUpdate:
         """Return the configuration and all upstreams in the store."""
@@ -27,6 +82,7 @@
             batch = self._client.read(_ALL_KEYS_PREFIX, timeout_s)
         except store_client.StoreError as error:
             raise configuration_source.SourceError(str(error)) from error
+        self._keep_snapshot(batch)
         return _decode_update(batch)
 
     def watch(
@@ -39,9 +95,14 @@
             raise configuration_source.HistoryGoneError from error
         except store_client.StoreError as error:
             raise configuration_source.SourceError(str(error)) from error
+        self._keep_changes(batch)
         return _decode_update(batch)
 
 
+def _source_item(item: store_client.Item) -> configuration_source.SourceItem:
+    return configuration_source.SourceItem(item.key, item.value, item.revision)
+
+
 def _decode_update(batch: store_client.ItemBatch) -> configuration_source.SourceUpdate:
     configuration_items = [each for each in batch.items if each.key == names.CONFIGURATION_KEY]
     return configuration_source.SourceUpdate(
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -57,15 +57,15 @@
         self._instance = instance_state.InstanceState(
             options, clock, platform_metrics.Metrics(options.instance)
         )
-        self._source_watcher = source_watcher.SourceWatcher(
-            self._instance, store_source.StoreSource(options.store), clock
-        )
+        source = store_source.StoreSource(options.store)
+        self._source_watcher = source_watcher.SourceWatcher(self._instance, source, clock)
         self._transport = transport.UdpTransport(
             platform_options.Address(options.peer_host, options.first_port),
             self._instance,
             clock,
         )
         self._instance.selector.on_generations_changed = self._transport.announce_work
+        self._instance.on_source_changed = self._transport.announce_source_change
         adapter = http_adapter.PlatformHttpAdapter()
         self._caller_server = http_servers.CallerServer(
             caller_app.CallerApp(self._instance, adapter),
@@ -78,11 +78,16 @@
             probe_app.ProbeApp(self._instance, names.READINESS_PATH),
             (options.ready, metrics_address),
         )
+        self._relay_server = http_servers.OperatorServer(
+            probe_app.RelayApp(self._instance, source),
+            (platform_options.Address(options.peer_host, options.first_port),),
+        )
 
     def start(self) -> None:
         """Start every component."""
         self._caller_server.start()
         self._operator_server.start()
+        self._relay_server.start()
         self._transport.start()
         self._source_watcher.start()
         self._stage_balancer.start()
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -8,6 +8,7 @@
 import random
 import secrets
 import threading
+from collections.abc import Callable
 from typing import Final
 
 import eliot
@@ -18,6 +19,7 @@
     entities,
     fleet_retry_budget,
     freshness,
+    source_reading,
     stage_balance,
     strikes,
     upstream_directory,
@@ -66,6 +68,9 @@
         )
         self.strikes = strikes.EMPTY
         self._source_reachable_since_s: float | None = None
+        self.source_revision = 0
+        self.on_source_changed: Callable[[], None] = _do_nothing
+        self._source_news = threading.Event()
         self.membership = gossip.Membership(options.instance, {})
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
@@ -169,6 +174,64 @@
             uptime_s = gossip.longest_source_uptime_s(self.membership, now_s)
         self.update_directory(upstream_directory.StoreRecovered(served_peers=uptime_s > away_s))
 
+    def mark_source_unused(self) -> None:
+        """Record that this instance does not read the source itself, but follows those that do."""
+        self._source_reachable_since_s = None
+
+    def mark_source_used(self) -> None:
+        """Record that the source has responded to this instance."""
+        if self._source_reachable_since_s is None:
+            self._source_reachable_since_s = self.clock.now_s()
+
+    def mark_source_recovering(self) -> None:
+        """Record that the instance from which changes were fetched has just regained the source."""
+        self.update_directory(upstream_directory.StoreUnavailable())
+        self.update_directory(upstream_directory.StoreRecovered())
+
+    def source_steady_s(self) -> float:
+        """Return for how many seconds this instance has reached the source without a break."""
+        since_s = self._source_reachable_since_s
+        return 0.0 if since_s is None else self.clock.now_s() - since_s
+
+    def source_readers(self) -> tuple[str, ...]:
+        """Return the instances that read the source for this failure domain."""
+        peers = self._live_domain_peers()
+        own = source_reading.Candidate(self.options.instance, self.source_steady_s() > 0.0)
+        others = (
+            source_reading.Candidate(each.contact.instance, each.report.source_steady_s > 0.0)
+            for each in peers
+            if each.report is not None
+        )
+        return source_reading.readers((own, *others))
+
+    def source_reader_hosts(self) -> tuple[str, ...]:
+        """Return the hosts of the other instances that read the source for this failure domain."""
+        host_by_instance = {
+            each.contact.instance: each.contact.host for each in self._live_domain_peers()
+        }
+        return tuple(
+            host_by_instance[each] for each in self.source_readers() if each in host_by_instance
+        )
+
+    def has_source_followers(self) -> bool:
+        """Return whether instances of this failure domain rely on others to read the source."""
+        return source_reading.has_followers(len(self._live_domain_peers()) + 1)
+
+    def wait_for_source_news(self, revision: int, timeout_s: float) -> bool:
+        """Wait until a peer of this failure domain knows a newer revision of the source.
+
+        :param timeout_s: longest wait in seconds
+        """
+        if self._source_news.wait(timeout_s):
+            self._source_news.clear()
+        return any(
+            each.report is not None and each.report.source_revision > revision
+            for each in self._live_domain_peers()
+        )
+
+    def _live_domain_peers(self) -> tuple[gossip.Peer, ...]:
+        return gossip.live_peers_in_domain(self.membership, self.clock.now_s(), self.options.domain)
+
     def random_fraction(self) -> float:
         """Return a random number of at least 0 and below 1."""
         return self._random.random()
@@ -293,13 +356,10 @@
                 echo_by_instance=gossip.clock_echoes(self.membership, contacts),
                 contacts=gossip.contacts_to_share(self.membership),
                 strikes=self._recent_strikes(now_s),
-                source_steady_s=(
-                    0.0
-                    if self._source_reachable_since_s is None
-                    else now_s - self._source_reachable_since_s
-                ),
+                source_steady_s=self.source_steady_s(),
                 requests_by_service=self.retry_budget.requests.own_totals_by_name,
                 repeats_by_service=self.retry_budget.retries.own_totals_by_name,
+                source_revision=self.source_revision,
                 set_aside_s_by_upstream=self.selector.paused_s_by_upstream(),
             )
             hosts = [each.host for each in contacts]
@@ -310,11 +370,18 @@
         self.metrics.peer_datagrams.add(len(recipients), {"direction": "sent"})
         return report, recipients, gossip.ROUND_INTERVAL_S
 
-    def compose_work_report(self) -> tuple[gossip.WorkReport, list[str]]:
-        """Return a report of the current work, and the hosts to send it to."""
+    def compose_work_report(self, for_domain: bool = False) -> tuple[gossip.WorkReport, list[str]]:
+        """Return a report of the current work, and the hosts to send it to.
+
+        :param for_domain: whether it goes to the peers of this failure domain only
+        """
         with self._lock:
             now_s = self.clock.now_s()
-            self.membership, contacts = gossip.next_work_recipients(self.membership, now_s)
+            contacts: tuple[gossip.Contact, ...]
+            if for_domain:
+                contacts = tuple(each.contact for each in self._live_domain_peers())
+            else:
+                self.membership, contacts = gossip.next_work_recipients(self.membership, now_s)
             self._sequence += 1
             report = gossip.WorkReport(
                 self.options.instance,
@@ -324,6 +391,7 @@
                 self._recent_usage(now_s),
                 self.retry_budget.requests.own_totals_by_name,
                 self.retry_budget.retries.own_totals_by_name,
+                self.source_revision,
             )
         self.metrics.peer_datagrams.add(len(contacts), {"direction": "sent"})
         return report, [each.host for each in contacts]
@@ -342,6 +410,8 @@
                     self.membership, effects = gossip.apply_report(self.membership, now_s, report)
             for effect in effects:
                 self._apply_gossip_effect(effect, now_s)
+        if report.source_revision > self.source_revision:
+            self._source_news.set()
 
     def expire(self) -> None:
         """Apply the changes that result from the passing of time."""
@@ -434,3 +504,7 @@
             stage=upstream.stage.value,
             revision=self.directory.revision,
         )
+
+
+def _do_nothing() -> None:
+    """Do nothing, as the default callback."""
--- /dev/null
+++ b/tests/platform_side/test_source_relay.py
@@ -0,0 +1,200 @@
+"""Instances that don't read the store learn what it holds from those that do, or read it after all."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawaydoor.fleet import gossip, source_relay
+from carawaydoor.operating import (
+    configuration_source,
+    platform_options,
+    probe_app,
+    source_watcher,
+)
+from carawaydoor.platform import names, store_source
+from carawaydoor.policy import source_reading
+from carawaydoor.serving import http_servers
+from tests.platform_side import router_harness
+from tests.platform_side.fake_store import Mode
+from tests.platform_side.stored_documents import CASES, put_server, wait_until
+
+DOMAIN_SIZE = 12
+ITEMS = st.lists(
+    st.builds(
+        configuration_source.SourceItem, st.text(), st.none() | st.binary(), st.integers(0, 2**40)
+    )
+)
+
+
+@given(ITEMS, st.integers(0, 2**40), st.floats(0.0, 1e6))
+def test_relayed_changes_survive_encoding(items, revision, age_s):
+    relayed = source_relay.RelayedChanges(
+        configuration_source.SourceChanges(tuple(items), revision), age_s, 1.0
+    )
+    assert source_relay.decode(source_relay.encode(relayed)) == relayed
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"[]", b"{}", b"\xff", b'{"revision": 1, "items": [[1]]}']
+)
+def test_malformed_response_of_another_instance_is_an_error(content):
+    with pytest.raises(source_relay.RelayError):
+        source_relay.decode(content)
+
+
+def source_of(fake_store):
+    return store_source.StoreSource(platform_options.Address("127.0.0.1", fake_store.port))
+
+
+def test_only_complete_changes_are_passed_on(store):
+    source = source_of(store)
+    assert source.changes_after(0) is None, "nothing has been read yet"
+    first = source.read(1.0).revision
+    put_server(store, 1, state="draining")
+    store.delete(f"{names.SERVERS_PREFIX}i-2")
+    latest = source.watch(first, 1.0, 2.0).revision
+    latest = max(latest, source.watch(latest, 0.05, 2.0).revision)
+    changes = source.changes_after(first)
+    assert changes is not None and changes.revision == latest
+    assert {each.key: each.value is None for each in changes.items} == {
+        f"{names.SERVERS_PREFIX}i-1": False,
+        f"{names.SERVERS_PREFIX}i-2": True,
+    }
+    assert source.changes_after(first - 1) is None, "a removal before the first read is not known"
+    assert source.changes_after(latest + 1) is None, "this source is behind"
+
+
+class Follower:
+    """An instance of a large failure domain, and another one that reads the store for it."""
+
+    def __init__(self, stack, fake_store, monkeypatch):
+        monkeypatch.setattr(gossip, "silence_timeout_s", lambda _: 1e9)
+        self.reader = stack.enter_context(router_harness.running()).instance
+        self.follower = stack.enter_context(router_harness.running()).instance
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        reader_name, *others = source_reading.readers(
+            [source_reading.Candidate(f"x{n}", True) for n in range(DOMAIN_SIZE)]
+        )
+        self.reader_name, self.others = reader_name, others
+        options = router_harness.example_options(instance="follower", first_port=port)
+        self.follower.options = options
+        self.reader.options = router_harness.example_options(instance=reader_name)
+        for each in (self.reader, self.follower):
+            each.configuration = router_harness.entities.EMPTY_CONFIGURATION
+            each.freshness = type(each.freshness)()
+        self.reader_source, self.follower_source = source_of(fake_store), source_of(fake_store)
+        self.relay = http_servers.OperatorServer(
+            probe_app.RelayApp(self.reader, self.reader_source),
+            (platform_options.Address("127.0.0.1", port),),
+        )
+        self.relay.start()
+        self.read_calls = 0
+        self.watchers = [
+            source_watcher.SourceWatcher(self.reader, self.reader_source, self.reader.clock),
+            source_watcher.SourceWatcher(self.follower, self.follower_source, self.follower.clock),
+        ]
+        self.hear_of_the_domain()
+        self.watchers[0].start()
+        wait_until(lambda: self.reader.configuration.revision > 0)
+        self.hear_of_the_domain()
+        self.watchers[1].start()
+        wait_until(lambda: self.follower.configuration.revision > 0)
+
+    def hear_of_the_domain(self):
+        """Let both hear a domain in which only the reader and two others reach the store."""
+        for number in range(DOMAIN_SIZE):
+            name = f"x{number}"
+            is_reader = name == self.reader_name
+            report = gossip.Report(
+                gossip.Contact(name, "127.0.0.1" if is_reader else "127.0.0.2"),
+                "a",
+                1,
+                time.monotonic_ns(),
+                0.0,
+                False,
+                0,
+                1e6,
+                {},
+                {},
+                {},
+                (),
+                (),
+                {},
+                5.0 if name in (self.reader_name, *self.others) else 0.0,
+                {},
+                {},
+                self.reader.source_revision if is_reader else 0,
+            )
+            self.reader.handle_report(report)
+            self.follower.handle_report(report)
+
+    def stop(self):
+        for each in self.watchers:
+            each.stop()
+
+
+@pytest.fixture
+def follower(store, monkeypatch):
+    with contextlib.ExitStack() as stack:
+        running = Follower(stack, store, monkeypatch)
+        stack.callback(running.stop)
+        yield running
+
+
+def calls_without(fake_store, seconds):
+    before = fake_store.calls
+    time.sleep(seconds)
+    return fake_store.calls - before
+
+
+def test_follower_learns_a_new_configuration_without_reading_the_store(follower, store):
+    instance = follower.follower
+    store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 9})
+    wait_until(lambda: follower.reader.configuration.version == 9)
+    follower.hear_of_the_domain()
+    wait_until(lambda: instance.configuration.version == 9)
+    assert instance.source_steady_s() == 0.0, "it doesn't claim to reach the store itself"
+    assert instance.accepts_keys()
+
+
+def test_follower_drops_a_removed_upstream(follower, store):
+    time.sleep(2.0)  # Until the reader no longer expects entries to reappear.
+    store.delete(f"{names.SERVERS_PREFIX}i-3")
+    wait_until(lambda: "i-3" not in follower.reader.directory.upstream_by_id)
+    follower.hear_of_the_domain()
+    wait_until(lambda: "i-3" not in follower.follower.directory.upstream_by_id)
+
+
+def test_follower_stays_ready_by_proofs_of_the_reader(follower, store):
+    deadline_s = time.monotonic() + 4.0
+    while time.monotonic() < deadline_s:
+        assert follower.follower.proof_age_s() < 3.0
+        time.sleep(0.05)
+    assert follower.follower.source_steady_s() == 0.0
+
+
+def test_follower_reads_the_store_itself_once_its_readers_are_gone(follower, store):
+    follower.relay._server.close()
+    follower.watchers[0].stop()
+    wait_until(lambda: follower.follower.source_steady_s() > 0.0)
+    store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 11})
+    wait_until(lambda: follower.follower.configuration.version == 11)
+
+
+def test_follower_of_readers_without_the_store_refuses_keys_in_time(follower, store):
+    store.mode = Mode.BUSY
+    bounds = follower.follower.options.bounds
+    # A watch that is open by then still ends with a proof.
+    open_watch_s = source_watcher.WATCH_WINDOW_SHARE * bounds.stable_window_s
+    time.sleep(open_watch_s + bounds.withdrawal_s)
+    assert not follower.follower.accepts_keys()
+    store.mode = Mode.GOOD
+    wait_until(follower.follower.accepts_keys)
--- a/tests/platform_side/test_store.py
+++ b/tests/platform_side/test_store.py
@@ -3,35 +3,13 @@
 from __future__ import annotations
 
 import contextlib
-import pathlib
-import time
 
 import pytest
-import yaml
 
 from carawaydoor.operating import configuration_source, platform_options, source_watcher
 from carawaydoor.platform import names, store_source
-from tests.platform_side import router_harness
-from tests.platform_side.fake_store import FakeStore, Mode
-
-CASES = yaml.safe_load(pathlib.Path(__file__).with_name("documents.yaml").read_text())
-WAIT_TIMEOUT_S = 10.0
-
-
-@pytest.fixture
-def store():
-    running = FakeStore()
-    running.put(names.CONFIGURATION_KEY, CASES["configuration"])
-    for number in range(7):
-        put_server(running, number)
-    yield running
-    with contextlib.suppress(OSError):
-        running.stop()
-
-
-def put_server(store, number, **changes):
-    entry = {**CASES["server"], "address": f"10.0.0.{number}:80", **changes}
-    return store.put(f"{names.SERVERS_PREFIX}i-{number}", entry)
+from tests.platform_side import router_harness, stored_documents
+from tests.platform_side.fake_store import Mode
 
 
 def store_source_for(store):
@@ -47,19 +25,12 @@
         watcher = source_watcher.SourceWatcher(instance, store_source_for(store), harness.clock)
         watcher.start()
         try:
-            wait_until(lambda: instance.configuration.revision > 0)
+            stored_documents.wait_until(lambda: instance.configuration.revision > 0)
             yield instance
         finally:
             watcher.stop()
 
 
-def wait_until(condition):
-    deadline_s = time.monotonic() + WAIT_TIMEOUT_S
-    while not condition():
-        assert time.monotonic() < deadline_s, "the condition was not met in time"
-        time.sleep(0.01)
-
-
 def test_every_page_is_read(store):
     update = store_source_for(store).read(1.0)
     assert sorted(update.upstream_by_id) == [f"i-{n}" for n in range(7)]
@@ -78,7 +49,7 @@
 def test_watch_returns_changes_and_times_out(store):
     source = store_source_for(store)
     after = store.revision
-    put_server(store, 1, state="draining")
+    stored_documents.put_server(store, 1, state="draining")
     update = source.watch(after, 1.0, 2.0)
     assert list(update.upstream_by_id) == ["i-1"]
     assert source.watch(update.revision, 0.05, 2.0).upstream_by_id == {}
@@ -86,7 +57,7 @@
 
 def test_watch_reports_dropped_history(store):
     after = store.revision
-    put_server(store, 1)
+    stored_documents.put_server(store, 1)
     store.drop_history()
     with pytest.raises(configuration_source.HistoryGoneError):
         store_source_for(store).watch(after, 0.1, 1.0)
@@ -104,15 +75,15 @@
 
 def test_instance_follows_the_store(store):
     with instance_watching(store) as instance:
-        wait_until(lambda: len(instance.directory.upstream_by_id) == 7)
+        stored_documents.wait_until(lambda: len(instance.directory.upstream_by_id) == 7)
         assert instance.is_ready
-        put_server(store, 2, state="draining")
-        wait_until(lambda: instance.directory.upstream_by_id["i-2"].is_leaving)
+        stored_documents.put_server(store, 2, state="draining")
+        stored_documents.wait_until(lambda: instance.directory.upstream_by_id["i-2"].is_leaving)
         store.delete(f"{names.SERVERS_PREFIX}i-2")
-        wait_until(lambda: "i-2" not in instance.directory.upstream_by_id)
-        document = {**CASES["configuration"], "version": 9, "tenants": []}
+        stored_documents.wait_until(lambda: "i-2" not in instance.directory.upstream_by_id)
+        document = {**stored_documents.CASES["configuration"], "version": 9, "tenants": []}
         store.put(names.CONFIGURATION_KEY, document)
-        wait_until(lambda: instance.configuration.version == 9)
+        stored_documents.wait_until(lambda: instance.configuration.version == 9)
         assert instance.configuration.workspace_by_key == {}
 
 
@@ -120,25 +91,25 @@
     with instance_watching(store) as instance:
         store.delete(f"{names.SERVERS_PREFIX}i-5")
         store.drop_history()
-        put_server(store, 1, state="draining")
-        wait_until(lambda: "i-5" not in instance.directory.upstream_by_id)
-        wait_until(lambda: instance.directory.upstream_by_id["i-1"].is_leaving)
+        stored_documents.put_server(store, 1, state="draining")
+        stored_documents.wait_until(lambda: "i-5" not in instance.directory.upstream_by_id)
+        stored_documents.wait_until(lambda: instance.directory.upstream_by_id["i-1"].is_leaving)
 
 
 def test_instance_keeps_its_upstreams_while_the_store_is_unreachable(store):
     with instance_watching(store) as instance:
         store.mode = Mode.RESET
-        put_server(store, 1)
-        wait_until(lambda: instance.directory.is_store_unavailable)
+        stored_documents.put_server(store, 1)
+        stored_documents.wait_until(lambda: instance.directory.is_store_unavailable)
         assert len(instance.directory.upstream_by_id) == 7
         store.delete(f"{names.SERVERS_PREFIX}i-4")
         store.mode = Mode.GOOD
-        wait_until(lambda: not instance.directory.is_store_unavailable)
+        stored_documents.wait_until(lambda: not instance.directory.is_store_unavailable)
         assert (
             "i-4" in instance.directory.upstream_by_id
         ), "a removal is held back for a while, since the server may reappear"
         reconnected_s = instance.clock.now_s()
-        wait_until(lambda: instance.clock.now_s() > reconnected_s + 2.0)
+        stored_documents.wait_until(lambda: instance.clock.now_s() > reconnected_s + 2.0)
         instance.expire()
         assert "i-4" not in instance.directory.upstream_by_id
 
@@ -150,10 +121,10 @@
     with instance_watching(store) as instance:
         previous_revision = instance.configuration.revision
         revision = store.put(names.CONFIGURATION_KEY, content)
-        wait_until(lambda: instance.freshness.revision == revision)
+        stored_documents.wait_until(lambda: instance.freshness.revision == revision)
         proven_s = instance.freshness.proven_s
-        put_server(store, 1, state="draining")
-        wait_until(lambda: instance.directory.upstream_by_id["i-1"].is_leaving)
+        stored_documents.put_server(store, 1, state="draining")
+        stored_documents.wait_until(lambda: instance.directory.upstream_by_id["i-1"].is_leaving)
         instance.confirm_revision(previous_revision, instance.clock.now_s())
         assert (
             instance.configuration.revision == previous_revision
@@ -161,9 +132,11 @@
         assert (
             instance.freshness.proven_s == proven_s
         ), "the previous configuration is no longer proven newest"
-        store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 9})
-        wait_until(lambda: instance.configuration.version == 9)
-        wait_until(lambda: instance.freshness.proven_s > proven_s)
+        store.put(
+            names.CONFIGURATION_KEY, {**stored_documents.CASES["configuration"], "version": 9}
+        )
+        stored_documents.wait_until(lambda: instance.configuration.version == 9)
+        stored_documents.wait_until(lambda: instance.freshness.proven_s > proven_s)
 
 
 def test_malformed_configuration_is_reported_by_the_first_read(store):
