Place generations with margins for growth and for unseen placements; copy runs only on idle engines

At 58 and more instances several placements fall into the 0.1 s before peers know of them, and all took the same emptiest engine: where more than one is expected, engines that differ by less than two requests are chosen alike, and half a request is kept free. Copies of runs took the room that bursts need and can't be evicted: they are made only where 0.7 of an engine stays free (0.35 before).

Failed trial, not kept: reservations at the decode engine before the prefill.

--- a/src/carawaydoor/policy/fleet_retry_budget.py
+++ b/src/carawaydoor/policy/fleet_retry_budget.py
@@ -23,6 +23,8 @@
 # budget. Retries come in bursts at few instances; even if all instances used their allowance at
 # once, they would stay within the budget.
 MAX_SHARES_PER_LAG: Final = 1.5
+# A rate over a shorter time would be dominated by single requests.
+MIN_RATE_PERIOD_S: Final = 1.0
 # Bounds the share of an instance that has not found its peers yet.
 MIN_ASSUMED_INSTANCES: Final = 8
 
@@ -163,6 +165,14 @@
     )
 
 
+def requests_per_s(state: FleetRetryBudget, now_s: float, service: str) -> float:
+    """Return the rate of requests to a service over all instances, as a mean over the window."""
+    known_s = min(state.rules.window_s, now_s - state.started_s)
+    if known_s < MIN_RATE_PERIOD_S:
+        return 0.0
+    return sliding_window.total(state.requests, now_s, service) / known_s
+
+
 def _whole_budget(state: FleetRetryBudget, requests: float) -> float:
     """Return how many retries the instances that reach each other may send in a window."""
     slack = state.rules.slack * state.reachable_instances / state.known_instances
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-import zlib
+import math
+import random
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
@@ -24,11 +25,23 @@
 RANDOM_SPREAD_PER_S: Final = 0.25
 # Fraction of a KV cache that is kept free for requests of peers, per second of staleness.
 STALENESS_RESERVE_PER_S: Final = 0.08
+# Time until peers know of a placement that is announced at once.
+ANNOUNCEMENT_LAG_S: Final = 0.1
+# Requests by which the fill of decode engines may differ for them to be chosen alike, if several
+# placements of peers are not known yet.
+SPREAD_REQUESTS: Final = 2.0
+# Part of one request that is kept free at each decode engine for placements of peers that are not
+# known yet, if several are expected.
+UNSEEN_RESERVE_REQUESTS: Final = 0.5
+# A generation's memory grows with its output, whose length is only estimated. The sum over several
+# generations varies around its mean by this part of one output, times the root of their number.
+GROWTH_SPREAD_SHARE: Final = 0.5
 # Generations are placed up to this expected fill of a KV cache. Outputs may exceed their estimates,
 # and a prefill is wasted if the decode engine is full when it ends.
 MAX_KV_FILL_SHARE: Final = 0.96
-# Fraction of a KV cache that has to stay free beside the copy of another engine's generation.
-BACKUP_RESERVE_SHARE: Final = 0.35
+# Fraction of a KV cache that has to stay free beside the copy of another engine's generation. A copy
+# can't be evicted, so it may only take room that no burst needs.
+BACKUP_RESERVE_SHARE: Final = 0.7
 # Longer wait that is accepted for a prefill in the failure domain of the decode engine.
 CROSS_DOMAIN_PREFILL_PENALTY_S: Final = 0.02
 
@@ -40,6 +53,7 @@
     :ivar domain: failure domain of the instance
     :ivar staleness_s: mean age of what is known about the work of peers
     :ivar seed: differs for each placement, so that instances don't all choose the same upstream
+    :ivar generations_per_s: rate at which all instances together place generations
     """
 
     now_s: float
@@ -49,6 +63,15 @@
     upstream_health: health.Health
     staleness_s: float = 0.0
     seed: int = 0
+    generations_per_s: float = 0.0
+
+    @property
+    def unseen_share(self) -> float:
+        """Return by how much to allow for unseen placements of peers, 0 to 1.
+
+        While at most one is expected, the choice by known load is the best one.
+        """
+        return max(0.0, min(1.0, self.generations_per_s * ANNOUNCEMENT_LAG_S - 1.0))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +153,8 @@
             if _has_room(context, each, engine_spec, prompt, reserve_share)
         ],
         lambda each: _decode_cost(context, each, engine_spec),
+        # Engines whose fill differs by less than a few requests are as good as each other.
+        SPREAD_REQUESTS * context.unseen_share * prompt.mean_kv_tokens / engine_spec.kv_tokens,
     )
 
 
@@ -187,19 +212,23 @@
     context: PlacementContext,
     candidates: Iterable[entities.Upstream],
     cost: Callable[[entities.Upstream], float],
+    spread: float = 0.0,
 ) -> entities.Upstream | None:
+    """Return the candidate with the lowest cost.
+
+    :param spread: largest random part of the cost, beside the one for staleness
+    """
+
+    width = spread + RANDOM_SPREAD_PER_S * context.staleness_s
+    draws = random.Random(context.seed)
+
     def key(each: entities.Upstream) -> tuple[bool, float, str]:
         suspect = health.is_suspect(context.upstream_health, context.now_s, each.id)
-        return suspect, cost(each) + _random_offset(context, each), each.id
+        return suspect, cost(each) + width * draws.random(), each.id
 
     return min(candidates, key=key, default=None)
 
 
-def _random_offset(context: PlacementContext, upstream: entities.Upstream) -> float:
-    draw = zlib.crc32(upstream.id.encode(), context.seed) / 2**32
-    return draw * RANDOM_SPREAD_PER_S * context.staleness_s
-
-
 def _plain_cost(context: PlacementContext, upstream: entities.Upstream) -> float:
     occupied = context.upstream_load.at(upstream.id).requests / upstream.slots
     return occupied + _penalty(context, upstream)
@@ -240,6 +269,9 @@
         return False
     work = context.upstream_load.at(upstream.id)
     fill_limit = MAX_KV_FILL_SHARE - STALENESS_RESERVE_PER_S * context.staleness_s - reserve_share
-    room = engine_spec.kv_tokens * fill_limit
+    output = min(prompt.max_output_tokens, prompt.expected_output_tokens)
+    growth = GROWTH_SPREAD_SHARE * output * math.sqrt(work.requests + 1)
+    unseen = UNSEEN_RESERVE_REQUESTS * context.unseen_share * prompt.mean_kv_tokens
+    room = min(engine_spec.kv_tokens * fill_limit, engine_spec.kv_tokens - growth) - unseen
     fits = work.tokens + prompt.mean_kv_tokens <= room
     return fits and work.requests < engine_spec.slots
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -87,6 +87,9 @@
             self._lock,
             lambda: self.directory.upstream_by_id.values(),
             lambda: self.membership,
+            lambda service: fleet_retry_budget.requests_per_s(
+                self.retry_budget, clock.now_s(), service
+            ),
         )
 
     @property
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -37,6 +37,7 @@
         lock: threading.RLock,
         upstreams: Callable[[], Collection[entities.Upstream]],
         membership: Callable[[], gossip.Membership],
+        requests_per_s: Callable[[str], float],
     ) -> None:
         self.load = load.EMPTY
         self.health: health.Health = {}
@@ -48,6 +49,7 @@
         self._request_ended = threading.Condition(lock)
         self._upstreams = upstreams
         self._membership = membership
+        self._requests_per_s = requests_per_s
         self._peer_load_summed_s = float("-inf")
         self._balance = stage_balance.Balance()
         self._paused_until_s_by_id: dict[str, float] = {}
@@ -71,7 +73,7 @@
         """Choose the engines of a generation and add the request to their load."""
         with self._lock:
             chosen = placement.choose_generation(
-                self._placement_context(), service, prompt, excluded, reserve_share
+                self._placement_context(service.name), service, prompt, excluded, reserve_share
             )
             if chosen is None:
                 return None
@@ -86,7 +88,9 @@
     ) -> entities.Upstream | None:
         """Choose a decode engine for a prefilled prompt and add the request to its load."""
         with self._lock:
-            decode = placement.choose_decode(self._placement_context(), service, prompt, excluded)
+            decode = placement.choose_decode(
+                self._placement_context(service.name), service, prompt, excluded
+            )
             if decode is not None:
                 self._add_load(decode.id, load.Work(1, prompt.mean_kv_tokens))
             return decode
@@ -190,7 +194,11 @@
                 if until_s > now_s
             }
 
-    def _placement_context(self) -> placement.PlacementContext:
+    def _placement_context(self, generation_service: str = "") -> placement.PlacementContext:
+        """Return the input of a placement.
+
+        :param generation_service: the service if a generation is placed
+        """
         now_s = self._clock.now_s()
         membership = self._membership()
         if now_s - self._peer_load_summed_s >= MAX_PEER_LOAD_AGE_S:
@@ -206,6 +214,7 @@
             self.health,
             gossip.staleness_s(membership, now_s),
             self._random.getrandbits(32),
+            self._requests_per_s(generation_service) if membership.peer_by_instance else 0.0,
         )
 
     def _usable_upstreams(self, now_s: float) -> tuple[entities.Upstream, ...]:
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import random
 
 from carawaydoor.policy import entities, health, load, placement
 from tests.policy import builders
@@ -137,3 +139,81 @@
     nearly_full = context(decode("d"), prefill("p"), own={"d": WORK(9, 51_000)})
     assert choose(nearly_full) is not None
     assert choose(dataclasses.replace(nearly_full, staleness_s=1.0)) is None
+
+
+def placements_under_lag(generations_per_s, seed=1):
+    """Place generations by instances that know of each other's placements 0.1 s late.
+
+    Return how many placements overfill an engine.
+    """
+    rng = random.Random(seed)
+    spec = entities.EngineSpec(16, 46_339, 18_432, 4.6e10, True, 0.5)
+    service = entities.Service("planner", 1300, spec)
+    engines = tuple(builders.decode(f"d{n}", "a") for n in range(30))
+    prompt = entities.Prompt(5200, 864, 864)
+    rate_per_s, lag_s, duration_s = 43.0, placement.ANNOUNCEMENT_LAG_S, 3.0
+    started = []
+    overfilled, now_s = 0, 0.0
+    while now_s < 20.0:
+        now_s += rng.expovariate(rate_per_s)
+        started = [each for each in started if each[0] > now_s - duration_s]
+        known = collections.Counter(key for at_s, key in started if at_s <= now_s - lag_s)
+        context = dataclasses.replace(
+            builders.context(
+                *engines,
+                peers={
+                    key: load.Work(count, count * prompt.mean_kv_tokens)
+                    for key, count in known.items()
+                },
+            ),
+            seed=rng.getrandbits(32),
+            generations_per_s=generations_per_s,
+        )
+        chosen = placement.choose_generation(context, service, prompt)
+        if chosen is None:
+            continue
+        started.append((now_s, chosen.decode.id))
+        count = sum(key == chosen.decode.id for _, key in started)
+        overfilled += count * prompt.mean_kv_tokens > spec.kv_tokens
+    return overfilled
+
+
+def test_placements_that_peers_do_not_know_yet_do_not_all_go_to_the_emptiest_engine():
+    """A fleet of 195 instances places 43 generations a second, four of them within the lag.
+
+    Each instance chose the same emptiest engine, which then preempted or rejected some of them.
+    """
+    herding = sum(placements_under_lag(0.0, seed) for seed in range(4))
+    spread = sum(placements_under_lag(43.0, seed) for seed in range(4))
+    assert spread < herding
+
+
+def test_few_placements_go_to_the_emptiest_engine():
+    """At seven instances hardly any placement is unseen, and the choice by load is the best one."""
+    context = dataclasses.replace(
+        builders.context(
+            builders.decode("d1"),
+            builders.decode("d2"),
+            own={"d1": load.Work(1, 4000), "d2": load.Work(1, 5000)},
+        ),
+        generations_per_s=7.0,
+    )
+    chosen = {
+        placement.choose_generation(
+            dataclasses.replace(context, seed=seed),
+            builders.MODEL_SERVICE,
+            entities.Prompt(5000, 800, 800),
+        ).decode.id
+        for seed in range(50)
+    }
+    assert chosen == {"d1"}
+
+
+def test_long_outputs_keep_more_memory_free_for_their_growth():
+    """Outputs as long as their prompts grow past the memory together, and are preempted."""
+    short, long = entities.Prompt(5000, 800, 800), entities.Prompt(2500, 5800, 5800)
+    assert short.mean_kv_tokens == long.mean_kv_tokens
+    fill = load.Work(9, builders.ENGINE_SPEC.kv_tokens - short.mean_kv_tokens - 3000)
+    context = builders.context(builders.decode("d1"), own={"d1": fill})
+    assert placement.choose_generation(context, builders.MODEL_SERVICE, short) is not None
+    assert placement.choose_generation(context, builders.MODEL_SERVICE, long) is None
