Keep an instance running through errors of its upkeep, and refuse KV cache of another request

Failing on the former code: a late second response of a prefill engine on a reused connection was taken for the next one, so that a caller's prompt could be decoded from another's KV cache; an error while expiring state or reloading settings ended the process, or a drain with requests under way; a log line that can't be encoded ended the log thread.

--- a/src/carawaydoor/operating/logs.py
+++ b/src/carawaydoor/operating/logs.py
@@ -70,7 +70,11 @@
             message.pop("task_uuid", None)
             message.pop("task_level", None)
             try:
-                sys.stdout.write(json.dumps(message, default=str) + "\n")
+                line = json.dumps(message, default=str)
+            except (TypeError, RecursionError) as error:
+                line = json.dumps({"message_type": "log_line_malformed", "detail": repr(error)})
+            try:
+                sys.stdout.write(line + "\n")
                 sys.stdout.flush()
             except (OSError, ValueError):
                 # Standard output is closed, so the error can't be reported anywhere.
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -97,7 +97,10 @@
             matches_request and (misdirected or says_not_run)
         )
         return protocol_adapter.ResponseCheck(
-            matches_request and has_stamp, did_not_run, misdirected
+            matches_request and has_stamp,
+            did_not_run,
+            misdirected,
+            echoed_id is not None and not matches_request,
         )
 
     def caller_headers(self, headers: http_exchange.Headers) -> http_exchange.Headers:
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -97,15 +97,20 @@
         limits = self._instance.configuration.limits
         settings_checked_s = self._clock.now_s()
         while not stop_requested.wait(EXPIRY_INTERVAL_S):
-            self._instance.expire()
-            if self._instance.configuration.limits != limits:
-                limits = self._instance.configuration.limits
-                self._caller_server.apply_limits(limits)
-            now_s = self._clock.now_s()
-            if reload_requested.is_set() or now_s - settings_checked_s >= SETTINGS_CHECK_INTERVAL_S:
-                settings_checked_s = now_s
-                self._reload(reload_requested.is_set())
-                reload_requested.clear()
+            try:
+                self._instance.expire()
+                if self._instance.configuration.limits != limits:
+                    limits = self._instance.configuration.limits
+                    self._caller_server.apply_limits(limits)
+                now_s = self._clock.now_s()
+                is_due = now_s - settings_checked_s >= SETTINGS_CHECK_INTERVAL_S
+                if reload_requested.is_set() or is_due:
+                    settings_checked_s = now_s
+                    self._reload(reload_requested.is_set())
+                    reload_requested.clear()
+            except Exception:
+                # An instance that can't expire old state still serves its callers.
+                eliot.write_traceback()
 
     def drain(self) -> None:
         """Wait until the load balancer sends no more requests and those under way have ended."""
@@ -125,7 +130,11 @@
             ):
                 break
             time.sleep(EXPIRY_INTERVAL_S / 2)
-            self._instance.expire()
+            try:
+                self._instance.expire()
+            except Exception:
+                # Requests under way must not be cut off by an error of the upkeep.
+                eliot.write_traceback()
         eliot.log_message(message_type="stopped", requests_at_work=self._instance.active_requests)
 
     def _reload(self, was_signalled: bool) -> None:
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -53,11 +53,13 @@
     :ivar is_genuine: whether the upstream itself sent the response, and to this request
     :ivar did_not_run: whether the upstream guarantees that it has not run the request
     :ivar is_other_incarnation: whether another server now listens at the address
+    :ivar is_of_other_request: whether it says that it responds to another request
     """
 
     is_genuine: bool
     did_not_run: bool
     is_other_incarnation: bool
+    is_of_other_request: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -128,7 +128,8 @@
             failure = Failure.MISDIRECTED if is_misdirected else Failure.REJECTED
             detail = f"status {response.status}"
             raise self._call_error(exchange, request.upstream, failure, detail)
-        if not check.is_genuine and not request.prefill_only:
+        # The response to a prefill has no stamp, but a late one to an earlier request may arrive.
+        if check.is_of_other_request or not (check.is_genuine or request.prefill_only):
             connection.close()
             detail = f"status {response.status}, but not as a response to this request"
             raise self._call_error(exchange, request.upstream, Failure.MALFORMED, detail)
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -164,6 +164,10 @@
             names.Header.REQUEST_ID: self._request_id(received),
         }
         match behaviour:
+            case Behaviour.OTHER_REQUEST_ID if received.header(names.Header.STAGE):
+                late = {"handle": "of-another-request", "tokens": 5, "version": 1}
+                late_id: dict[str, str] = {names.Header.REQUEST_ID: "other"}
+                self._send_response(200, json.dumps(late).encode(), late_id)
             case Behaviour.ANSWER if received.header(names.Header.STAGE):
                 prefilled = {
                     "handle": f"h{len(self.server.upstream.received)}",
--- a/tests/platform_side/test_generation.py
+++ b/tests/platform_side/test_generation.py
@@ -53,6 +53,17 @@
     assert decode.received[0].header(names.Header.KV_SOURCE) is None
 
 
+def test_kv_cache_of_another_request_is_not_decoded(harness):
+    """A late second response of a prefill engine arrived where the next one was expected.
+
+    It names the KV cache of another caller's prompt.
+    """
+    harness.add_upstream("p", PREFILL).behaviours = [Behaviour.OTHER_REQUEST_ID]
+    decode = harness.add_upstream("d", DECODE)
+    assert harness.stream().read().body == events(1, 5)
+    assert decode.received[0].header(names.Header.KV_SOURCE) is None
+
+
 def test_prefilled_prompt_is_decoded_elsewhere_if_the_first_engine_rejects(harness):
     """Regression: prefilled prompts were wasted when their decode engine rejected the request.
 
