--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CODE := src tools tests
 MINUTES ?= 1
 
-.PHONY: demo test bench experiment capacity soak format clean
+.PHONY: demo test bench experiment capacity cost soak format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 	$(BIN)/python -m tools.capacity
 	$(BIN)/python -m tools.platform_capacity
 
+cost: $(STAMP)
+	$(BIN)/python -m tools.instance_cost
+
 soak: $(STAMP)
 	$(BIN)/python -m tools.soak $(if $(SEED),--seed $(SEED),--minutes $(MINUTES))
 
