Cut off endless responses on the project's own interface too

A call outside the request monitor (the run of a booking, the release of KV cache) was bounded only by the time without a byte, so interim responses, trailers or a body without end kept it busy for good; failing on the former code: interim responses and trailers. It now ends a transfer time after its timeout. A stream has a bound in bytes, and a cancelled call resets its connection, since an upstream that is blocked in sending does not notice an orderly end.

--- a/src/carawaydoor/interface/upstream_call.py
+++ b/src/carawaydoor/interface/upstream_call.py
@@ -5,6 +5,7 @@
 import dataclasses
 import http.client
 import socket
+import struct
 import threading
 from collections.abc import Iterator, Mapping
 from typing import Final
@@ -15,7 +16,13 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_RESPONSE_BYTES: Final = 8_000_000
 MAX_LINE_BYTES: Final = 1_000_000
+# Bounds a streamed response; engines send far less even for the longest output.
+MAX_STREAM_BYTES: Final = 64_000_000
+# Time for the transfer of a response, beyond the time within which its first byte has to come. It
+# ends a response that never pauses and never ends.
+MAX_TRANSFER_S: Final = 2.0
 REQUEST_ID_HEADER: Final = "X-Request-Id"
+_RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +121,7 @@
         """
         if self._response is None:
             return
+        total = 0
         while True:
             try:
                 line = self._response.readline(MAX_LINE_BYTES)
@@ -123,6 +131,9 @@
                 raise errors.UpstreamBrokenError(f"{self.target.id}: {error!r}") from error
             if not line:
                 return
+            total += len(line)
+            if total > MAX_STREAM_BYTES:
+                raise errors.UpstreamBrokenError(f"{self.target.id}: the stream is too large")
             yield line
 
     def cancel(self) -> None:
@@ -131,6 +142,9 @@
             self._cancelled = True
             if self._socket is not None:
                 try:
+                    # Resets the connection when it is closed: an upstream that is blocked in sending
+                    # does not notice an orderly end.
+                    self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
                     self._socket.shutdown(socket.SHUT_RDWR)
                 except OSError:
                     pass
@@ -165,8 +179,12 @@
     :raises UpstreamError: if there is no complete response
     """
     call = Call(target, timeout_s)
+    timer = threading.Timer(timeout_s + MAX_TRANSFER_S, call.cancel)
+    timer.daemon = True
+    timer.start()
     try:
         status = call.send(request)
         return UpstreamResponse(status, call.content_type, call.read())
     finally:
+        timer.cancel()
         call.close()
