--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -15,10 +15,10 @@
 from thriftpy2.protocol.cybin import cybin
 from thriftpy2.transport.memory import cymemory
 
-from carawaydoor.fleet import gossip, report_structs
+from carawaydoor.fleet import report_structs, reports
 from carawaydoor.policy import load, strikes
 
-AnyReport = gossip.Report | gossip.WorkReport
+AnyReport = reports.Report | reports.WorkReport
 
 _CHECKSUM: Final = struct.Struct("!I")
 
@@ -30,9 +30,9 @@
 def encode(report: AnyReport) -> bytes:
     """Encode a report."""
     match report:
-        case gossip.Report():
+        case reports.Report():
             message = report_structs.Datagram(report=_report_struct(report))
-        case gossip.WorkReport():
+        case reports.WorkReport():
             message = report_structs.Datagram(work=_work_report_struct(report))
     transport = cymemory.TCyMemoryBuffer()
     message.write(cybin.TCyBinaryProtocol(transport))
@@ -40,7 +40,7 @@
     return _CHECKSUM.pack(zlib.crc32(content)) + content
 
 
-def _work_report_struct(report: gossip.WorkReport) -> Any:
+def _work_report_struct(report: reports.WorkReport) -> Any:
     return report_structs.WorkReport(
         instance=report.instance,
         incarnation=report.incarnation,
@@ -60,7 +60,7 @@
     }
 
 
-def _report_struct(report: gossip.Report) -> Any:
+def _report_struct(report: reports.Report) -> Any:
     return report_structs.Report(
         instance=report.contact.instance,
         host=report.contact.host,
@@ -108,8 +108,8 @@
         raise CodecError(repr(error)) from error
 
 
-def _decode_work_report(message: Any) -> gossip.WorkReport:
-    return gossip.WorkReport(
+def _decode_work_report(message: Any) -> reports.WorkReport:
+    return reports.WorkReport(
         _required_text(message.instance),
         int(message.incarnation),
         int(message.sequence),
@@ -125,9 +125,9 @@
     return {key: load.Work(work.requests, work.tokens) for key, work in structs.items()}
 
 
-def _decode_report(message: Any) -> gossip.Report:
-    return gossip.Report(
-        contact=gossip.Contact(_required_text(message.instance), _required_text(message.host)),
+def _decode_report(message: Any) -> reports.Report:
+    return reports.Report(
+        contact=reports.Contact(_required_text(message.instance), _required_text(message.host)),
         domain=_required_text(message.domain),
         incarnation=int(message.incarnation),
         sequence=int(message.sequence),
@@ -139,11 +139,11 @@
         used_by_workspace=message.used_by_workspace,
         echo_by_instance=message.echo_by_instance,
         contacts=tuple(
-            gossip.Contact(_required_text(c.instance), _required_text(c.host))
+            reports.Contact(_required_text(c.instance), _required_text(c.host))
             for c in message.contacts
         ),
         strikes=tuple(
-            gossip.SharedStrike(s.fingerprint, strikes.Strike(s.id, s.age_s))
+            reports.SharedStrike(s.fingerprint, strikes.Strike(s.id, s.age_s))
             for s in message.strikes
         ),
         set_aside_s_by_upstream=message.set_aside_s_by_upstream,
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -15,7 +15,8 @@
 from collections.abc import Mapping
 from typing import Final
 
-from carawaydoor.policy import load, strikes
+from carawaydoor.fleet import reports
+from carawaydoor.policy import load
 
 # A peer without reports counts as silent after the minimum timeout or, in a large fleet, after a
 # number of cycles, so that a few lost datagrams have no effect. In each cycle, an instance sends
@@ -46,89 +47,6 @@
 CONTACT_INTERVAL_ROUNDS: Final = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Contact:
-    """Host at which an instance can be reached."""
-
-    instance: str
-    host: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SharedStrike:
-    """A strike against a request, as reported by a peer.
-
-    :ivar strike: ``at_s`` holds its age in seconds when it was reported
-    """
-
-    fingerprint: str
-    strike: strikes.Strike
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
-    """Full state that an instance sends to its peers.
-
-    :ivar domain: failure domain of the sender
-    :ivar incarnation: random number of the process, since clocks may step back between two starts
-    :ivar sequence: number of the report, rising within an incarnation
-    :ivar sent_s: the sender's clock when it sent the report
-    :ivar revision: revision of the sender's configuration
-    :ivar proof_age_s: seconds since that revision was last known to be the newest
-    :ivar used_by_workspace: tokens or requests charged to usage caps since the sender's start
-    :ivar echo_by_instance: for each recipient, the newest ``sent_s`` that the sender got from it
-    :ivar set_aside_s_by_upstream: for each engine that is changing its stage, the seconds for which
-        no requests are to be sent to it
-    :ivar source_steady_s: seconds for which the sender has been connected to its source without a
-        break
-    :ivar requests_by_service: requests received since the sender's start
-    :ivar repeats_by_service: retries since the sender's start
-    :ivar source_revision: revision of the source up to which the sender knows its content
-    """
-
-    contact: Contact
-    domain: str
-    incarnation: int
-    sequence: int
-    sent_s: float
-    is_leaving: bool
-    revision: int
-    proof_age_s: float
-    work_by_upstream: Mapping[str, load.Work]
-    used_by_workspace: Mapping[str, float]
-    echo_by_instance: Mapping[str, float]
-    contacts: tuple[Contact, ...]
-    strikes: tuple[SharedStrike, ...]
-    set_aside_s_by_upstream: Mapping[str, float]
-    source_steady_s: float
-    requests_by_service: Mapping[str, float]
-    repeats_by_service: Mapping[str, float]
-    source_revision: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkReport:
-    """What has to be known before the next full report.
-
-    It is sent when generations begin or end, and when the sender has read a change of the source.
-
-    :ivar work_by_upstream: all work in progress
-    :ivar used_by_workspace: as in a full report, but only what has changed lately
-    :ivar requests_by_service: likewise
-    :ivar repeats_by_service: likewise
-    :ivar source_revision: as in a full report
-    """
-
-    instance: str
-    incarnation: int
-    sequence: int
-    work_by_upstream: Mapping[str, load.Work]
-    used_by_workspace: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    requests_by_service: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    repeats_by_service: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    source_revision: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
     """Another instance.
@@ -138,10 +56,10 @@
     :ivar report: the last report, None before the first one
     """
 
-    contact: Contact
+    contact: reports.Contact
     learned_s: float
     last_report_s: float
-    report: Report | None
+    report: reports.Report | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,7 +105,7 @@
 class PeerJoined:
     """A peer reported for the first time, after a silence or in a new incarnation."""
 
-    contact: Contact
+    contact: reports.Contact
     incarnation: int
 
 
@@ -198,7 +116,7 @@
     :ivar is_leaving: whether it announced that it leaves
     """
 
-    contact: Contact
+    contact: reports.Contact
     is_leaving: bool
 
 
@@ -210,11 +128,11 @@
     for_s: float
 
 
-Effect = FreshnessProof | PeerUsage | PeerJoined | PeerLost | SharedStrike | UpstreamPaused
+Effect = FreshnessProof | PeerUsage | PeerJoined | PeerLost | reports.SharedStrike | UpstreamPaused
 
 
 def apply_report(
-    state: Membership, now_s: float, report: Report
+    state: Membership, now_s: float, report: reports.Report
 ) -> tuple[Membership, tuple[Effect, ...]]:
     """Apply the full report of a peer, unless a newer one is known."""
     name = report.contact.instance
@@ -261,7 +179,7 @@
 
 
 def apply_work_report(
-    state: Membership, now_s: float, report: WorkReport
+    state: Membership, now_s: float, report: reports.WorkReport
 ) -> tuple[Membership, tuple[Effect, ...]]:
     """Apply the work report of a peer.
 
@@ -290,7 +208,7 @@
     return dataclasses.replace(state, peer_by_instance=peers), (usage,)
 
 
-def _peer_usage(report: Report) -> PeerUsage:
+def _peer_usage(report: reports.Report) -> PeerUsage:
     return PeerUsage(
         f"{report.contact.instance}/{report.incarnation}",
         report.used_by_workspace,
@@ -337,7 +255,7 @@
     return max(MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_CYCLES * cycle_s(state))
 
 
-def next_recipients(state: Membership) -> tuple[Membership, tuple[Contact, ...]]:
+def next_recipients(state: Membership) -> tuple[Membership, tuple[reports.Contact, ...]]:
     """Return the recipients of the next round of reports, chosen in rotation."""
     contacts = [each.contact for each in state.peer_by_instance.values()]
     new_state = dataclasses.replace(state, round_number=state.round_number + 1)
@@ -347,7 +265,9 @@
     return new_state, tuple((contacts + contacts)[first : first + FAN_OUT_PEERS])
 
 
-def next_work_recipients(state: Membership, now_s: float) -> tuple[Membership, tuple[Contact, ...]]:
+def next_work_recipients(
+    state: Membership, now_s: float
+) -> tuple[Membership, tuple[reports.Contact, ...]]:
     """Return the peers to send a work report to now, as many as the send credit allows."""
     contacts = [each.contact for each in state.peer_by_instance.values() if each.report is not None]
     credit = _work_credit(state, now_s)
@@ -364,7 +284,7 @@
     return min(WORK_DATAGRAMS_PER_S, state.work_credit_datagrams + earned)
 
 
-def clock_echoes(state: Membership, contacts: tuple[Contact, ...]) -> dict[str, float]:
+def clock_echoes(state: Membership, contacts: tuple[reports.Contact, ...]) -> dict[str, float]:
     """Return the clock readings in the last reports of some peers."""
     peers = (state.peer_by_instance.get(each.instance) for each in contacts)
     return {
@@ -374,7 +294,7 @@
     }
 
 
-def contacts_to_share(state: Membership) -> tuple[Contact, ...]:
+def contacts_to_share(state: Membership) -> tuple[reports.Contact, ...]:
     """Return the contacts for the next report, chosen in rotation."""
     contacts = [each.contact for each in state.peer_by_instance.values() if each.report is not None]
     if len(contacts) <= MAX_CONTACTS_PER_REPORT:
@@ -466,13 +386,13 @@
     return max(peer.last_report_s, peer.learned_s) < now_s - expiry_s
 
 
-def _is_older(report: Report, known_report: Report) -> bool:
+def _is_older(report: reports.Report, known_report: reports.Report) -> bool:
     return (
         report.incarnation == known_report.incarnation and report.sequence <= known_report.sequence
     )
 
 
-def _is_new(known_peer: Peer | None, live_since_s: float, report: Report) -> bool:
+def _is_new(known_peer: Peer | None, live_since_s: float, report: reports.Report) -> bool:
     if known_peer is None or known_peer.report is None or known_peer.last_report_s < live_since_s:
         return True
     return known_peer.report.incarnation != report.incarnation
--- /dev/null
+++ b/src/carawaydoor/fleet/reports.py
@@ -0,0 +1,91 @@
+"""What instances tell each other."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from carawaydoor.policy import load, strikes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contact:
+    """Host at which an instance can be reached."""
+
+    instance: str
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedStrike:
+    """A strike against a request, as reported by a peer.
+
+    :ivar strike: ``at_s`` holds its age in seconds when it was reported
+    """
+
+    fingerprint: str
+    strike: strikes.Strike
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Full state that an instance sends to its peers.
+
+    :ivar domain: failure domain of the sender
+    :ivar incarnation: random number of the process, since clocks may step back between two starts
+    :ivar sequence: number of the report, rising within an incarnation
+    :ivar sent_s: the sender's clock when it sent the report
+    :ivar revision: revision of the sender's configuration
+    :ivar proof_age_s: seconds since that revision was last known to be the newest
+    :ivar used_by_workspace: tokens or requests charged to usage caps since the sender's start
+    :ivar echo_by_instance: for each recipient, the newest ``sent_s`` that the sender got from it
+    :ivar set_aside_s_by_upstream: for each engine that is changing its stage, the seconds for which
+        no requests are to be sent to it
+    :ivar source_steady_s: seconds for which the sender has been connected to its source without a
+        break
+    :ivar requests_by_service: requests received since the sender's start
+    :ivar repeats_by_service: retries since the sender's start
+    :ivar source_revision: revision of the source up to which the sender knows its content
+    """
+
+    contact: Contact
+    domain: str
+    incarnation: int
+    sequence: int
+    sent_s: float
+    is_leaving: bool
+    revision: int
+    proof_age_s: float
+    work_by_upstream: Mapping[str, load.Work]
+    used_by_workspace: Mapping[str, float]
+    echo_by_instance: Mapping[str, float]
+    contacts: tuple[Contact, ...]
+    strikes: tuple[SharedStrike, ...]
+    set_aside_s_by_upstream: Mapping[str, float]
+    source_steady_s: float
+    requests_by_service: Mapping[str, float]
+    repeats_by_service: Mapping[str, float]
+    source_revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkReport:
+    """What has to be known before the next full report.
+
+    It is sent when generations begin or end, and when the sender has read a change of the source.
+
+    :ivar work_by_upstream: all work in progress
+    :ivar used_by_workspace: as in a full report, but only what has changed lately
+    :ivar requests_by_service: likewise
+    :ivar repeats_by_service: likewise
+    :ivar source_revision: as in a full report
+    """
+
+    instance: str
+    incarnation: int
+    sequence: int
+    work_by_upstream: Mapping[str, load.Work]
+    used_by_workspace: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    requests_by_service: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    repeats_by_service: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    source_revision: int = 0
--- a/src/carawaydoor/fleet/transport.py
+++ b/src/carawaydoor/fleet/transport.py
@@ -11,7 +11,7 @@
 
 import eliot
 
-from carawaydoor.fleet import codec, gossip
+from carawaydoor.fleet import codec, reports
 from carawaydoor.operating import clocks, platform_options
 
 # Also the delay of the next round after an unexpected error.
@@ -31,13 +31,13 @@
     """Builds the reports to send and processes those received."""
 
     @abc.abstractmethod
-    def compose_report(self) -> tuple[gossip.Report, Iterable[str], float]:
+    def compose_report(self) -> tuple[reports.Report, Iterable[str], float]:
         """Return the next report, the hosts to send it to, and the seconds until the next round."""
 
     @abc.abstractmethod
     def compose_work_report(
         self, for_domain: bool = False
-    ) -> tuple[gossip.WorkReport, Iterable[str]]:
+    ) -> tuple[reports.WorkReport, Iterable[str]]:
         """Return a report of the current work and the hosts to send it to.
 
         :param for_domain: whether it goes to the peers of the failure domain only
--- a/src/carawaydoor/platform/store_client.py
+++ b/src/carawaydoor/platform/store_client.py
@@ -12,7 +12,7 @@
 import urllib.parse
 from typing import Any, Final
 
-from carawaydoor.operating import platform_options
+from carawaydoor.operating import configuration_source, platform_options
 from carawaydoor.platform import names
 
 _OK_STATUS: Final = 200
@@ -44,18 +44,6 @@
     """The store no longer has the changes that a watch asked for."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Item:
-    """A key with its value at a revision.
-
-    :ivar value: None if the key was deleted
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ItemBatch:
     """Items read from the store.
@@ -63,7 +51,7 @@
     :ivar revision: the revision of the whole store, from which a watch can continue
     """
 
-    items: tuple[Item, ...]
+    items: tuple[configuration_source.SourceItem, ...]
     revision: int
 
 
@@ -83,7 +71,7 @@
         :param timeout_s: timeout in seconds for each page
         :raises StoreError: if the store gave no valid response
         """
-        items: list[Item] = []
+        items: list[configuration_source.SourceItem] = []
         revision = None
         query = {"pathPrefix": prefix}
         for _ in range(MAX_PAGES_PER_READ):
@@ -152,14 +140,16 @@
         return self._connection
 
 
-def _parse_items(document: dict[str, Any], field: str) -> tuple[Item, ...]:
+def _parse_items(
+    document: dict[str, Any], field: str
+) -> tuple[configuration_source.SourceItem, ...]:
     entries = document.get(field)
     if not isinstance(entries, list):
         raise StoreError(StoreFailure.MALFORMED, f"{field} is not a list")
     return tuple(_parse_item(entry) for entry in entries)
 
 
-def _parse_item(document: Any) -> Item:
+def _parse_item(document: Any) -> configuration_source.SourceItem:
     try:
         key, revision = document["key"], document["revision"]
         value = None if document.get("deleted") else base64.b64decode(document["value"])
@@ -167,7 +157,7 @@
         raise StoreError(StoreFailure.MALFORMED, f"item: {error!r}") from error
     if not isinstance(key, str) or not isinstance(revision, int):
         raise StoreError(StoreFailure.MALFORMED, "item without a valid key and revision")
-    return Item(key, value, revision)
+    return configuration_source.SourceItem(key, value, revision)
 
 
 def _parse_revision(document: dict[str, Any]) -> int:
--- a/src/carawaydoor/platform/store_source.py
+++ b/src/carawaydoor/platform/store_source.py
@@ -49,22 +49,19 @@
         self, changes: configuration_source.SourceChanges
     ) -> configuration_source.SourceUpdate:
         """Decode and keep changes that another instance has read."""
-        items = tuple(
-            store_client.Item(each.key, each.value, each.revision) for each in changes.items
-        )
-        batch = store_client.ItemBatch(items, changes.revision)
+        batch = store_client.ItemBatch(changes.items, changes.revision)
         self._keep_changes(batch)
         return _decode_update(batch)
 
     def _keep_snapshot(self, batch: store_client.ItemBatch) -> None:
         with self._lock:
-            self._item_by_key = {each.key: _source_item(each) for each in batch.items}
+            self._item_by_key = {each.key: each for each in batch.items}
             self._removal_by_key.clear()
             self._complete_after = self._revision = batch.revision
 
     def _keep_changes(self, batch: store_client.ItemBatch) -> None:
         with self._lock:
-            for each in map(_source_item, batch.items):
+            for each in batch.items:
                 self._removal_by_key.pop(each.key, None)
                 if each.value is not None:
                     self._item_by_key[each.key] = each
@@ -99,10 +96,6 @@
         return _decode_update(batch)
 
 
-def _source_item(item: store_client.Item) -> configuration_source.SourceItem:
-    return configuration_source.SourceItem(item.key, item.value, item.revision)
-
-
 def _decode_update(batch: store_client.ItemBatch) -> configuration_source.SourceUpdate:
     configuration_items = [each for each in batch.items if each.key == names.CONFIGURATION_KEY]
     return configuration_source.SourceUpdate(
@@ -114,7 +107,7 @@
 
 
 def _newest_valid_configuration(
-    items: Iterable[store_client.Item],
+    items: Iterable[configuration_source.SourceItem],
 ) -> entities.Configuration | None:
     newest = None
     for item in items:
@@ -127,7 +120,9 @@
     return newest
 
 
-def _decode_upstreams(items: Iterable[store_client.Item]) -> dict[str, entities.Upstream | None]:
+def _decode_upstreams(
+    items: Iterable[configuration_source.SourceItem],
+) -> dict[str, entities.Upstream | None]:
     upstream_by_id: dict[str, entities.Upstream | None] = {}
     for item in items:
         if not item.key.startswith(names.SERVERS_PREFIX):
@@ -137,7 +132,9 @@
     return upstream_by_id
 
 
-def _decode_upstream(server_id: str, item: store_client.Item) -> entities.Upstream | None:
+def _decode_upstream(
+    server_id: str, item: configuration_source.SourceItem
+) -> entities.Upstream | None:
     if item.value is None:
         return None
     try:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -13,7 +13,7 @@
 
 import eliot
 
-from carawaydoor.fleet import codec, gossip, transport
+from carawaydoor.fleet import codec, gossip, reports, transport
 from carawaydoor.operating import clocks, platform_metrics, platform_options
 from carawaydoor.policy import (
     entities,
@@ -339,14 +339,14 @@
                 self.configuration.service_by_name.values(), may_issue_orders
             )
 
-    def compose_report(self) -> tuple[gossip.Report, list[str], float]:
+    def compose_report(self) -> tuple[reports.Report, list[str], float]:
         """Return the next report, its recipient hosts, and the seconds until the one after it."""
         with self._lock:
             now_s = self.clock.now_s()
             self.membership, contacts = gossip.next_recipients(self.membership)
             self._sequence += 1
-            report = gossip.Report(
-                contact=gossip.Contact(self.options.instance, self.options.peer_host),
+            report = reports.Report(
+                contact=reports.Contact(self.options.instance, self.options.peer_host),
                 domain=self.options.domain,
                 incarnation=self._incarnation,
                 sequence=self._sequence,
@@ -373,20 +373,20 @@
         self.metrics.peer_datagrams.add(len(recipients), {"direction": "sent"})
         return report, recipients, gossip.ROUND_INTERVAL_S
 
-    def compose_work_report(self, for_domain: bool = False) -> tuple[gossip.WorkReport, list[str]]:
+    def compose_work_report(self, for_domain: bool = False) -> tuple[reports.WorkReport, list[str]]:
         """Return a report of the current work, and the hosts to send it to.
 
         :param for_domain: whether it goes to the peers of this failure domain only
         """
         with self._lock:
             now_s = self.clock.now_s()
-            contacts: tuple[gossip.Contact, ...]
+            contacts: tuple[reports.Contact, ...]
             if for_domain:
                 contacts = tuple(each.contact for each in self._live_domain_peers())
             else:
                 self.membership, contacts = gossip.next_work_recipients(self.membership, now_s)
             self._sequence += 1
-            report = gossip.WorkReport(
+            report = reports.WorkReport(
                 self.options.instance,
                 self._incarnation,
                 self._sequence,
@@ -405,11 +405,11 @@
         with self._lock:
             now_s = self.clock.now_s()
             match report:
-                case gossip.WorkReport():
+                case reports.WorkReport():
                     self.membership, effects = gossip.apply_work_report(
                         self.membership, now_s, report
                     )
-                case gossip.Report():
+                case reports.Report():
                     self.membership, effects = gossip.apply_report(self.membership, now_s, report)
             for effect in effects:
                 self._apply_gossip_effect(effect, now_s)
@@ -444,7 +444,7 @@
             case gossip.UpstreamPaused(upstream, for_s):
                 if upstream in self.directory.upstream_by_id:
                     self.selector.pause(upstream, for_s)
-            case gossip.SharedStrike(fingerprint, strike):
+            case reports.SharedStrike(fingerprint, strike):
                 self.strikes = strikes.add(
                     self.strikes, now_s - strike.at_s, fingerprint, strike.id
                 )
@@ -474,9 +474,9 @@
                 self.caps = usage_caps.remove_peer(self.caps, key)
                 self.retry_budget = fleet_retry_budget.remove_peer(self.retry_budget, key)
 
-    def _recent_strikes(self, now_s: float) -> tuple[gossip.SharedStrike, ...]:
+    def _recent_strikes(self, now_s: float) -> tuple[reports.SharedStrike, ...]:
         return tuple(
-            gossip.SharedStrike(fingerprint, strikes.Strike(strike.id, now_s - strike.at_s))
+            reports.SharedStrike(fingerprint, strikes.Strike(strike.id, now_s - strike.at_s))
             for fingerprint, known in self.strikes.strikes_by_fingerprint.items()
             for strike in known
             if now_s - strike.at_s < MAX_SHARED_STRIKE_AGE_S
--- a/tests/platform_side/test_source_relay.py
+++ b/tests/platform_side/test_source_relay.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carawaydoor.fleet import gossip, source_relay
+from carawaydoor.fleet import gossip, reports, source_relay
 from carawaydoor.operating import (
     configuration_source,
     platform_options,
@@ -113,8 +113,8 @@
         for number in range(DOMAIN_SIZE):
             name = f"x{number}"
             is_reader = name == self.reader_name
-            report = gossip.Report(
-                gossip.Contact(name, "127.0.0.1" if is_reader else "127.0.0.2"),
+            report = reports.Report(
+                reports.Contact(name, "127.0.0.1" if is_reader else "127.0.0.2"),
                 "a",
                 1,
                 time.monotonic_ns(),
--- a/tests/policy/test_gossip.py
+++ b/tests/policy/test_gossip.py
@@ -8,15 +8,15 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from carawaydoor.fleet import codec, gossip
+from carawaydoor.fleet import codec, gossip, reports
 from carawaydoor.policy import load, strikes
 
 OWN_NAME = "m"
 
 
 def report(name="p", sequence=1, **changes):
-    base = gossip.Report(
-        contact=gossip.Contact(name, f"10.0.0.{ord(name[0])}"),
+    base = reports.Report(
+        contact=reports.Contact(name, f"10.0.0.{ord(name[0])}"),
         domain="a",
         incarnation=5,
         sequence=sequence,
@@ -88,8 +88,8 @@
 
 
 def test_contacts_are_learned_from_reports():
-    other = gossip.Contact("q", "10.0.0.9")
-    state, _ = apply_reports(report(contacts=(other, gossip.Contact(OWN_NAME, "10.0.0.1"))))
+    other = reports.Contact("q", "10.0.0.9")
+    state, _ = apply_reports(report(contacts=(other, reports.Contact(OWN_NAME, "10.0.0.1"))))
     assert set(state.peer_by_instance) == {"p", "q"}
     _, contacts = gossip.next_recipients(state)
     assert other in contacts
@@ -149,7 +149,7 @@
     """A partial map must not reset what the full report said of other workspaces."""
     full = report(sequence=4, used_by_workspace={"w": 10.0, "x": 5.0})
     state, _ = apply_reports(full)
-    work_report = gossip.WorkReport("p", 5, 5, {}, {"w": 30.0}, {"s": 9.0}, {})
+    work_report = reports.WorkReport("p", 5, 5, {}, {"w": 30.0}, {"s": 9.0}, {})
     state, effects = gossip.apply_work_report(state, 101.0, work_report)
     usage = gossip.PeerUsage("p/5", {"w": 30.0, "x": 5.0}, {"s": 9.0}, {"s": 1.0})
     assert effects == (usage,)
@@ -170,7 +170,7 @@
 def test_work_report_replaces_the_work_of_the_last_full_report():
     state, _ = apply_reports(report(sequence=4))
     full_report = state.peer_by_instance["p"].report
-    work_report = gossip.WorkReport("p", full_report.incarnation, 5, {"d": load.Work(2, 900)})
+    work_report = reports.WorkReport("p", full_report.incarnation, 5, {"d": load.Work(2, 900)})
     new_state, _ = gossip.apply_work_report(state, 101.0, work_report)
     assert gossip.peer_work(new_state, 101.0) == {"d": load.Work(2, 900)}
     assert new_state.peer_by_instance["p"].last_report_s == 101.0
@@ -205,8 +205,8 @@
 FLOATS = st.floats(allow_nan=False, allow_infinity=False)
 NAMES = st.text(min_size=1, max_size=20)
 REPORTS = st.builds(
-    gossip.Report,
-    contact=st.builds(gossip.Contact, NAMES, NAMES),
+    reports.Report,
+    contact=st.builds(reports.Contact, NAMES, NAMES),
     domain=NAMES,
     incarnation=st.integers(0, 2**62),
     sequence=st.integers(0, 2**62),
@@ -219,9 +219,9 @@
     ),
     used_by_workspace=st.dictionaries(NAMES, FLOATS),
     echo_by_instance=st.dictionaries(NAMES, FLOATS),
-    contacts=st.lists(st.builds(gossip.Contact, NAMES, NAMES), max_size=3).map(tuple),
+    contacts=st.lists(st.builds(reports.Contact, NAMES, NAMES), max_size=3).map(tuple),
     strikes=st.lists(
-        st.builds(gossip.SharedStrike, NAMES, st.builds(strikes.Strike, NAMES, FLOATS)),
+        st.builds(reports.SharedStrike, NAMES, st.builds(strikes.Strike, NAMES, FLOATS)),
         max_size=3,
     ).map(tuple),
     set_aside_s_by_upstream=st.dictionaries(NAMES, FLOATS),
@@ -232,7 +232,7 @@
 
 
 WORK_REPORTS = st.builds(
-    gossip.WorkReport,
+    reports.WorkReport,
     NAMES,
     st.integers(0, 2**62),
     st.integers(0, 2**62),
--- a/tools/emulator/emulated_fleet.py
+++ b/tools/emulator/emulated_fleet.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import Final
 
-from carawaydoor.fleet import gossip
+from carawaydoor.fleet import gossip, reports
 from carawaydoor.policy import entities, fleet_retry_budget, health, load, placement
 
 # How long the instances have been running when the first request arrives.
@@ -66,7 +66,7 @@
         sender.membership, contacts = gossip.next_work_recipients(sender.membership, now_s)
         sender.sequence += 1
         work = sender.own_load.own_by_id
-        report = gossip.WorkReport(sender.name, 1, sender.sequence, work)
+        report = reports.WorkReport(sender.name, 1, sender.sequence, work)
         for contact in contacts:
             receiver = self._instance_by_name[contact.instance]
             receiver.membership, _ = gossip.apply_work_report(receiver.membership, now_s, report)
@@ -85,10 +85,10 @@
             now_s, FAILURE_DOMAIN, upstreams, fleet_load, instance.health, staleness_s, seed
         )
 
-    def _report(self, sender: Instance, now_s: float) -> gossip.Report:
+    def _report(self, sender: Instance, now_s: float) -> reports.Report:
         sender.sequence += 1
-        return gossip.Report(
-            contact=gossip.Contact(sender.name, sender.name),
+        return reports.Report(
+            contact=reports.Contact(sender.name, sender.name),
             domain=FAILURE_DOMAIN,
             incarnation=1,
             sequence=sender.sequence,
@@ -107,7 +107,7 @@
             repeats_by_service=sender.retry_budget.retries.own_totals_by_name,
         )
 
-    def _receive(self, receiver: Instance, report: gossip.Report, now_s: float) -> None:
+    def _receive(self, receiver: Instance, report: reports.Report, now_s: float) -> None:
         receiver.membership, effects = gossip.apply_report(receiver.membership, now_s, report)
         for effect in effects:
             if isinstance(effect, gossip.PeerUsage):
--- a/tools/platform_capacity.py
+++ b/tools/platform_capacity.py
@@ -5,12 +5,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 import time
 from collections.abc import Callable
 from typing import Final
 
-from carawaydoor.fleet import codec, gossip
+from carawaydoor.fleet import codec, gossip, reports
 from carawaydoor.policy import entities, load, placement, sliding_window, usage_caps
 
 INSTANCE_COUNTS: Final = (8, 85, 710)
@@ -20,10 +21,10 @@
 SERVICE: Final = entities.Service("s", 600, ENGINE_SPEC)
 
 
-def build_report(number: int, upstreams: int) -> gossip.Report:
+def build_report(number: int, upstreams: int) -> reports.Report:
     """Return a report of an instance with work at ``upstreams`` upstreams."""
-    contact = gossip.Contact(f"instance-{number:04}", f"10.0.{number // 250}.{number % 250}")
-    return gossip.Report(
+    contact = reports.Contact(f"instance-{number:04}", f"10.0.{number // 250}.{number % 250}")
+    return reports.Report(
         contact=contact,
         domain="a",
         incarnation=number,
@@ -74,11 +75,17 @@
         membership = gossip.Membership("m", {})
         for number in range(count):
             membership, _ = gossip.apply_report(membership, 1.0, build_report(number, 20))
-        newer_report = build_report(1, 20)
+        # A report that is not newer than the last one would be dropped at once.
+        newer = iter(
+            dataclasses.replace(build_report(1, 20), sequence=number)
+            for number in range(2, REPEATS + 2)
+        )
         print_time(
-            "hear a report, by instances",
+            "hear a new report, by instances",
             count,
-            functools.partial(gossip.apply_report, membership, 1.0, newer_report),
+            lambda membership=membership, newer=newer: gossip.apply_report(  # type: ignore[misc]
+                membership, 1.0, next(newer)
+            ),
         )
         print_time(
             "sum the peers' work", count, functools.partial(gossip.peer_work, membership, 1.0)
