Start threads for callers when they are needed

Cause: 72 threads stood in each instance, most of them never used. Four stand now, more start when all are busy, up to the former 72, and stay.

--- a/src/carawaydoor/serving/http_servers.py
+++ b/src/carawaydoor/serving/http_servers.py
@@ -17,7 +17,9 @@
 WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 # Each thread serves one request from its headers to the end of its response.
-CALLER_THREADS: Final = 72
+MAX_CALLER_THREADS: Final = 72
+# Enough for the load of a calm moment; more are started when all are busy.
+INITIAL_CALLER_THREADS: Final = 4
 # Part of the file descriptors; the rest is for upstreams and peers.
 CALLER_CONNECTION_SHARE: Final = 0.5
 LISTEN_BACKLOG: Final = 1024
@@ -43,6 +45,25 @@
     task_class = _Task
 
 
+class GrowingDispatcher(waitress.task.ThreadedTaskDispatcher):  # type: ignore[misc]
+    """Starts threads when they are needed, up to a limit, and keeps them."""
+
+    def __init__(self, initial_threads: int, max_threads: int) -> None:
+        super().__init__()
+        self._max_threads = max_threads
+        self.set_thread_count(initial_threads)
+
+    def add_task(self, task: Any) -> None:
+        """Queue a task, with a new thread for it if none is idle."""
+        with self.lock:
+            running = len(self.threads) - self.stop_count
+            idle = running - self.active_count
+            has_to_grow = len(self.queue) >= idle and running < self._max_threads
+        if has_to_grow:
+            self.set_thread_count(running + 1)
+        super().add_task(task)
+
+
 class CallerServer:
     """Accepts callers and runs the application in a thread pool."""
 
@@ -54,9 +75,9 @@
         self._server = waitress.server.create_server(
             app,
             map={},
+            _dispatcher=GrowingDispatcher(INITIAL_CALLER_THREADS, MAX_CALLER_THREADS),
             host=options.front.host,
             port=options.front.port,
-            threads=CALLER_THREADS,
             backlog=LISTEN_BACKLOG,
             channel_request_lookahead=1,
             connection_limit=int(options.max_descriptors * CALLER_CONNECTION_SHARE),
