--- a/tools/emulator/simulation.py
+++ b/tools/emulator/simulation.py
@@ -315,6 +315,7 @@
         self, attempt: _Attempt, decode: entities.Upstream, generation: engines.Generation
     ) -> None:
         self._remove_work(attempt.instance, decode.id, load.Work(1, attempt.prompt.mean_kv_tokens))
+        self._fleet.announce_work(attempt.instance, self.now_s)
         decode_engine = self.decode_engine_by_id[decode.id]
         is_held = any(
             each.generation_by_request.get(generation.request) is generation
