Notice a divided large fleet by the peers heard lately, for the retry budget

Now the number of peers heard in two seconds, against that expected of all live ones, tells sooner how much of the fleet is reachable. Caps keep the former count.

--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -27,6 +27,10 @@
 ROUND_INTERVAL_S: Final = 0.25
 # Fraction of the peers that may be silent at a time in a fleet that counts as whole.
 TOLERATED_SILENT_SHARE: Final = 0.05
+# Period in which the peers heard tell how much of a large fleet is reachable.
+RECENT_REPORTS_S: Final = 2.0
+# Fraction of the expected peers below which the fleet counts as divided.
+MIN_HEARD_SHARE: Final = 0.8
 # Longer than a network partition or a restart lasts, because an instance that is cut off still
 # consumes workspace caps.
 PEER_EXPIRY_S: Final = 30.0
@@ -329,6 +333,26 @@
     return live + 1, len(peers) + 1
 
 
+def count_reachable(state: Membership, now_s: float) -> int:
+    """Return how many instances are reachable by the latest reports, including this one.
+
+    In a large fleet, a peer counts as silent only after seconds. A network partition shows sooner by
+    the number of peers heard in a short time, compared with that expected of all live ones.
+    """
+    live, _ = count_live_and_known(state, now_s)
+    cycle = cycle_s(state)
+    if cycle <= RECENT_REPORTS_S:
+        return live
+    expected = (live - 1) * RECENT_REPORTS_S / cycle
+    heard = sum(
+        each.report is not None and each.last_report_s >= now_s - RECENT_REPORTS_S
+        for each in state.peer_by_instance.values()
+    )
+    if heard >= expected * MIN_HEARD_SHARE:
+        return live
+    return max(heard, round((live - 1) * heard / expected)) + 1
+
+
 def live_peers_in_domain(state: Membership, now_s: float, domain: str) -> tuple[Peer, ...]:
     """Return the peers of a failure domain that report and are not leaving."""
     live_since_s = now_s - silence_timeout_s(state)
--- a/tests/policy/test_gossip.py
+++ b/tests/policy/test_gossip.py
@@ -309,3 +309,37 @@
         state = hear_all(state, 100.0 + 0.9 * step)
     assert gossip.is_leader(state, 107.2, 6.0)
     assert not gossip.is_leader(hear_all(state, 108.5, except_for=("i003",)), 108.5, 6.0)
+
+
+def fleet_in_rotation(now_s, heard_names):
+    """Return a fleet of 195 in which each peer reports once a cycle, until some fall silent."""
+    state = fleet_of(195)
+    cycle_s = gossip.cycle_s(state)
+    for index, name in enumerate(tuple(state.peer_by_instance)):
+        age_s = cycle_s * index / 194
+        if name not in heard_names:
+            age_s += gossip.RECENT_REPORTS_S
+        state, _ = gossip.apply_report(state, now_s - age_s, report(name, 2))
+    return state
+
+
+def test_cut_off_domain_of_a_large_fleet_notices_it_before_its_peers_count_as_silent():
+    """A domain of 33 of 195 was cut off, and both sides took retries of the whole budget.
+
+    606 arrivals beyond the first of their request reached a service that allowed 534.
+    """
+    own_domain = {f"i{number:03}" for number in range(0, 194, 6)}
+    state = fleet_in_rotation(120.0, own_domain)
+    assert gossip.count_live_and_known(state, 120.0)[0] == 195
+    assert gossip.count_reachable(state, 120.0) <= 45
+
+
+def test_rest_of_a_large_fleet_counts_as_whole_beside_a_cut_off_domain():
+    others = {f"i{number:03}" for number in range(194) if number % 6}
+    assert gossip.count_reachable(fleet_in_rotation(120.0, others), 120.0) == 195
+
+
+def test_whole_fleet_is_reachable():
+    everyone = {f"i{number:03}" for number in range(194)}
+    assert gossip.count_reachable(fleet_in_rotation(120.0, everyone), 120.0) == 195
+    assert gossip.count_reachable(fleet_of(8), 100.5) == 8
