--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -27,7 +27,7 @@
 ROUND_INTERVAL_S: Final = 0.25
 # Fraction of the peers that may be silent at a time in a fleet that counts as whole.
 TOLERATED_SILENT_SHARE: Final = 0.05
-# Period in which the peers heard tell how much of a large fleet is reachable.
+# Period over which reports are counted to estimate how much of a large fleet is reachable.
 RECENT_REPORTS_S: Final = 2.0
 # Fraction of the expected peers below which the fleet counts as divided.
 MIN_HEARD_SHARE: Final = 0.8
