Log how each stream ended and how its response was framed

The logs could not tell whether a truncated stream had been taken for a complete one because its response was framed by the end of the connection, because chunks broke off unnoticed, or on the caller's side. stream_ended and stream_broken now name the framing, and stream_ended the bytes after the last complete event; a counter has the same by framing.

--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -62,6 +62,14 @@
     REUSED = "kept"
 
 
+class Framing(enum.Enum):
+    """How a response marks the end of its body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION_END = "connection_end"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _IdleConnection:
     connection: Connection
@@ -138,6 +146,7 @@
         self.reason: Final = response.reason
         self.headers: Final[http_exchange.Headers] = tuple(response.getheaders())
         self.header_by_name: Final = {name.lower(): value for name, value in self.headers}
+        self.framing: Final = _framing(response)
         self._is_complete = False
 
     @property
@@ -258,5 +267,11 @@
             newest.connection.close()
 
 
+def _framing(response: http.client.HTTPResponse) -> Framing:
+    if response.chunked:
+        return Framing.CHUNKS
+    return Framing.CONNECTION_END if response.length is None else Framing.LENGTH
+
+
 def _pool_key(upstream: entities.Upstream) -> tuple[str, str, int]:
     return upstream.id, upstream.address, upstream.born_ms
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -86,7 +86,7 @@
                 yield from self._complete_events(source)
                 return
             except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
-                self._record_break(source.engine, error)
+                self._record_break(source, error)
                 # Two engines must not work on the stream at the same time.
                 source.opened.connection.close()
                 continuation = self._continuation or self._continue_broken(error)
@@ -105,9 +105,26 @@
                 source.opened.connection.record_progress()
                 yield complete
         remainder = self._splitter.take_remainder()
+        self._log_end(source, len(remainder))
         if remainder:
             yield remainder
 
+    def _log_end(self, source: _Source, incomplete_bytes: int) -> None:
+        framing = source.opened.response.framing.value
+        ended_inside_event = str(incomplete_bytes > 0).lower()
+        self._instance.metrics.stream_ends.add(
+            1, {"framing": framing, "inside_event": ended_inside_event}
+        )
+        eliot.log_message(
+            message_type="stream_ended",
+            request=self._exchange.inbound.id,
+            upstream=source.engine.id,
+            status=source.opened.response.status,
+            framing=framing,
+            last_event=self._splitter.last_id,
+            incomplete_bytes=incomplete_bytes,
+        )
+
     def _may_continue(self) -> bool:
         route = self._exchange.route
         return self._backup is not None or (route is not None and self._may_rerun(route))
@@ -224,7 +241,8 @@
         if self._backup is not None and self._backup.id == engine.id:
             self._backup = None
 
-    def _record_break(self, decode: entities.Upstream, error: Exception) -> None:
+    def _record_break(self, source: _Source, error: Exception) -> None:
+        decode, framing = source.engine, source.opened.response.framing.value
         failure = upstream_client.classify_error(error)
         if failure is upstream_client.Failure.SILENT:
             self._instance.selector.record_outcome(decode, health.Outcome.SILENT)
@@ -237,6 +255,7 @@
             upstream=decode.id,
             failure=failure.value,
             after_event=self._splitter.last_id,
+            framing=framing,
             detail=repr(error),
         )
 
