Reproduce the truncated streams that are relayed as complete

An engine that crashes during a stream with neither a length nor chunks closes its connection in an orderly way. The caller then gets the incomplete last event and the end of a complete response; with chunks that end inside an event it is the same.

--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -38,6 +38,10 @@
     BREAK_STREAM = "break_stream"
     HANG_STREAM = "hang_stream"
     PAUSE_STREAM = "pause_stream"
+    UNFRAMED_STREAM = "unframed_stream"
+    CLOSE_INSIDE_EVENT = "close_inside_event"
+    CLOSE_INSIDE_UNFRAMED_EVENT = "close_inside_unframed_event"
+    CLOSE_BEFORE_UNFRAMED_EVENT = "close_before_unframed_event"
     RESET_AFTER_ANSWER = "reset_after_answer"
     ENDLESS_HEADER = "endless_header"
     ENDLESS_INTERIM_RESPONSES = "endless_interim_responses"
@@ -48,6 +52,21 @@
     BEYOND_LENGTH = "beyond_length"
 
 
+_UNFRAMED_STREAMS = frozenset(
+    {
+        Behaviour.UNFRAMED_STREAM,
+        Behaviour.CLOSE_INSIDE_UNFRAMED_EVENT,
+        Behaviour.CLOSE_BEFORE_UNFRAMED_EVENT,
+    }
+)
+_STREAMS = _UNFRAMED_STREAMS | {
+    Behaviour.ANSWER,
+    Behaviour.BREAK_STREAM,
+    Behaviour.HANG_STREAM,
+    Behaviour.PAUSE_STREAM,
+    Behaviour.CLOSE_INSIDE_EVENT,
+}
+
 # The start of a response without an end, and the bytes that are repeated after it.
 _ENDLESS_PARTS = {
     Behaviour.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nX-Fill: ", b"x" * 4096),
@@ -175,12 +194,7 @@
                     "version": 1,
                 }
                 self._send_response(200, json.dumps(prefilled).encode())
-            case (
-                Behaviour.ANSWER
-                | Behaviour.BREAK_STREAM
-                | Behaviour.HANG_STREAM
-                | Behaviour.PAUSE_STREAM
-            ) if received.header(names.Header.TOKENS):
+            case _ if behaviour in _STREAMS and received.header(names.Header.TOKENS):
                 self._send_stream(received, behaviour, stamp)
             case Behaviour.ANSWER:
                 self._send_response(200, b"answer", stamp)
@@ -265,8 +279,14 @@
         for name, value in headers.items():
             self.send_header(name, value)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        is_framed = behaviour not in _UNFRAMED_STREAMS
+        if is_framed:
+            self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self.close_connection = True
         self.end_headers()
+        if behaviour is Behaviour.CLOSE_BEFORE_UNFRAMED_EVENT:
+            return
         first_number = int(received.header(names.Header.LAST_EVENT_ID) or 0) + 1
         failing_number = (first_number + upstream.events) // 2
         for number in range(first_number, upstream.events + 1):
@@ -280,13 +300,23 @@
                 return
             if number == failing_number and behaviour is Behaviour.PAUSE_STREAM:
                 time.sleep(PAUSE_S)
+            if number == failing_number and behaviour is Behaviour.CLOSE_INSIDE_UNFRAMED_EVENT:
+                self.wfile.write(event[:5])
+                return
+            if number == failing_number and behaviour is Behaviour.CLOSE_INSIDE_EVENT:
+                self._send_chunk(event[:5])
+                break
             try:
-                self._send_chunk(event)
+                if is_framed:
+                    self._send_chunk(event)
+                else:
+                    self.wfile.write(event)
             except OSError:
                 received.caller_disconnected.set()
                 raise
             time.sleep(EVENT_INTERVAL_S)
-        self.wfile.write(b"0\r\n\r\n")
+        if is_framed:
+            self.wfile.write(b"0\r\n\r\n")
 
     def _send_chunk(self, content: bytes) -> None:
         self.wfile.write(b"%x\r\n%s\r\n" % (len(content), content))
