Treat a stream that ends inside an event as broken off

Where a response has neither a length nor chunks, http.client reports the end of the connection as the end of the body, and the relay forwarded the bytes after the last event with the end of its own response. Chunks that end inside an event were relayed the same way.

The framing alone does not show that a stream is whole: the relay now checks it by its events. One that ends inside an event, or whose only framing is the end of the connection and that has no event, counts as broken like a reset connection: it goes on at another engine where that is possible, and is visibly truncated otherwise. The engine's break is recorded, its crash is checked for, and its connection is not kept. Responses that are not streams of events, such as an engine's own failure, are relayed whole.

--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -20,6 +20,8 @@
     upstream_client,
 )
 
+EVENT_STREAM_TYPE: Final = "text/event-stream"
+MIN_UNSUCCESSFUL_STATUS: Final = 300
 # Longer than any pause of a stream that meets its targets, and well below the time after which
 # callers abandon a stream.
 STREAM_STALL_TIMEOUT_S: Final = 1.2
@@ -29,12 +31,20 @@
 MAX_CONTINUATION_TIME_S: Final = 1.5
 
 
+class StreamEndedEarlyError(connections.ConnectionLostError):
+    """An upstream ended its stream inside an event, or without any."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Source:
-    """The engine that a stream comes from, with its response."""
+    """The engine that a stream comes from, with its response.
+
+    :ivar has_failed: whether the engine broke the stream off
+    """
 
     engine: entities.Upstream
     opened: upstream_client.OpenResponse
+    has_failed: bool = False
 
 
 class StreamRelay:
@@ -76,8 +86,9 @@
 
     def _register(self, engine: entities.Upstream, opened: upstream_client.OpenResponse) -> _Source:
         self._used_engines.add(engine.id)
-        self._exchange.cleanup.callback(self._close, engine, opened)
-        return _Source(engine, opened)
+        source = _Source(engine, opened)
+        self._exchange.cleanup.callback(self._close, source)
+        return source
 
     def _chunks(self, first: _Source) -> Iterator[bytes]:
         source = first
@@ -86,6 +97,7 @@
                 yield from self._complete_events(source)
                 return
             except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
+                source.has_failed = True
                 self._record_break(source, error)
                 # Two engines must not work on the stream at the same time.
                 source.opened.connection.close()
@@ -96,18 +108,31 @@
                 source = continuation
 
     def _complete_events(self, source: _Source) -> Iterator[bytes]:
-        """Yield complete events, and at the end of the stream the bytes after the last one."""
+        """Yield complete events; a response other than a stream of events is relayed whole.
+
+        :raises StreamEndedEarlyError: if the stream ended inside an event, or if its only framing
+            is the end of the connection and it has no event
+        """
+        response = source.opened.response
         if self._may_continue():
             source.opened.connection.set_wait_limit(self._stall_limit())
-        for chunk in source.opened.response.chunks():
+        has_event = False
+        for chunk in response.chunks():
             complete = self._splitter.feed(chunk)
             if complete:
+                has_event = True
                 source.opened.connection.record_progress()
                 yield complete
         remainder = self._splitter.take_remainder()
         self._log_end(source, len(remainder))
+        if not _is_event_stream(response):
+            if remainder:
+                yield remainder
+            return
         if remainder:
-            yield remainder
+            raise StreamEndedEarlyError(f"{len(remainder)} bytes after the last event")
+        if not has_event and response.framing is connections.Framing.CONNECTION_END:
+            raise StreamEndedEarlyError("the connection ended before the first event")
 
     def _log_end(self, source: _Source, incomplete_bytes: int) -> None:
         framing = source.opened.response.framing.value
@@ -259,9 +284,15 @@
             detail=repr(error),
         )
 
-    def _close(self, decode: entities.Upstream, opened: upstream_client.OpenResponse) -> None:
-        if opened.response.is_complete:
+    def _close(self, source: _Source) -> None:
+        opened = source.opened
+        if opened.response.is_complete and not source.has_failed:
             self._instance.connection_pool.release(opened.connection, opened.response)
-            self._instance.selector.record_outcome(decode, health.Outcome.ANSWERED)
+            self._instance.selector.record_outcome(source.engine, health.Outcome.ANSWERED)
         else:
             opened.connection.close()
+
+
+def _is_event_stream(response: connections.UpstreamResponse) -> bool:
+    content_type = response.header_by_name.get("content-type", EVENT_STREAM_TYPE)
+    return response.status < MIN_UNSUCCESSFUL_STATUS and content_type.startswith(EVENT_STREAM_TYPE)
