Reject a body that ends before its first byte on the project's own interface

The same class as the truncated streams: a connection that ends early passes for the end of the response. http.client closes a response whose connection ends before any byte of its body, and the call took a closed response for a complete one. A plain service that broke off there gave its caller an empty success, which for a booking was also kept as its outcome. The body is now compared with the length that was announced.

--- a/src/carawaydoor/interface/upstream_call.py
+++ b/src/carawaydoor/interface/upstream_call.py
@@ -101,15 +101,18 @@
         if self._response is None:
             raise errors.UpstreamBrokenError(self.target.id)
         try:
+            # None for a body in chunks, whose end is checked, and for one that ends with the
+            # connection.
+            expected_bytes = self._response.length
             body = self._response.read(MAX_RESPONSE_BYTES + 1)
-            complete = self._response.isclosed() or not self._response.length
         except TimeoutError as error:
             raise errors.UpstreamTimeoutError(self.target.id) from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise errors.UpstreamBrokenError(f"{self.target.id}: {error!r}") from error
         if len(body) > MAX_RESPONSE_BYTES:
             raise errors.UpstreamAnswerError("the response is too large", self._response.status)
-        if not complete or self._cancelled:
+        is_short = expected_bytes is not None and len(body) < expected_bytes
+        if is_short or self._cancelled:
             raise errors.UpstreamBrokenError(f"{self.target.id}: the body ended early")
         return body
 
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -28,6 +28,7 @@
     RESET = "reset"
     HANG = "hang"
     TRUNCATE = "truncate"
+    TRUNCATE_BEFORE_BODY = "truncate_before_body"
     EXTRA_BYTES = "extra"
     MALFORMED = "rubbish"
     OTHER_REQUEST_ID = "other_id"
@@ -219,6 +220,9 @@
             case Behaviour.TRUNCATE:
                 self._send_response(200, b"answer", stamp, length=100)
                 self.close_connection = True
+            case Behaviour.TRUNCATE_BEFORE_BODY:
+                self._send_response(200, b"", stamp, length=100)
+                self.close_connection = True
             case Behaviour.EXTRA_BYTES:
                 self._send_response(200, b"answer", stamp)
                 self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
--- a/tests/test_upstream_call.py
+++ b/tests/test_upstream_call.py
@@ -51,6 +51,16 @@
     assert upstream.received[0].caller_disconnected.wait(1.0)
 
 
+@pytest.mark.parametrize("behaviour", [Behaviour.TRUNCATE, Behaviour.TRUNCATE_BEFORE_BODY])
+def test_body_shorter_than_its_length_is_an_error(
+    upstream: fake_upstream.FakeUpstream, behaviour: Behaviour
+) -> None:
+    """A connection that ended before the first byte of a body passed for an empty response."""
+    upstream.behaviours = [behaviour]
+    with pytest.raises(errors.UpstreamBrokenError):
+        upstream_call.fetch(target_of(upstream), REQUEST, TIMEOUT_S)
+
+
 def test_endless_stream_of_lines_is_an_error(
     upstream: fake_upstream.FakeUpstream, monkeypatch: pytest.MonkeyPatch
 ) -> None:
