Reset the connection of an HTTP/1.0 caller if its response breaks off

The same class as the truncated streams, towards callers: a response to a caller that speaks HTTP/1.0 has no chunks, so the end of its connection is all that frames it. When the source of such a response failed, waitress closed the connection in order, and the truncated response looked complete. The connection is now reset, on both interfaces.

--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -34,6 +34,7 @@
     operator_app,
 )
 from carawaydoor.publishing import platform_client, watchers
+from carawaydoor.serving import caller_channel
 
 CORE_TICK_INTERVAL_S: Final = 0.1
 # Maximum time for which a thread holds the interpreter lock while others wait for it.
@@ -128,7 +129,7 @@
         return core_state.create(member, secrets.token_bytes(32))
 
     def _create_caller_server(self) -> Any:
-        return waitress.server.create_server(
+        server = waitress.server.create_server(
             api_app.ApiApp(self._context, self._request_monitor),
             host=self._options.host,
             port=self._options.caller_port,
@@ -141,6 +142,8 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
+        server.channel_class = caller_channel.Channel
+        return server
 
     def _create_operator_server(self) -> Any:
         return waitress.server.create_server(
--- a/src/carawaydoor/serving/http_servers.py
+++ b/src/carawaydoor/serving/http_servers.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
-import waitress.channel
 import waitress.server
 import waitress.task
 
 from carawaydoor.operating import platform_options
 from carawaydoor.policy import entities
+from carawaydoor.serving import caller_channel
 
 WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
@@ -30,7 +30,7 @@
 MAX_BUFFERED_RESPONSE_BYTES: Final = 262_144
 
 
-class _Task(waitress.task.WSGITask):  # type: ignore[misc]
+class _Task(caller_channel.Task):
     """Closes the connection after the response while the instance is draining."""
 
     def build_response_header(self) -> bytes:
@@ -41,7 +41,7 @@
         return head
 
 
-class _Channel(waitress.channel.HTTPChannel):  # type: ignore[misc]
+class _Channel(caller_channel.Channel):
     task_class = _Task
 
 
