Log the shared parts of prompts and how long a broken stream had been running

The hypotheses about engines that end one after the other differ in whether the requests behind the crashes share a part of their prompts, and in which of the streams that an engine takes with it had only just begun. Neither stood in the log. generation_placed now has digests of the shared parts, decoded once by the platform's adapter, and stream_broken the time since the engine's first event.

--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import math
 from collections.abc import Iterator, Mapping
@@ -24,6 +25,9 @@
     409: protocol_adapter.OrderOutcome.CONFLICT,
     412: protocol_adapter.OrderOutcome.FENCED,
 }
+_PART_DIGEST_BYTES: Final = 8
+# Bounds what is kept of one prompt; the headers alone would allow hundreds of parts.
+_MAX_SHARED_PARTS: Final = 32
 _PROBLEM_TYPE: Final = "application/problem+json"
 
 
@@ -255,4 +259,15 @@
     prompt_tokens, max_output_tokens = (int(count) for count in counts)
     estimate = _header_text(environ, names.Header.OUTPUT_ESTIMATE) or ""
     expected_output_tokens = int(estimate) if estimate.isdecimal() else max_output_tokens
-    return entities.Prompt(prompt_tokens, max_output_tokens, expected_output_tokens)
+    shared_parts = _decode_shared_parts(_header_text(environ, names.Header.PROMPT_PARTS) or "")
+    return entities.Prompt(prompt_tokens, max_output_tokens, expected_output_tokens, shared_parts)
+
+
+def _decode_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the digests of all parts but the last, which belongs to this prompt alone."""
+    ids = [each.partition(":")[0].strip() for each in text.split(",")]
+    return tuple(
+        hashlib.blake2b(each.encode(), digest_size=_PART_DIGEST_BYTES).hexdigest()
+        for each in ids[:-1][:_MAX_SHARED_PARTS]
+        if each
+    )
--- a/src/carawaydoor/policy/entities.py
+++ b/src/carawaydoor/policy/entities.py
@@ -190,16 +190,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prompt:
-    """The length of a prompt and of the output that it asks for.
+    """A prompt and the length of the output that it asks for.
 
     :ivar tokens: length of the prompt
     :ivar max_output_tokens: longest output that the caller accepts
     :ivar expected_output_tokens: the caller's estimate, or the maximum if it gave none
+    :ivar shared_parts: digests of the parts that other prompts may have too, in order
     """
 
     tokens: int
     max_output_tokens: int
     expected_output_tokens: int
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def mean_kv_tokens(self) -> int:
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -194,6 +194,7 @@
             message_type="generation_placed",
             request=placed.exchange.inbound.id,
             prompt_tokens=placed.prompt.tokens,
+            prompt_parts=placed.prompt.shared_parts,
             expected_output_tokens=placed.prompt.expected_output_tokens,
             decode=placed.decode.id,
             prefill=prefill.id if prefill else None,
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -40,11 +40,17 @@
     """The engine that a stream comes from, with its response.
 
     :ivar has_failed: whether the engine broke the stream off
+    :ivar first_event_s: time in seconds of the engine's first event, None before it
     """
 
     engine: entities.Upstream
     opened: upstream_client.OpenResponse
     has_failed: bool = False
+    first_event_s: float | None = None
+
+    def running_s(self, now_s: float) -> float:
+        """Return for how many seconds the engine has been writing the stream."""
+        return 0.0 if self.first_event_s is None else now_s - self.first_event_s
 
 
 class StreamRelay:
@@ -116,11 +122,11 @@
         response = source.opened.response
         if self._may_continue():
             source.opened.connection.set_wait_limit(self._stall_limit())
-        has_event = False
         for chunk in response.chunks():
             complete = self._splitter.feed(chunk)
             if complete:
-                has_event = True
+                if source.first_event_s is None:
+                    source.first_event_s = self._instance.clock.now_s()
                 source.opened.connection.record_progress()
                 yield complete
         remainder = self._splitter.take_remainder()
@@ -131,7 +137,7 @@
             return
         if remainder:
             raise StreamEndedEarlyError(f"{len(remainder)} bytes after the last event")
-        if not has_event and response.framing is connections.Framing.CONNECTION_END:
+        if source.first_event_s is None and response.framing is connections.Framing.CONNECTION_END:
             raise StreamEndedEarlyError("the connection ended before the first event")
 
     def _log_end(self, source: _Source, incomplete_bytes: int) -> None:
@@ -281,6 +287,7 @@
             failure=failure.value,
             after_event=self._splitter.last_id,
             framing=framing,
+            running_s=round(source.running_s(self._instance.clock.now_s()), 3),
             detail=repr(error),
         )
 
