--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -14,6 +14,7 @@
 from carawaydoor.platform import names
 
 EVENT_INTERVAL_S = 0.02
+STOP_POLL_INTERVAL_S = 0.02
 # Longer than the pause after which the router looks for another engine.
 PAUSE_S = 2.0
 
@@ -39,6 +40,7 @@
     BREAK_STREAM = "break_stream"
     HANG_STREAM = "hang_stream"
     PAUSE_STREAM = "pause_stream"
+    CRASH_IN_STREAM = "crash_in_stream"
     UNFRAMED_STREAM = "unframed_stream"
     CLOSE_INSIDE_EVENT = "close_inside_event"
     CLOSE_INSIDE_UNFRAMED_EVENT = "close_inside_unframed_event"
@@ -65,6 +67,7 @@
     Behaviour.BREAK_STREAM,
     Behaviour.HANG_STREAM,
     Behaviour.PAUSE_STREAM,
+    Behaviour.CRASH_IN_STREAM,
     Behaviour.CLOSE_INSIDE_EVENT,
 }
 
@@ -119,7 +122,8 @@
         self._http_server = _HttpServer(("127.0.0.1", 0), _Handler)
         self._http_server.upstream = self
         self.port = self._http_server.server_address[1]
-        threading.Thread(target=self._http_server.serve_forever, daemon=True).start()
+        poll: dict[str, float] = {"poll_interval": STOP_POLL_INTERVAL_S}
+        threading.Thread(target=self._http_server.serve_forever, kwargs=poll, daemon=True).start()
 
     def stop(self) -> None:
         """Stop listening and end the open connections."""
@@ -295,6 +299,10 @@
         failing_number = (first_number + upstream.events) // 2
         for number in range(first_number, upstream.events + 1):
             event = f"id: {number}\ndata: {number}\n\n".encode()
+            if number == failing_number and behaviour is Behaviour.CRASH_IN_STREAM:
+                upstream.stop()
+                self._reset()
+                return
             if number == failing_number and behaviour is Behaviour.BREAK_STREAM:
                 self._send_chunk(event[:5])
                 self._reset()
