Suspend prompts with a part that crashes engines

The requests behind it shared one part of their prompts and nothing else that strikes look at, so no fingerprint ever had its second strike. Two more things made it worse: an engine was checked only when its broken stream had ended, up to 1.5 s later and after the stream had been offered to further engines, and a strike was told to peers for two seconds, so that an instance that started later knew of none.

Crashes at the start of the output now count against the shared parts of the prompt, and generations that go on clear theirs. A prompt that has every remaining suspect of three crashes is refused at once, is not sent on after its prefill, and is not continued. The evidence goes to peers with the reports, older records in turn. Counting by part alone was ruled out: it suspends what sound prompts share with the others.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -86,6 +86,13 @@
         requests_by_service=dict(report.requests_by_service),
         repeats_by_service=dict(report.repeats_by_service),
         source_revision=report.source_revision,
+        crashes=[
+            report_structs.Crash(
+                engine=c.engine, request=c.request, parts=list(c.parts), age_s=c.age_s
+            )
+            for c in report.crashes
+        ],
+        sound_age_s_by_part=dict(report.sound_age_s_by_part),
     )
 
 
@@ -151,6 +158,11 @@
         requests_by_service=message.requests_by_service or {},
         repeats_by_service=message.repeats_by_service or {},
         source_revision=int(message.source_revision or 0),
+        crashes=tuple(
+            reports.SharedCrash(c.engine, c.request, tuple(c.parts), c.age_s)
+            for c in message.crashes or ()
+        ),
+        sound_age_s_by_part=message.sound_age_s_by_part or {},
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -132,7 +132,16 @@
     for_s: float
 
 
-Effect = FreshnessProof | PeerUsage | PeerJoined | PeerLost | reports.SharedStrike | UpstreamPaused
+Effect = (
+    FreshnessProof
+    | PeerUsage
+    | PeerJoined
+    | PeerLost
+    | reports.SharedStrike
+    | reports.SharedCrash
+    | reports.SoundPart
+    | UpstreamPaused
+)
 
 
 def apply_report(
@@ -162,6 +171,8 @@
             peers[contact.instance] = Peer(contact, now_s, float("-inf"), None)
     effects.append(_peer_usage(report))
     effects.extend(report.strikes)
+    effects.extend(report.crashes)
+    effects.extend(reports.SoundPart(*each) for each in report.sound_age_s_by_part.items())
     effects.extend(UpstreamPaused(*each) for each in report.set_aside_s_by_upstream.items())
     echo_s = report.echo_by_instance.get(state.instance)
     if echo_s is not None and echo_s <= now_s:
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -41,6 +41,13 @@
 Work: Final = _declare("Work", (_I32, "requests"), (_I32, "tokens"))
 Contact: Final = _declare("Contact", (_STRING, "instance"), (_STRING, "host"))
 Strike: Final = _declare("Strike", (_STRING, "fingerprint"), (_STRING, "id"), (_DOUBLE, "age_s"))
+Crash: Final = _declare(
+    "Crash",
+    (_STRING, "engine"),
+    (_STRING, "request"),
+    (thrift.TType.LIST, "parts", _STRING),
+    (_DOUBLE, "age_s"),
+)
 _WORK_BY_UPSTREAM: Final = _map("work_by_upstream", (_STRING, (thrift.TType.STRUCT, Work)))
 Report: Final = _declare(
     "Report",
@@ -63,6 +70,8 @@
     _amounts("requests_by_service"),
     _amounts("repeats_by_service"),
     (_I64, "source_revision"),
+    (thrift.TType.LIST, "crashes", (thrift.TType.STRUCT, Crash)),
+    _amounts("sound_age_s_by_part"),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -27,6 +27,32 @@
     strike: strikes.Strike
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedCrash:
+    """A generation that had just begun when its engine crashed, as reported by a peer.
+
+    :ivar engine: incarnation of the engine
+    :ivar parts: digests of the shared parts of the prompt
+    :ivar age_s: seconds between the crash and the report
+    """
+
+    engine: str
+    request: str
+    parts: tuple[str, ...]
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoundPart:
+    """A part of prompts that a peer has seen in a generation that went on.
+
+    :ivar age_s: seconds between that and the report
+    """
+
+    part: str
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """Full state that an instance sends to its peers.
@@ -46,6 +72,8 @@
     :ivar requests_by_service: requests received since the sender's start
     :ivar repeats_by_service: retries since the sender's start
     :ivar source_revision: revision of the source up to which the sender knows its content
+    :ivar sound_age_s_by_part: for parts of prompts that occur in crashes, the seconds since a
+        generation with the part was seen to go on
     """
 
     contact: Contact
@@ -66,6 +94,8 @@
     requests_by_service: Mapping[str, float]
     repeats_by_service: Mapping[str, float]
     source_revision: int = 0
+    crashes: tuple[SharedCrash, ...] = ()
+    sound_age_s_by_part: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -206,10 +206,16 @@
             collections.defaultdict(collections.deque)
         )
 
-    def acquire(self, upstream: entities.Upstream, new_only: bool = False) -> Connection:
+    def acquire(
+        self,
+        upstream: entities.Upstream,
+        new_only: bool = False,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> Connection:
         """Return an idle or a new connection to an upstream.
 
         :param new_only: whether an idle connection must not be reused
+        :param connect_timeout_s: timeout in seconds for a new connection
         :raises NotSentError: if no connection can be established
         """
         reused = None if new_only else self._acquire_idle(upstream)
@@ -218,7 +224,7 @@
             return reused
         try:
             connected = socket.create_connection(
-                (upstream.host, upstream.port), timeout=CONNECT_TIMEOUT_S
+                (upstream.host, upstream.port), timeout=connect_timeout_s
             )
             sockets.set_tcp_options(connected)
         except ConnectionRefusedError as error:
--- /dev/null
+++ b/src/carawaydoor/serving/crash_guard.py
@@ -0,0 +1,137 @@
+"""Keeps requests from crashing one upstream after the other, together with the peers."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from collections.abc import Iterable, Sequence
+from typing import Final, TypeVar
+
+import eliot
+
+from carawaydoor.fleet import reports
+from carawaydoor.operating import clocks
+from carawaydoor.policy import crash_suspects, entities, strikes
+
+# Newer records go into every report, so that they reach all peers within some rounds; older ones take
+# turns, for instances that have started since.
+MAX_URGENT_AGE_S: Final = 2.0
+MAX_URGENT_PER_REPORT: Final = 16
+MAX_REPEATED_PER_REPORT: Final = 8
+
+_Record = TypeVar("_Record")
+
+
+class CrashGuard:
+    """Strikes against whole requests, and the evidence against parts of prompts."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._strikes = strikes.EMPTY
+        self._evidence = crash_suspects.EMPTY
+        self._rounds = itertools.count()
+
+    def record_crash(
+        self,
+        request: str,
+        fingerprint: str,
+        upstream: entities.Upstream,
+        shared_parts: Sequence[str],
+    ) -> None:
+        """Record that an upstream crashed while it ran a request.
+
+        :param request: id of the request
+        :param shared_parts: suspect parts of its prompt, none if they can't have caused the crash
+        """
+        now_s = self._clock.now_s()
+        incarnation = f"{upstream.id}/{upstream.born_ms}"
+        crash = crash_suspects.Crash(incarnation, request, frozenset(shared_parts), now_s)
+        with self._lock:
+            self._strikes = strikes.add(self._strikes, now_s, fingerprint, incarnation)
+            self._evidence = crash_suspects.record_crash(self._evidence, now_s, crash)
+            suspended_s = crash_suspects.suspended_for_s(self._evidence, now_s, shared_parts)
+        eliot.log_message(
+            message_type="request_struck",
+            request=request,
+            fingerprint=fingerprint,
+            upstream=upstream.id,
+            suspect_parts=list(shared_parts),
+            parts_suspended_s=round(suspended_s, 3),
+        )
+
+    def record_sound(self, shared_parts: Sequence[str]) -> None:
+        """Record that a generation with these parts goes on or has ended well."""
+        with self._lock:
+            self._evidence = crash_suspects.record_sound(
+                self._evidence, self._clock.now_s(), shared_parts
+            )
+
+    def suspended_for_s(self, fingerprint: str, shared_parts: Sequence[str]) -> float:
+        """Return for how many more seconds a request is suspended, zero if it is not."""
+        now_s = self._clock.now_s()
+        return max(
+            strikes.suspended_for_s(self._strikes, now_s, fingerprint),
+            crash_suspects.suspended_for_s(self._evidence, now_s, shared_parts),
+        )
+
+    def share(
+        self,
+    ) -> tuple[tuple[reports.SharedStrike, ...], tuple[reports.SharedCrash, ...], dict[str, float]]:
+        """Return strikes, crashes and the ages of proofs of sound parts for the next report."""
+        now_s = self._clock.now_s()
+        with self._lock:
+            known_strikes, evidence = self._strikes, self._evidence
+            turn = next(self._rounds)
+        struck = [
+            reports.SharedStrike(fingerprint, strikes.Strike(each.id, now_s - each.at_s))
+            for fingerprint, known in known_strikes.strikes_by_fingerprint.items()
+            for each in known
+            if now_s - each.at_s < strikes.SUSPENSION_S
+        ]
+        crashed = [
+            reports.SharedCrash(each.engine, each.request, tuple(each.parts), now_s - each.at_s)
+            for each in evidence.crash_by_id.values()
+            if now_s - each.at_s < crash_suspects.SUSPENSION_S
+        ]
+        sound = {
+            part: now_s - at_s
+            for part, at_s in crash_suspects.relevant_sound_parts(evidence).items()
+        }
+        return (
+            _select(struck, [each.strike.at_s for each in struck], turn),
+            _select(crashed, [each.age_s for each in crashed], turn),
+            sound,
+        )
+
+    def apply_strike(self, shared: reports.SharedStrike) -> None:
+        """Record a strike that a peer reported."""
+        at_s = self._clock.now_s() - shared.strike.at_s
+        with self._lock:
+            self._strikes = strikes.add(self._strikes, at_s, shared.fingerprint, shared.strike.id)
+
+    def apply_crash(self, shared: reports.SharedCrash) -> None:
+        """Record a crash that a peer reported."""
+        now_s = self._clock.now_s()
+        crash = crash_suspects.Crash(
+            shared.engine, shared.request, frozenset(shared.parts), now_s - shared.age_s
+        )
+        with self._lock:
+            self._evidence = crash_suspects.record_crash(self._evidence, now_s, crash)
+
+    def apply_sound_part(self, part: str, age_s: float) -> None:
+        """Record that a peer has seen a part to be sound."""
+        at_s = self._clock.now_s() - age_s
+        with self._lock:
+            self._evidence = crash_suspects.record_sound(self._evidence, at_s, (part,))
+
+
+def _select(records: Sequence[_Record], ages_s: Iterable[float], turn: int) -> tuple[_Record, ...]:
+    """Return the newest records and, in turn, some of the older ones."""
+    urgent: list[_Record] = []
+    older: list[_Record] = []
+    for record, age_s in zip(records, ages_s, strict=True):
+        (urgent if age_s < MAX_URGENT_AGE_S else older).append(record)
+    start = turn * MAX_REPEATED_PER_REPORT % max(1, len(older))
+    repeated = (older[start:] + older[:start])[:MAX_REPEATED_PER_REPORT]
+    return (*urgent[-MAX_URGENT_PER_REPORT:], *repeated)
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -254,6 +254,20 @@
         exchange = placed.exchange
         excluded: set[str] = set()
         while True:
+            suspended_s = self._instance.crash_guard.suspended_for_s(
+                exchange.fingerprint, exchange.shared_parts
+            )
+            if suspended_s > 0.0:
+                placed.connection.close()
+                placed.decode_reservation.close()
+                self._release_kv_later(placed, kv_source)
+                return expression.Error(
+                    refusals.Refusal(
+                        refusals.Reason.SUSPENDED,
+                        "engines crashed on this prompt while it was prefilled",
+                        suspended_s,
+                    )
+                )
             backup = self._reserve_backup(placed)
             try:
                 opened = self._send_decode(placed, kv_source, backup)
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -69,6 +69,11 @@
         """Name of the workspace, empty on a route without authentication."""
         return self.workspace.name if self.workspace else ""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Digests of the parts of the prompt that other prompts may have too."""
+        return self.inbound.prompt.shared_parts if self.inbound.prompt else ()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -21,15 +21,11 @@
     freshness,
     source_reading,
     stage_balance,
-    strikes,
     upstream_directory,
     usage_caps,
 )
-from carawaydoor.serving import connections, upstream_selection
+from carawaydoor.serving import connections, crash_guard, upstream_selection
 
-# Some rounds of reports, so that each strike reaches the peers despite lost datagrams.
-MAX_SHARED_STRIKE_AGE_S: Final = 2.0
-MAX_STRIKES_PER_REPORT: Final = 16
 # Changed usage is repeated in work reports for this time, in case one of them is lost.
 RECENT_USAGE_S: Final = 2.0
 # A caller whose timeout is a smaller part of the longest one on its route is assumed to be
@@ -66,7 +62,7 @@
             ),
             now_s,
         )
-        self.strikes = strikes.EMPTY
+        self.crash_guard: Final = crash_guard.CrashGuard(clock)
         self._source_reachable_since_s: float | None = None
         self.source_revision = 0
         self.on_source_changed: Callable[[], None] = _do_nothing
@@ -307,19 +303,6 @@
                 self.retry_budget, self.clock.now_s(), service
             )
 
-    def record_crash(self, fingerprint: str, upstream: entities.Upstream) -> None:
-        """Record a strike against a request, since an upstream crashed while running it."""
-        now_s = self.clock.now_s()
-        with self._lock:
-            self.strikes = strikes.add(self.strikes, now_s, fingerprint, upstream.id)
-        eliot.log_message(
-            message_type="request_struck", fingerprint=fingerprint, upstream=upstream.id
-        )
-
-    def suspended_for_s(self, fingerprint: str) -> float:
-        """Return for how many more seconds a request is suspended, zero if it is not."""
-        return strikes.suspended_for_s(self.strikes, self.clock.now_s(), fingerprint)
-
     def may_issue_orders(self) -> bool:
         """Return whether this instance is the leader that issues stage orders to engines."""
         with self._lock:
@@ -345,6 +328,7 @@
             now_s = self.clock.now_s()
             self.membership, contacts = gossip.next_recipients(self.membership)
             self._sequence += 1
+            shared_strikes, shared_crashes, sound_parts = self.crash_guard.share()
             report = reports.Report(
                 contact=reports.Contact(self.options.instance, self.options.peer_host),
                 domain=self.options.domain,
@@ -358,12 +342,14 @@
                 used_by_workspace=usage_caps.own_totals(self.caps),
                 echo_by_instance=gossip.clock_echoes(self.membership, contacts),
                 contacts=gossip.contacts_to_share(self.membership),
-                strikes=self._recent_strikes(now_s),
+                strikes=shared_strikes,
                 source_steady_s=self.source_steady_s(),
                 requests_by_service=self.retry_budget.requests.own_totals_by_name,
                 repeats_by_service=self.retry_budget.retries.own_totals_by_name,
                 source_revision=self.source_revision,
                 set_aside_s_by_upstream=self.selector.paused_s_by_upstream(),
+                crashes=shared_crashes,
+                sound_age_s_by_part=sound_parts,
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
@@ -444,10 +430,12 @@
             case gossip.UpstreamPaused(upstream, for_s):
                 if upstream in self.directory.upstream_by_id:
                     self.selector.pause(upstream, for_s)
-            case reports.SharedStrike(fingerprint, strike):
-                self.strikes = strikes.add(
-                    self.strikes, now_s - strike.at_s, fingerprint, strike.id
-                )
+            case reports.SharedStrike():
+                self.crash_guard.apply_strike(effect)
+            case reports.SharedCrash():
+                self.crash_guard.apply_crash(effect)
+            case reports.SoundPart(part, age_s):
+                self.crash_guard.apply_sound_part(part, age_s)
             case gossip.PeerJoined(contact, incarnation):
                 self._forget_earlier_incarnations(contact.instance, incarnation)
                 eliot.log_message(
@@ -474,14 +462,6 @@
                 self.caps = usage_caps.remove_peer(self.caps, key)
                 self.retry_budget = fleet_retry_budget.remove_peer(self.retry_budget, key)
 
-    def _recent_strikes(self, now_s: float) -> tuple[reports.SharedStrike, ...]:
-        return tuple(
-            reports.SharedStrike(fingerprint, strikes.Strike(strike.id, now_s - strike.at_s))
-            for fingerprint, known in self.strikes.strikes_by_fingerprint.items()
-            for strike in known
-            if now_s - strike.at_s < MAX_SHARED_STRIKE_AGE_S
-        )[-MAX_STRIKES_PER_REPORT:]
-
     def _apply_directory_effect(self, effect: upstream_directory.Effect) -> None:
         upstream = effect.upstream
         match effect:
--- a/src/carawaydoor/serving/request_filters.py
+++ b/src/carawaydoor/serving/request_filters.py
@@ -141,11 +141,13 @@
         exchange.fingerprint = strikes.fingerprint(
             exchange.workspace_name, request_line + inbound.body
         )
-        suspended_s = self._instance.suspended_for_s(exchange.fingerprint)
+        suspended_s = self._instance.crash_guard.suspended_for_s(
+            exchange.fingerprint, exchange.shared_parts
+        )
         if suspended_s > 0.0:
             return _refuse(
                 refusals.Reason.SUSPENDED,
-                "upstreams crashed while running this request",
+                "upstreams crashed while running this request, or others with a part of its prompt",
                 suspended_s,
             )
         return expression.Ok(exchange)
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from carawaydoor.policy import entities, health, load
+from carawaydoor.policy import crash_suspects, entities, health, load
 from carawaydoor.serving import (
     connections,
     event_splitter,
@@ -41,12 +41,14 @@
 
     :ivar has_failed: whether the engine broke the stream off
     :ivar first_event_s: time in seconds of the engine's first event, None before it
+    :ivar is_sound: whether the engine has gone on for so long that the prompt is not what ends it
     """
 
     engine: entities.Upstream
     opened: upstream_client.OpenResponse
     has_failed: bool = False
     first_event_s: float | None = None
+    is_sound: bool = False
 
     def running_s(self, now_s: float) -> float:
         """Return for how many seconds the engine has been writing the stream."""
@@ -125,8 +127,7 @@
         for chunk in response.chunks():
             complete = self._splitter.feed(chunk)
             if complete:
-                if source.first_event_s is None:
-                    source.first_event_s = self._instance.clock.now_s()
+                self._record_event(source)
                 source.opened.connection.record_progress()
                 yield complete
         remainder = self._splitter.take_remainder()
@@ -137,9 +138,23 @@
             return
         if remainder:
             raise StreamEndedEarlyError(f"{len(remainder)} bytes after the last event")
-        if source.first_event_s is None and response.framing is connections.Framing.CONNECTION_END:
+        if response.framing is not connections.Framing.CONNECTION_END:
+            self._record_sound(source)
+        elif source.first_event_s is None:
             raise StreamEndedEarlyError("the connection ended before the first event")
 
+    def _record_event(self, source: _Source) -> None:
+        now_s = self._instance.clock.now_s()
+        if source.first_event_s is None:
+            source.first_event_s = now_s
+        if source.running_s(now_s) >= crash_suspects.CRASH_ONSET_S:
+            self._record_sound(source)
+
+    def _record_sound(self, source: _Source) -> None:
+        if not source.is_sound and source.first_event_s is not None:
+            source.is_sound = True
+            self._instance.crash_guard.record_sound(self._exchange.shared_parts)
+
     def _log_end(self, source: _Source, incomplete_bytes: int) -> None:
         framing = source.opened.response.framing.value
         ended_inside_event = str(incomplete_bytes > 0).lower()
@@ -158,8 +173,16 @@
 
     def _may_continue(self) -> bool:
         route = self._exchange.route
+        if self._is_suspended():
+            return False
         return self._backup is not None or (route is not None and self._may_rerun(route))
 
+    def _is_suspended(self) -> bool:
+        suspended_s = self._instance.crash_guard.suspended_for_s(
+            self._exchange.fingerprint, self._exchange.shared_parts
+        )
+        return suspended_s > 0.0
+
     def _may_rerun(self, route: entities.Route) -> bool:
         """Return whether one more engine may run the request from the last event on."""
         is_resumable = route.kind is entities.RouteKind.RESUMABLE_STREAM
@@ -279,7 +302,10 @@
             self._instance.selector.record_outcome(decode, health.Outcome.SILENT)
         elif failure is not upstream_client.Failure.CALLER_GONE:
             self._instance.selector.record_outcome(decode, health.Outcome.BROKEN)
-            self._client.check_for_crash(self._exchange, decode)
+            if source.running_s(self._instance.clock.now_s()) < crash_suspects.CRASH_ONSET_S:
+                self._client.check_for_crash_at_onset(self._exchange, decode)
+            else:
+                self._client.check_for_crash(self._exchange, decode)
         eliot.log_message(
             message_type="stream_broken",
             request=self._exchange.inbound.id,
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -19,6 +19,8 @@
 MIN_FAILURE_STATUS = 500
 # An engine drops an unused KV cache by itself at about this age.
 KV_RELEASE_TIMEOUT_S = 0.5
+# A crashed upstream refuses a connection within a round trip.
+QUICK_CRASH_CHECK_TIMEOUT_S = 0.05
 
 
 class Failure(enum.Enum):
@@ -118,8 +120,10 @@
             response = connection.send(encoded, wait_limit)
         except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
             connection.close()
+            # A prefill writes no output, so it is not the prompt that ends its engine.
+            suspect_parts = () if request.prefill_only else exchange.shared_parts
             raise self._call_error(
-                exchange, request.upstream, classify_error(error), error
+                exchange, request.upstream, classify_error(error), error, suspect_parts
             ) from error
         check = self._adapter.check_response(exchange, response.status, response.header_by_name)
         if check.did_not_run:
@@ -158,18 +162,45 @@
         return content
 
     def check_for_crash(
-        self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
+        self,
+        exchange: http_exchange.HttpExchange,
+        upstream: entities.Upstream,
+        suspect_parts: tuple[str, ...] = (),
     ) -> None:
-        """Check whether the upstream crashed on the request, once the caller has its response."""
-        exchange.cleanup.callback(self._record_crash_if_down, exchange, upstream)
+        """Check whether the upstream crashed on the request, once the caller has its response.
+
+        :param suspect_parts: parts of the prompt that may have caused a crash
+        """
+        exchange.cleanup.callback(self._finish_crash_check, exchange, upstream, suspect_parts)
 
-    def _record_crash_if_down(
+    def check_for_crash_at_onset(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
+    ) -> None:
+        """Check whether the upstream crashed when it began to write the response.
+
+        The check is quick, so that its result counts before the request is sent elsewhere. Where it
+        has none, it is repeated once the caller has its response.
+        """
+        try:
+            self._instance.connection_pool.acquire(
+                upstream, new_only=True, connect_timeout_s=QUICK_CRASH_CHECK_TIMEOUT_S
+            ).close()
+        except connections.NoListenerError:
+            self._record_crash(exchange, upstream, exchange.shared_parts)
+        except connections.NotSentError:
+            # Logged by the second check if that has no result either.
+            self.check_for_crash(exchange, upstream, exchange.shared_parts)
+
+    def _finish_crash_check(
+        self,
+        exchange: http_exchange.HttpExchange,
+        upstream: entities.Upstream,
+        suspect_parts: tuple[str, ...],
     ) -> None:
         try:
             self._instance.connection_pool.acquire(upstream, new_only=True).close()
         except connections.NoListenerError:
-            self._instance.record_crash(exchange.fingerprint, upstream)
+            self._record_crash(exchange, upstream, suspect_parts)
         except connections.NotSentError as error:
             # Without a refused connection, a crash looks like a network partition, so the request
             # gets no strike.
@@ -180,6 +211,16 @@
                 detail=str(error),
             )
 
+    def _record_crash(
+        self,
+        exchange: http_exchange.HttpExchange,
+        upstream: entities.Upstream,
+        suspect_parts: tuple[str, ...],
+    ) -> None:
+        self._instance.crash_guard.record_crash(
+            exchange.inbound.id, exchange.fingerprint, upstream, suspect_parts
+        )
+
     def release_kv(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream, kv_source: str
     ) -> None:
@@ -229,13 +270,14 @@
         upstream: entities.Upstream,
         failure: Failure,
         detail: object,
+        suspect_parts: tuple[str, ...] = (),
     ) -> CallError:
         """Record a failure and return the error to raise."""
         outcome = _OUTCOME_BY_FAILURE.get(failure)
         if outcome is not None:
             self._instance.selector.record_outcome(upstream, outcome)
         if failure is Failure.BROKEN:
-            self.check_for_crash(exchange, upstream)
+            self.check_for_crash(exchange, upstream, suspect_parts)
         eliot.log_message(
             message_type="upstream_call_failed",
             request=exchange.inbound.id,
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -86,10 +86,10 @@
 class RouterHarness:
     """An instance with its application and its upstreams."""
 
-    def __init__(self, clock: clocks.Clock | None = None) -> None:
+    def __init__(self, clock: clocks.Clock | None = None, instance: str = "m") -> None:
         self.clock = clock or clocks.SystemClock()
         self.instance = instance_state.InstanceState(
-            example_options(), self.clock, platform_metrics.Metrics("test")
+            example_options(instance=instance), self.clock, platform_metrics.Metrics("test")
         )
         self.app = caller_app.CallerApp(self.instance, http_adapter.PlatformHttpAdapter())
         self.upstreams: dict[str, fake_upstream.FakeUpstream] = {}
@@ -167,9 +167,9 @@
 
 
 @contextlib.contextmanager
-def running(clock: clocks.Clock | None = None) -> Iterator[RouterHarness]:
+def running(clock: clocks.Clock | None = None, instance: str = "m") -> Iterator[RouterHarness]:
     """Provide an instance and stop its upstreams at the end."""
-    harness = RouterHarness(clock)
+    harness = RouterHarness(clock, instance)
     try:
         yield harness
     finally:
--- a/tests/platform_side/test_crashing_prompts.py
+++ b/tests/platform_side/test_crashing_prompts.py
@@ -82,7 +82,10 @@
 def test_instance_that_starts_later_learns_of_such_a_part():
     """An instance that was restarted would have let the part crash further engines."""
     clock = clocks.ManualClock()
-    with router_harness.running(clock) as first, router_harness.running(clock) as restarted:
+    with (
+        router_harness.running(clock) as first,
+        router_harness.running(clock, "restarted") as restarted,
+    ):
         for _ in range(3):
             crash_engine(first, "aa", "bad")
         clock.advance(30.0)
