Refuse a generation whose stream breaks off before its first event

Its caller got the HTTP server's own 500, without the id of the request and without a line in the log that said so: the headers of the response wait for the first chunk, and the error came from there. The first chunk is now awaited before the response starts, and an error in its place becomes a 502, or a 504 after the deadline.

--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -289,7 +289,10 @@
             relay = stream_relay.StreamRelay(
                 self._instance, self._client, self._adapter, exchange, placed.prompt
             )
-            chunks = relay.relay(placed.decode, opened, backup)
+            try:
+                chunks = relay.relay(placed.decode, opened, backup)
+            except upstream_client.CallError as error:
+                return expression.Error(plain_handler.refusal_for(error, placed.decode))
             return expression.Ok(
                 http_exchange.Response(
                     response.status,
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from typing import Final
 
 import eliot
@@ -84,13 +84,19 @@
     ) -> Iterator[bytes]:
         """Return the chunks of a stream; after an error the caller sees a truncated response.
 
+        The first chunk is awaited here, since the caller can still get a refusal before it.
+
         :param backup: engine that keeps a copy of the KV cache, None for no copy
+        :raises CallError: if the stream breaks off before its first event and does not go on
         """
         self._backup = backup
-        # Registered here, since the iterator never runs if the caller disconnects before the first
-        # chunk.
-        source = self._register(decode, opened)
-        return self._chunks(source)
+        chunks = self._chunks(self._register(decode, opened))
+        try:
+            first = next(chunks, b"")
+        except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
+            failure = upstream_client.classify_error(error)
+            raise upstream_client.CallError(failure, str(error)) from error
+        return _with_first(first, chunks)
 
     def _register(self, engine: entities.Upstream, opened: upstream_client.OpenResponse) -> _Source:
         self._used_engines.add(engine.id)
@@ -98,7 +104,7 @@
         self._exchange.cleanup.callback(self._close, source)
         return source
 
-    def _chunks(self, first: _Source) -> Iterator[bytes]:
+    def _chunks(self, first: _Source) -> Generator[bytes]:
         source = first
         while True:
             try:
@@ -326,6 +332,13 @@
             opened.connection.close()
 
 
+def _with_first(first: bytes, chunks: Generator[bytes]) -> Iterator[bytes]:
+    with contextlib.closing(chunks):
+        if first:
+            yield first
+        yield from chunks
+
+
 def _is_event_stream(response: connections.UpstreamResponse) -> bool:
     content_type = response.header_by_name.get("content-type", EVENT_STREAM_TYPE)
     return response.status < MIN_UNSUCCESSFUL_STATUS and content_type.startswith(EVENT_STREAM_TYPE)
