Show what happens with leaving servers, refusals with a delay, and a restored store

No header of a server is read for leaving, a 503 closes an engine for a fixed time whatever its Retry-After says, and the highest revision ever read is taken as the newest of the store, so that after a restore from a copy every change counts as old.

--- a/tests/platform_side/fake_store.py
+++ b/tests/platform_side/fake_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import enum
 import http.server
 import json
@@ -24,13 +25,25 @@
     RUBBISH = "rubbish"
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """The content of the store at an earlier time."""
+
+    value_by_key: dict[str, tuple[bytes, int]]
+    revision: int
+
+
 class FakeStore:
-    """In-memory store with one revision counter, served over HTTP."""
+    """In-memory store with one revision counter, served over HTTP.
+
+    :ivar era: counts how often the store was restored from a copy
+    """
 
     def __init__(self, port: int = 0) -> None:
         self.mode = Mode.GOOD
         self.calls = 0
         self.revision = 1
+        self.era = 3
         self._dropped_up_to_revision = 0
         self._value_by_key: dict[str, tuple[bytes, int]] = {}
         self._changes: list[dict[str, object]] = []
@@ -70,6 +83,20 @@
             self._changes.clear()
             self._condition.notify_all()
 
+    def copy(self) -> Copy:
+        """Return a copy of the content."""
+        with self._condition:
+            return Copy(dict(self._value_by_key), self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to the content of a copy; revisions after it are given out again."""
+        with self._condition:
+            self.era += 1
+            self.revision = self._dropped_up_to_revision = copy.revision
+            self._value_by_key = dict(copy.value_by_key)
+            self._changes.clear()
+            self._condition.notify_all()
+
     def range(self, prefix: str, after: str) -> dict[str, object]:
         """Return one page of the items whose keys begin with a prefix."""
         with self._condition:
@@ -80,10 +107,11 @@
     def watch(self, prefix: str, after: int, wait_s: float) -> dict[str, object] | None:
         """Return the changes after a revision, None if they have been dropped."""
         with self._condition:
-            if after < self._dropped_up_to_revision:
+            if not self._dropped_up_to_revision <= after <= self.revision:
                 return None
-            self._condition.wait_for(lambda: self._events(prefix, after), wait_s)
-            if after < self._dropped_up_to_revision:
+            era = self.era
+            self._condition.wait_for(lambda: self._events(prefix, after) or self.era != era, wait_s)
+            if not self._dropped_up_to_revision <= after <= self.revision or self.era != era:
                 return None
             return {"events": self._events(prefix, after), "at": self.revision}
 
@@ -145,6 +173,7 @@
     def _send(self, status: int, content: bytes) -> None:
         self.send_response(status)
         self.send_header("Content-Length", str(len(content)))
+        self.send_header("Store-Era", str(self.server.store.era))
         self.end_headers()
         if self.server.store.mode is Mode.TRUNCATED:
             content = content[: len(content) // 2]
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -116,6 +116,8 @@
         self.received: list[ReceivedRequest] = []
         self.released_handles: list[str] = []
         self.events = events
+        self.is_leaving = False
+        self.rejection_headers: dict[str, str] = {}
         self.connections = 0
         self.orders: list[dict[str, object]] = []
         self.stopping = threading.Event()
@@ -158,6 +160,11 @@
     def log_message(self, *_: object) -> None:
         """Do not log requests."""
 
+    def end_headers(self) -> None:
+        if self.server.upstream.is_leaving:
+            self.send_header("Server-Leaving", "1")
+        super().end_headers()
+
     def _handle(self) -> None:
         upstream = self.server.upstream
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
@@ -208,6 +215,7 @@
             case Behaviour.REJECT:
                 rejection: dict[str, str] = {names.Header.NOT_RUN: "1"}
                 rejection[names.Header.REQUEST_ID] = self._request_id(received)
+                rejection.update(self.server.upstream.rejection_headers)
                 self._send_response(503, b"", rejection)
             case Behaviour.WITHOUT_REQUEST_ID:
                 self._send_response(200, b"answer", {names.Header.STAMP: "s"})
