Send no further request to an upstream that says it leaves

A server that is about to stop says so in each of its responses, often before its entry in the store changes, and some entries never do. The header was not read, so requests went on to the server until its entry was removed, past the bound on draining. It is now decoded in the adapter for every response that comes over the connection pool, reports and orders included, and marks the incarnation as leaving in the directory. What runs there goes on. The mark outlives the removal of the entry and an older entry that the store shows again, and ends with a new incarnation, not with a later entry: a wrong end of it would break the bound, and no server of the platform is said to stay after the word. Header and mark are not passed on to callers or peers.

--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -15,6 +15,7 @@
 from carawaydoor.serving import http_exchange, protocol_adapter, refusals
 
 _MS_PER_S: Final = 1000.0
+_LEAVING: Final = "1"
 _STAGE_PREFILL: Final = "prefill"
 _MISDIRECTED_STATUS: Final = 421
 # The header that says that a request was not run is trusted only with these statuses.
@@ -107,9 +108,24 @@
             echoed_id is not None and not matches_request,
         )
 
+    def decode_notice(
+        self, status: int, headers: Mapping[str, str]
+    ) -> protocol_adapter.UpstreamNotice:
+        """Decode what an upstream says about further requests.
+
+        :param headers: headers of the response, with names in lower case
+        """
+        if status == _MISDIRECTED_STATUS:
+            # Sent by another server that now has the address.
+            return protocol_adapter.UpstreamNotice()
+        return protocol_adapter.UpstreamNotice(
+            is_leaving=headers.get(names.Header.LEAVING.lower(), "").strip() == _LEAVING
+        )
+
     def caller_headers(self, headers: http_exchange.Headers) -> http_exchange.Headers:
         """Return the headers of an upstream's response that are passed on to the caller."""
-        return tuple(each for each in headers if each[0].lower() not in names.HOP_BY_HOP_HEADERS)
+        dropped = {*names.HOP_BY_HOP_HEADERS, names.Header.LEAVING.lower()}
+        return tuple(each for each in headers if each[0].lower() not in dropped)
 
     def parse_prefill(
         self, upstream: entities.Upstream, content: bytes
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -33,6 +33,8 @@
     STAMP = "Carawaydoor-Server-Stamp"
     NOT_RUN = "Carawaydoor-Not-Run"
     RETRY_AFTER = "Retry-After"
+    # "1" in every response of an upstream that is about to stop.
+    LEAVING = "Server-Leaving"
 
 
 # Never forwarded from callers: the router consumes them or sets them itself.
--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -15,6 +15,8 @@
 # Entries that expired during an outage of the store reappear within about 2 s of its recovery; a
 # tenth of that is left for the response that delivers them.
 REAPPEARANCE_GRACE_S: Final = 1.8
+# More than leave within the time for which a store may show their entries again.
+MAX_LEAVING: Final = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +25,8 @@
 
     :ivar removal_due_s_by_id: when upstreams whose entries have been missing since the store
         recovered are removed
+    :ivar leaving_born_ms_by_id: the start of the latest incarnation that is known to leave, oldest
+        first
     :ivar grace_until_s: until then a missing entry may still reappear
     :ivar revision: revision of the store that this reflects, zero before the first read
     """
@@ -32,6 +36,7 @@
     grace_until_s: float
     is_store_unavailable: bool
     revision: int
+    leaving_born_ms_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 EMPTY: Final = Directory({}, {}, 0.0, False, 0)
@@ -53,6 +58,17 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SaidLeaving:
+    """An upstream has said in a response that it will stop.
+
+    :ivar born_ms: start of the incarnation that said so
+    """
+
+    upstream_id: str
+    born_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreUnavailable:
     """The store does not respond."""
@@ -74,7 +90,7 @@
     """Time has passed, so that removals may be due."""
 
 
-Message = Snapshot | Changes | StoreUnavailable | StoreRecovered | Tick
+Message = Snapshot | Changes | SaidLeaving | StoreUnavailable | StoreRecovered | Tick
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +146,8 @@
             return _apply_changes(state, now_s, changes, message.revision)
         case Changes():
             return _apply_changes(state, now_s, message.upstream_by_id, message.revision)
+        case SaidLeaving():
+            return _mark_leaving(state, message)
         case Tick():
             return _remove_expired(state, now_s)
 
@@ -142,10 +160,17 @@
 ) -> tuple[Directory, tuple[Effect, ...]]:
     upstream_by_id = dict(state.upstream_by_id)
     removal_due = dict(state.removal_due_s_by_id)
+    leaving_born_ms_by_id = dict(state.leaving_born_ms_by_id)
     effects: list[Effect] = []
-    for key, upstream in changes.items():
+    for key, listed in changes.items():
         before = upstream_by_id.get(key)
+        upstream = listed
+        if listed is not None and leaving_born_ms_by_id.get(key) == listed.born_ms:
+            # The store may show an older entry again, but an incarnation that leaves never stays.
+            upstream = dataclasses.replace(listed, is_leaving=True)
         if upstream is not None:
+            if upstream.is_leaving:
+                _remember_leaving(leaving_born_ms_by_id, upstream)
             removal_due.pop(key, None)
             upstream_by_id[key] = upstream
             effects.extend(_effects_of(before, upstream))
@@ -160,11 +185,37 @@
             del upstream_by_id[key]
             effects.append(Gone(before))
     after = dataclasses.replace(
-        state, upstream_by_id=upstream_by_id, removal_due_s_by_id=removal_due, revision=revision
+        state,
+        upstream_by_id=upstream_by_id,
+        removal_due_s_by_id=removal_due,
+        leaving_born_ms_by_id=leaving_born_ms_by_id,
+        revision=revision,
     )
     return after, tuple(effects)
 
 
+def _mark_leaving(state: Directory, message: SaidLeaving) -> tuple[Directory, tuple[Effect, ...]]:
+    before = state.upstream_by_id.get(message.upstream_id)
+    if before is None or before.born_ms != message.born_ms or before.is_leaving:
+        return state, ()
+    leaving = dataclasses.replace(before, is_leaving=True)
+    leaving_born_ms_by_id = dict(state.leaving_born_ms_by_id)
+    _remember_leaving(leaving_born_ms_by_id, leaving)
+    after = dataclasses.replace(
+        state,
+        upstream_by_id={**state.upstream_by_id, leaving.id: leaving},
+        leaving_born_ms_by_id=leaving_born_ms_by_id,
+    )
+    return after, (Leaving(leaving),)
+
+
+def _remember_leaving(born_ms_by_id: dict[str, int], upstream: entities.Upstream) -> None:
+    born_ms_by_id.pop(upstream.id, None)
+    born_ms_by_id[upstream.id] = upstream.born_ms
+    if len(born_ms_by_id) > MAX_LEAVING:
+        del born_ms_by_id[next(iter(born_ms_by_id))]
+
+
 def _effects_of(before: entities.Upstream | None, after: entities.Upstream) -> tuple[Effect, ...]:
     if before is None:
         return (Joined(after),)
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -9,7 +9,7 @@
 import re
 import socket
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from carawaydoor.operating import clocks
@@ -79,8 +79,14 @@
 class Connection:
     """One HTTP connection to an upstream."""
 
-    def __init__(self, upstream: entities.Upstream, connected: sockets.InterruptibleSocket) -> None:
+    def __init__(
+        self,
+        upstream: entities.Upstream,
+        connected: sockets.InterruptibleSocket,
+        on_response: ResponseCallback,
+    ) -> None:
         self.upstream: Final = upstream
+        self._on_response: Final = on_response
         self.origin = Origin.NEW
         self._socket = connected
         self._http = http.client.HTTPConnection(upstream.host, upstream.port)
@@ -107,7 +113,9 @@
         except (http.client.HTTPException, ValueError) as error:
             raise MalformedResponseError(repr(error)) from error
         self._socket.readable_bytes = MAX_TRANSFERRED_BODY_BYTES
-        return UpstreamResponse(self, response)
+        opened = UpstreamResponse(self, response)
+        self._on_response(self.upstream, opened)
+        return opened
 
     def set_wait_limit(self, wait_limit: sockets.WaitLimit) -> None:
         """Apply another wait limit to the rest of a response."""
@@ -196,10 +204,17 @@
         return MAX_IDLE_SHARE * int(match.group(1)) if match else DEFAULT_MAX_IDLE_S
 
 
+ResponseCallback = Callable[[entities.Upstream, UpstreamResponse], None]
+
+
 class ConnectionPool:
-    """Idle connections by upstream."""
+    """Idle connections by upstream.
+
+    :ivar on_response: called with each response to any request, as soon as its headers are there
+    """
 
     def __init__(self, clock: clocks.Clock) -> None:
+        self.on_response: ResponseCallback = _ignore_response
         self._clock = clock
         self._lock = threading.Lock()
         self._idle_by_upstream: dict[tuple[str, str, int], collections.deque[_IdleConnection]] = (
@@ -231,7 +246,8 @@
             raise NoListenerError(repr(error)) from error
         except OSError as error:
             raise NotSentError(repr(error)) from error
-        return Connection(upstream, sockets.InterruptibleSocket(connected, sockets.NO_WAIT))
+        interruptible = sockets.InterruptibleSocket(connected, sockets.NO_WAIT)
+        return Connection(upstream, interruptible, self.on_response)
 
     def release(self, connection: Connection, response: UpstreamResponse) -> None:
         """Keep a connection for the next request, or close it if it cannot be reused."""
@@ -273,6 +289,10 @@
             newest.connection.close()
 
 
+def _ignore_response(_: entities.Upstream, __: UpstreamResponse) -> None:
+    """Do nothing, as the default callback."""
+
+
 def _framing(response: http.client.HTTPResponse) -> Framing:
     if response.chunked:
         return Framing.CHUNKS
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -62,6 +62,16 @@
     is_of_other_request: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """What an upstream says in the headers of a response about further requests.
+
+    :ivar is_leaving: whether it is about to stop
+    """
+
+    is_leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefilledPrompt:
     """Location and length of the KV cache that a prefill engine keeps for a decode engine."""
@@ -116,6 +126,10 @@
     ) -> ResponseCheck:
         """Return what an upstream's response means; header names are in lower case."""
 
+    @abc.abstractmethod
+    def decode_notice(self, status: int, headers: Mapping[str, str]) -> UpstreamNotice:
+        """Return what an upstream says about further requests; header names are in lower case."""
+
     @abc.abstractmethod
     def caller_headers(self, headers: http_exchange.Headers) -> http_exchange.Headers:
         """Return the headers of an upstream's response that are forwarded to the caller."""
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -7,7 +7,7 @@
 
 import eliot
 
-from carawaydoor.policy import entities, health
+from carawaydoor.policy import entities, health, upstream_directory
 from carawaydoor.serving import (
     connections,
     http_exchange,
@@ -75,6 +75,17 @@
     ) -> None:
         self._instance = instance
         self._adapter = adapter
+        # Covers the responses to reports and stage orders as well.
+        instance.connection_pool.on_response = self._apply_notice
+
+    def _apply_notice(
+        self, upstream: entities.Upstream, response: connections.UpstreamResponse
+    ) -> None:
+        notice = self._adapter.decode_notice(response.status, response.header_by_name)
+        if notice.is_leaving:
+            self._instance.update_directory(
+                upstream_directory.SaidLeaving(upstream.id, upstream.born_ms)
+            )
 
     def connect(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
--- a/tests/policy/test_upstream_directory.py
+++ b/tests/policy/test_upstream_directory.py
@@ -130,3 +130,32 @@
         state, _ = upstream_directory.step(state, now_s, upstream_directory.Tick())
         assert set(state.removal_due_s_by_id) <= set(state.upstream_by_id)
         assert all(until_s > now_s for until_s in state.removal_due_s_by_id.values())
+
+
+def test_leaving_incarnation_stays_so_whatever_the_store_shows_later():
+    """After a restore from a copy the store listed a server as ready that was about to stop."""
+    said = upstream_directory.SaidLeaving("a", A.born_ms)
+    state, effects = run((0.0, snapshot(A, B)), (1.0, said), (1.0, said))
+    assert [type(each) for each in effects[2:]] == [upstream_directory.Leaving], "told once"
+    for message in (snapshot(A, B, revision=2), changes(3, a=None), changes(4, a=A)):
+        state, _ = run((2.0, message), state=state)
+    assert state.upstream_by_id["a"].is_leaving
+    restarted = dataclasses.replace(A, born_ms=A.born_ms + 1)
+    state, effects = run((3.0, changes(5, a=restarted)), state=state)
+    assert not state.upstream_by_id["a"].is_leaving
+    assert [type(each) for each in effects] == [upstream_directory.Gone, upstream_directory.Joined]
+
+
+def test_word_of_an_earlier_incarnation_is_ignored():
+    said = upstream_directory.SaidLeaving("a", A.born_ms - 1)
+    state, _ = run((0.0, snapshot(A, B)), (1.0, said))
+    assert not state.upstream_by_id["a"].is_leaving
+
+
+def test_incarnations_that_leave_are_remembered_up_to_a_limit():
+    state = upstream_directory.EMPTY
+    for number in range(upstream_directory.MAX_LEAVING + 10):
+        leaving = dataclasses.replace(A, id=f"s{number}", is_leaving=True)
+        state, _ = run((0.0, changes(1, **{leaving.id: leaving, "a": None})), state=state)
+        state, _ = run((0.0, changes(1, **{leaving.id: None})), state=state)
+    assert len(state.leaving_born_ms_by_id) == upstream_directory.MAX_LEAVING
