Obey the Retry-After of an upstream that turns requests away

A 503 of an upstream closed an engine for a fixed 0.6 s and a plain service not at all, whatever delay the upstream asked for, so that it got requests which it had said it did not want. Its Retry-After now keeps every request of this instance from that incarnation until the delay is over: choice of prefill and decode engine, plain services, connections that were made before, continuations, releases of KV cache and stage orders. Where all upstreams of a service turn requests away, callers are refused at once with the earliest time at which one takes them again, spread at random, instead of waiting for capacity that can't come.

Seconds and dates are read; dates against the response's own Date. Unusable values are ignored and logged.

--- a/src/carawaydoor/operating/stage_balancer.py
+++ b/src/carawaydoor/operating/stage_balancer.py
@@ -42,6 +42,8 @@
 
     def _send_order(self, order: stage_balance.StageOrder) -> None:
         upstream = order.upstream
+        if self._instance.selector.turned_away.remaining_s(upstream) > 0.0:
+            return
         revision = self._instance.directory.revision
         epoch = stage_balance.fencing_epoch(revision, self._instance.options.instance)
         outcome = protocol_adapter.OrderOutcome.UNANSWERED
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -18,6 +18,7 @@
 _LEAVING: Final = "1"
 _STAGE_PREFILL: Final = "prefill"
 _MISDIRECTED_STATUS: Final = 421
+_UNAVAILABLE_STATUS: Final = 503
 # The header that says that a request was not run is trusted only with these statuses.
 _NOT_RUN_STATUSES: Final = frozenset({400, 408, 429, 503})
 _OUTCOME_BY_ORDER_STATUS: Final = {
@@ -119,7 +120,13 @@
             # Sent by another server that now has the address.
             return protocol_adapter.UpstreamNotice()
         return protocol_adapter.UpstreamNotice(
-            is_leaving=headers.get(names.Header.LEAVING.lower(), "").strip() == _LEAVING
+            is_leaving=headers.get(names.Header.LEAVING.lower(), "").strip() == _LEAVING,
+            retry_after=(
+                headers.get(names.Header.RETRY_AFTER.lower(), "").strip()
+                if status == _UNAVAILABLE_STATUS
+                else ""
+            ),
+            date=headers.get("date", ""),
         )
 
     def caller_headers(self, headers: http_exchange.Headers) -> http_exchange.Headers:
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -106,6 +106,12 @@
     def _no_room_refusal(
         self, service: entities.Service, arrival: capacity_wait.Arrival
     ) -> refusals.Refusal:
+        turned_away_s = self._instance.selector.turned_away_retry_s(
+            service.name, entities.Stage.DECODE
+        )
+        if turned_away_s is not None:
+            detail = f"all decode engines of service {service.name} turn requests away"
+            return refusals.Refusal(refusals.Reason.TURNED_AWAY, detail, turned_away_s)
         retry_after_s = capacity_wait.retry_after_s(arrival, self._instance.clock.now_s())
         detail = f"no engine of service {service.name} has free capacity"
         return refusals.Refusal(refusals.Reason.NO_ROOM, detail, retry_after_s)
@@ -136,7 +142,11 @@
                     return placed
                 excluded.add(chosen.decode.id)
                 continue
-            if now_s >= terms.until_s or exchange.inbound.is_gone():
+            turned_away_s = self._instance.selector.turned_away_retry_s(
+                service.name, entities.Stage.DECODE
+            )
+            none_in_time = turned_away_s is not None and now_s + turned_away_s >= terms.until_s
+            if now_s >= terms.until_s or none_in_time or exchange.inbound.is_gone():
                 eliot.log_message(
                     message_type="generation_not_placed",
                     request=exchange.inbound.id,
@@ -317,7 +327,7 @@
 
     def _may_retry(self, placed: _PlacedGeneration, error: upstream_client.CallError) -> bool:
         """Return whether a generation that an engine did not run may be sent to another one."""
-        if error.failure is upstream_client.Failure.NOT_SENT:
+        if error.failure.was_not_sent:
             return True
         request = placed.exchange.inbound.id
         return error.failure.did_not_run and self._instance.may_retry(request, placed.service.name)
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -59,7 +59,7 @@
                 response = self._attempt(exchange, route, upstream)
             except upstream_client.CallError as error:
                 refusal = refusal_for(error, upstream)
-                if error.failure is not upstream_client.Failure.NOT_SENT:
+                if not error.failure.was_not_sent:
                     exchange.attempts += 1
                 if not self._may_retry(route, error):
                     break
@@ -70,7 +70,15 @@
             last_response = response
             if response.status < upstream_client.MIN_FAILURE_STATUS or route.kind.forbids_rerun:
                 break
-        return expression.Error(refusal) if last_response is None else expression.Ok(last_response)
+        if last_response is not None:
+            return expression.Ok(last_response)
+        turned_away_s = self._instance.selector.turned_away_retry_s(
+            service.name, entities.Stage.NONE
+        )
+        if refusal.did_not_run and turned_away_s is not None:
+            detail = f"all upstreams of service {service.name} turn requests away"
+            refusal = refusals.Refusal(refusals.Reason.TURNED_AWAY, detail, turned_away_s)
+        return expression.Error(refusal)
 
     def _attempt(
         self,
@@ -110,7 +118,7 @@
     match error.failure:
         case upstream_client.Failure.NOT_SENT | upstream_client.Failure.MISDIRECTED:
             reason = refusals.Reason.NO_UPSTREAM
-        case upstream_client.Failure.REJECTED:
+        case upstream_client.Failure.REJECTED | upstream_client.Failure.TURNED_AWAY:
             reason = refusals.Reason.UPSTREAM_FULL
         case upstream_client.Failure.SILENT:
             reason = refusals.Reason.UPSTREAM_SILENT
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -67,9 +67,14 @@
     """What an upstream says in the headers of a response about further requests.
 
     :ivar is_leaving: whether it is about to stop
+    :ivar retry_after: how long it wants no requests from this instance, as stated; empty if it does
+        not say
+    :ivar date: when it sent the response, as stated
     """
 
     is_leaving: bool = False
+    retry_after: str = ""
+    date: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -24,6 +24,7 @@
     INSTANCE_BUSY = "instance-busy"
     INSTANCE_LEAVING = "instance-leaving"
     UPSTREAM_FULL = "upstream-full"
+    TURNED_AWAY = "turned-away"
     UPSTREAM_FAILED = "upstream-failed"
     UPSTREAM_SILENT = "upstream-silent"
     CALLER_GONE = "caller-gone"
@@ -59,6 +60,7 @@
     Reason.INSTANCE_BUSY: Status.UNAVAILABLE,
     Reason.INSTANCE_LEAVING: Status.UNAVAILABLE,
     Reason.UPSTREAM_FULL: Status.UNAVAILABLE,
+    Reason.TURNED_AWAY: Status.UNAVAILABLE,
     Reason.UPSTREAM_FAILED: Status.BAD_GATEWAY,
     Reason.UPSTREAM_SILENT: Status.GATEWAY_TIMEOUT,
     Reason.CALLER_GONE: Status.GATEWAY_TIMEOUT,
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -13,6 +13,7 @@
     http_exchange,
     instance_state,
     protocol_adapter,
+    retry_delay,
     sockets,
 )
 
@@ -27,6 +28,7 @@
     """Why a call gave no response for the caller."""
 
     NOT_SENT = "not_sent"
+    TURNED_AWAY = "turned_away"
     REJECTED = "rejected"
     MISDIRECTED = "misdirected"
     BROKEN = "broken"
@@ -37,7 +39,12 @@
     @property
     def did_not_run(self) -> bool:
         """Whether the upstream has certainly not run the request."""
-        return self in (Failure.NOT_SENT, Failure.REJECTED, Failure.MISDIRECTED)
+        return self.was_not_sent or self in (Failure.REJECTED, Failure.MISDIRECTED)
+
+    @property
+    def was_not_sent(self) -> bool:
+        """Whether no byte of the request was sent."""
+        return self in (Failure.NOT_SENT, Failure.TURNED_AWAY)
 
 
 _OUTCOME_BY_FAILURE = {
@@ -86,6 +93,20 @@
             self._instance.update_directory(
                 upstream_directory.SaidLeaving(upstream.id, upstream.born_ms)
             )
+        if notice.retry_after:
+            self._apply_retry_after(upstream, notice)
+
+    def _apply_retry_after(
+        self, upstream: entities.Upstream, notice: protocol_adapter.UpstreamNotice
+    ) -> None:
+        try:
+            delay_s = retry_delay.parse(
+                notice.retry_after, notice.date, self._instance.clock.wall_s()
+            )
+        except retry_delay.RetryDelayError as error:
+            self._instance.selector.turned_away.report_malformed(upstream, str(error))
+            return
+        self._instance.selector.turned_away.record(upstream, delay_s)
 
     def connect(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
@@ -94,6 +115,9 @@
 
         :raises CallError: if none can be established
         """
+        if self._instance.selector.turned_away.remaining_s(upstream) > 0.0:
+            detail = "it wants no requests for a while"
+            raise self._call_error(exchange, upstream, Failure.TURNED_AWAY, detail)
         try:
             return self._instance.connection_pool.acquire(upstream)
         except connections.NotSentError as error:
@@ -123,6 +147,11 @@
             )
         if connection is None:
             connection = self.connect(exchange, request.upstream)
+        elif self._instance.selector.turned_away.remaining_s(request.upstream) > 0.0:
+            # It has turned away another request since the connection was made.
+            connection.close()
+            detail = "it wants no requests for a while"
+            raise self._call_error(exchange, request.upstream, Failure.TURNED_AWAY, detail)
         elif not connection.is_reusable():
             connection.close()
             detail = "the connection was closed before the request was sent"
@@ -239,6 +268,8 @@
 
         A failure is only logged, since the engine soon drops the cache by itself.
         """
+        if self._instance.selector.turned_away.remaining_s(upstream) > 0.0:
+            return
         now_s = self._instance.clock.now_s()
         wait_limit = sockets.CallerWaitLimit(
             self._instance.clock, now_s + KV_RELEASE_TIMEOUT_S, lambda: False
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -12,6 +12,7 @@
 from carawaydoor.fleet import gossip
 from carawaydoor.operating import clocks, platform_metrics
 from carawaydoor.policy import entities, health, load, placement, stage_balance
+from carawaydoor.serving import turned_away
 
 # An engine that was ordered to change its stage is used again after this time, even if its entry
 # still shows the old stage. The change takes about six seconds once running work has ended.
@@ -26,6 +27,7 @@
 
     :ivar load: active work at each upstream, sent by this instance and by its peers
     :ivar health: recent outcomes of calls to each upstream
+    :ivar turned_away: upstreams that have asked for no requests for a while
     :ivar on_generations_changed: called after a generation was placed or has ended
     """
 
@@ -42,6 +44,7 @@
         self.load = load.EMPTY
         self.health: health.Health = {}
         self.on_generations_changed: Callable[[], None] = _do_nothing
+        self.turned_away: Final = turned_away.TurnedAway(clock)
         self._domain = domain
         self._clock = clock
         self._metrics = metrics
@@ -119,6 +122,19 @@
         with self._lock:
             self._request_ended.wait(timeout_s)
 
+    def turned_away_retry_s(self, service: str, stage: entities.Stage) -> float | None:
+        """Return when to retry if all upstreams of a service and stage want no requests.
+
+        :return: delay in seconds, None if one of them takes requests or there is none
+        """
+        return self.turned_away.retry_after_s(
+            [
+                each
+                for each in self._upstreams()
+                if each.service == service and each.stage is stage and not each.is_leaving
+            ]
+        )
+
     def record_outcome(self, upstream: entities.Upstream, outcome: health.Outcome) -> None:
         """Update the health of an upstream with the outcome of a call."""
         with self._lock:
@@ -218,13 +234,14 @@
         )
 
     def _usable_upstreams(self, now_s: float) -> tuple[entities.Upstream, ...]:
+        willing = self.turned_away.willing(self._upstreams())
         if not self._paused_until_s_by_id:
-            return tuple(self._upstreams())
+            return willing
         self._paused_until_s_by_id = {
             key: until_s for key, until_s in self._paused_until_s_by_id.items() if until_s > now_s
         }
         paused = self._paused_until_s_by_id
-        return tuple(each for each in self._upstreams() if each.id not in paused)
+        return tuple(each for each in willing if each.id not in paused)
 
     def _add_load(self, upstream: str, work: load.Work) -> None:
         self.load = load.step(self.load, load.Started(upstream, work))
