Order what the store says by era and revision

A store that was restored from a copy gives revisions out again. The highest revision ever read counted as the newest, so every change after a restore was taken as old, for good; and a watch from a revision that exists again skipped what lies between.

The content does not go back with the store: a lower version is not adopted and proves nothing, servers that the copy lacks have the grace of an outage, those that had left need a new entry, and an instance that starts on the copy accepts no keys while a peer reports a newer version of an earlier era. Without the header nothing changes.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -93,6 +93,7 @@
             for c in report.crashes
         ],
         sound_age_s_by_part=dict(report.sound_age_s_by_part),
+        configuration_version=report.configuration_version,
     )
 
 
@@ -163,6 +164,7 @@
             for c in message.crashes or ()
         ),
         sound_age_s_by_part=message.sound_age_s_by_part or {},
+        configuration_version=int(message.configuration_version or 0),
     )
 
 
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -72,6 +72,7 @@
     (_I64, "source_revision"),
     (thrift.TType.LIST, "crashes", (thrift.TType.STRUCT, Crash)),
     _amounts("sound_age_s_by_part"),
+    (_I64, "configuration_version"),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -72,6 +72,7 @@
     :ivar requests_by_service: requests received since the sender's start
     :ivar repeats_by_service: retries since the sender's start
     :ivar source_revision: revision of the source up to which the sender knows its content
+    :ivar configuration_version: number that operators gave the sender's configuration
     :ivar sound_age_s_by_part: for parts of prompts that occur in crashes, the seconds since a
         generation with the part was seen to go on
     """
@@ -96,6 +97,7 @@
     source_revision: int = 0
     crashes: tuple[SharedCrash, ...] = ()
     sound_age_s_by_part: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    configuration_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -9,7 +9,7 @@
 
 from carawaydoor.fleet import source_relay
 from carawaydoor.operating import clocks, configuration_source
-from carawaydoor.policy import source_reading, upstream_directory
+from carawaydoor.policy import source_position, source_reading, upstream_directory
 from carawaydoor.serving import instance_state
 
 # The source responds to a watch after this fraction of the stable window even if nothing has
@@ -53,6 +53,7 @@
         self._instance = instance
         self._source = source
         self._clock = clock
+        self._era: int | None = None
         # None while the source responds. The first read counts as the end of an outage.
         self._unreachable_since_s: float | None = clock.now_s()
         stable_window_s = instance.options.bounds.stable_window_s
@@ -149,12 +150,13 @@
         requested_s = self._clock.now_s()
         update = self._source.read(READ_TIMEOUT_S)
         self._record_recovery()
+        is_restored = self._record_restore(update.revision)
         self._apply_configuration(update)
         upstream_by_id = {
             key: each for key, each in update.upstream_by_id.items() if each is not None
         }
         self._instance.update_directory(
-            upstream_directory.Snapshot(upstream_by_id, update.revision)
+            upstream_directory.Snapshot(upstream_by_id, update.revision, is_restored)
         )
         self._instance.confirm_revision(self._instance.configuration.revision, requested_s)
         self._count_store_call("read")
@@ -216,5 +218,24 @@
             missing_entries_kept=self._instance.directory.grace_until_s > self._clock.now_s(),
         )
 
+    def _record_restore(self, position: int) -> bool:
+        """Keep upstreams whose entries a restored source lacks, until they have written again.
+
+        :return: whether the source was restored since the last read
+        """
+        era, known_era = source_position.era_of(position), self._era
+        self._era = era
+        if known_era is None or era <= known_era:
+            return False
+        self._instance.mark_source_recovering()
+        eliot.log_message(
+            message_type="source_restored",
+            era=era,
+            known_era=known_era,
+            revision=source_position.revision_of(position),
+            version=self._instance.configuration.version,
+        )
+        return True
+
     def _count_store_call(self, outcome: str) -> None:
         self._instance.metrics.store_calls.add(1, {"outcome": outcome})
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -33,6 +33,8 @@
     STAMP = "Carawaydoor-Server-Stamp"
     NOT_RUN = "Carawaydoor-Not-Run"
     RETRY_AFTER = "Retry-After"
+    # Number of restores of the store; every response of the store has it.
+    STORE_ERA = "Store-Era"
     # "1" in every response of an upstream that is about to stop.
     LEAVING = "Server-Leaving"
 
--- a/src/carawaydoor/platform/store_client.py
+++ b/src/carawaydoor/platform/store_client.py
@@ -14,6 +14,7 @@
 
 from carawaydoor.operating import configuration_source, platform_options
 from carawaydoor.platform import names
+from carawaydoor.policy import source_position
 
 _OK_STATUS: Final = 200
 _GONE_STATUS: Final = 410
@@ -30,6 +31,8 @@
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     MALFORMED = "malformed"
+    OLDER_ERA = "older_era"
+    RESTORED = "restored"
 
 
 class StoreError(Exception):
@@ -48,54 +51,73 @@
 class ItemBatch:
     """Items read from the store.
 
-    :ivar revision: the revision of the whole store, from which a watch can continue
+    :ivar revision: position of the whole store, from which a watch can continue
     """
 
     items: tuple[configuration_source.SourceItem, ...]
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StoreResponse:
+    """A valid response of the store.
+
+    :ivar era: number of the store's restores, zero if it does not count them
+    """
+
+    document: dict[str, Any]
+    era: int
+
+
 class StoreClient:
     """Reads and watches the store over one persistent connection; not thread-safe."""
 
     def __init__(self, address: platform_options.Address) -> None:
         self._address = address
         self._connection: http.client.HTTPConnection | None = None
+        self._era = 0
 
     def read(self, prefix: str, timeout_s: float) -> ItemBatch:
         """Return all items whose keys begin with a prefix.
 
-        The pages are not read from one snapshot. The revision returned is that of the first page,
+        The pages are not read from one snapshot. The position returned is that of the first page,
         so that a watch from it reports every change made between two pages.
 
         :param timeout_s: timeout in seconds for each page
         :raises StoreError: if the store gave no valid response
         """
         items: list[configuration_source.SourceItem] = []
-        revision = None
+        start = None
         query = {"pathPrefix": prefix}
         for _ in range(MAX_PAGES_PER_READ):
-            document = self._get(names.STORE_RANGE_PATH, query, timeout_s)
-            page = _parse_items(document, "items")
+            response = self._get(names.STORE_RANGE_PATH, query, timeout_s)
+            page = _parse_items(response, "items")
             items.extend(page)
-            revision = _parse_revision(document) if revision is None else revision
-            if not document.get("truncated") or not page:
-                return ItemBatch(tuple(items), revision)
+            start = _parse_position(response) if start is None else start
+            if source_position.era_of(start) != response.era:
+                raise StoreError(StoreFailure.RESTORED, "the store was restored between two pages")
+            if not response.document.get("truncated") or not page:
+                return ItemBatch(tuple(items), start)
             query = {"pathPrefix": prefix, "after": page[-1].key}
         raise StoreError(StoreFailure.MALFORMED, f"more than {MAX_PAGES_PER_READ} pages")
 
     def watch(self, prefix: str, after: int, wait_s: float, timeout_s: float) -> ItemBatch:
         """Return the changes to keys with a prefix after a revision, as soon as there are any.
 
+        :param after: position of the last known change
         :param wait_s: seconds after which the store responds even without a change
         :param timeout_s: timeout in seconds for the response
         :raises HistoryGoneError: if the store no longer has these changes, so that all items have
             to be read again
         :raises StoreError: if the store gave no valid response
         """
-        query = {"pathPrefix": prefix, "after": str(after), "waitMs": str(int(wait_s * 1000))}
-        document = self._get(names.STORE_WATCH_PATH, query, timeout_s)
-        return ItemBatch(_parse_items(document, "events"), _parse_revision(document))
+        revision = source_position.revision_of(after)
+        query = {"pathPrefix": prefix, "after": str(revision), "waitMs": str(int(wait_s * 1000))}
+        response = self._get(names.STORE_WATCH_PATH, query, timeout_s)
+        if response.era != source_position.era_of(after):
+            # The revision exists in the new era as well, but with another history.
+            raise HistoryGoneError
+        return ItemBatch(_parse_items(response, "events"), _parse_position(response))
 
     def close(self) -> None:
         """Close the connection."""
@@ -103,7 +125,7 @@
             self._connection.close()
             self._connection = None
 
-    def _get(self, path: str, query: dict[str, str], timeout_s: float) -> dict[str, Any]:
+    def _get(self, path: str, query: dict[str, str], timeout_s: float) -> _StoreResponse:
         target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
         try:
             connection = self._connect(timeout_s)
@@ -115,6 +137,12 @@
             raise StoreError(StoreFailure.UNREACHABLE, repr(error)) from error
         if response.will_close:
             self.close()
+        era = _parse_era(response.getheader(names.Header.STORE_ERA))
+        if era < self._era:
+            # A late response, or one of a replica that was not restored.
+            self.close()
+            raise StoreError(StoreFailure.OLDER_ERA, f"era {era} after {self._era}")
+        self._era = era
         if response.status == _GONE_STATUS:
             raise HistoryGoneError
         if response.status != _OK_STATUS:
@@ -126,7 +154,7 @@
             raise StoreError(StoreFailure.MALFORMED, repr(error)) from error
         if not isinstance(document, dict):
             raise StoreError(StoreFailure.MALFORMED, "the response is not a JSON object")
-        return document
+        return _StoreResponse(document, era)
 
     def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
         if self._connection is None:
@@ -141,15 +169,15 @@
 
 
 def _parse_items(
-    document: dict[str, Any], field: str
+    response: _StoreResponse, field: str
 ) -> tuple[configuration_source.SourceItem, ...]:
-    entries = document.get(field)
+    entries = response.document.get(field)
     if not isinstance(entries, list):
         raise StoreError(StoreFailure.MALFORMED, f"{field} is not a list")
-    return tuple(_parse_item(entry) for entry in entries)
+    return tuple(_parse_item(entry, response.era) for entry in entries)
 
 
-def _parse_item(document: Any) -> configuration_source.SourceItem:
+def _parse_item(document: Any, era: int) -> configuration_source.SourceItem:
     try:
         key, revision = document["key"], document["revision"]
         value = None if document.get("deleted") else base64.b64decode(document["value"])
@@ -157,12 +185,20 @@
         raise StoreError(StoreFailure.MALFORMED, f"item: {error!r}") from error
     if not isinstance(key, str) or not isinstance(revision, int):
         raise StoreError(StoreFailure.MALFORMED, "item without a valid key and revision")
-    return configuration_source.SourceItem(key, value, revision)
+    return configuration_source.SourceItem(key, value, source_position.create(era, revision))
 
 
-def _parse_revision(document: dict[str, Any]) -> int:
+def _parse_position(response: _StoreResponse) -> int:
     # The revision of the whole store when it responded, not of an item.
-    revision = document.get("at")
+    revision = response.document.get("at")
     if not isinstance(revision, int):
         raise StoreError(StoreFailure.MALFORMED, "the response has no revision")
-    return revision
+    return source_position.create(response.era, revision)
+
+
+def _parse_era(value: str | None) -> int:
+    if value is None:
+        return 0
+    if not value.strip().isdecimal():
+        raise StoreError(StoreFailure.MALFORMED, "the era is not a number")
+    return int(value)
--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -16,7 +16,7 @@
 # tenth of that is left for the response that delivers them.
 REAPPEARANCE_GRACE_S: Final = 1.8
 # More than leave within the time for which a store may show their entries again.
-MAX_LEAVING: Final = 4096
+MAX_REMEMBERED: Final = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +27,8 @@
         recovered are removed
     :ivar leaving_born_ms_by_id: the start of the latest incarnation that is known to leave, oldest
         first
+    :ivar gone_born_ms_by_id: the start of the latest incarnation whose entry was removed, oldest
+        first
     :ivar grace_until_s: until then a missing entry may still reappear
     :ivar revision: revision of the store that this reflects, zero before the first read
     """
@@ -37,6 +39,7 @@
     is_store_unavailable: bool
     revision: int
     leaving_born_ms_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    gone_born_ms_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 EMPTY: Final = Directory({}, {}, 0.0, False, 0)
@@ -44,10 +47,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All entries of the store at a revision."""
+    """All entries of the store at a revision.
+
+    :ivar is_restored: whether these are the first ones after the store was restored from a copy
+    """
 
     upstream_by_id: Mapping[str, entities.Upstream]
     revision: int
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,7 +149,15 @@
             changes: dict[str, entities.Upstream | None] = {
                 key: None for key in before if key not in message.upstream_by_id
             }
-            changes.update(message.upstream_by_id)
+            listed = message.upstream_by_id
+            if message.is_restored:
+                # The copy still has entries that were removed since it was made. A server that
+                # lives writes its entry again.
+                gone = state.gone_born_ms_by_id
+                listed = {
+                    key: each for key, each in listed.items() if gone.get(key) != each.born_ms
+                }
+            changes.update(listed)
             return _apply_changes(state, now_s, changes, message.revision)
         case Changes():
             return _apply_changes(state, now_s, message.upstream_by_id, message.revision)
@@ -161,6 +176,7 @@
     upstream_by_id = dict(state.upstream_by_id)
     removal_due = dict(state.removal_due_s_by_id)
     leaving_born_ms_by_id = dict(state.leaving_born_ms_by_id)
+    gone_born_ms_by_id = dict(state.gone_born_ms_by_id)
     effects: list[Effect] = []
     for key, listed in changes.items():
         before = upstream_by_id.get(key)
@@ -169,8 +185,9 @@
             # The store may show an older entry again, but an incarnation that leaves never stays.
             upstream = dataclasses.replace(listed, is_leaving=True)
         if upstream is not None:
+            gone_born_ms_by_id.pop(key, None)
             if upstream.is_leaving:
-                _remember_leaving(leaving_born_ms_by_id, upstream)
+                _remember(leaving_born_ms_by_id, upstream)
             removal_due.pop(key, None)
             upstream_by_id[key] = upstream
             effects.extend(_effects_of(before, upstream))
@@ -183,12 +200,14 @@
         elif before is not None:
             removal_due.pop(key, None)
             del upstream_by_id[key]
+            _remember(gone_born_ms_by_id, before)
             effects.append(Gone(before))
     after = dataclasses.replace(
         state,
         upstream_by_id=upstream_by_id,
         removal_due_s_by_id=removal_due,
         leaving_born_ms_by_id=leaving_born_ms_by_id,
+        gone_born_ms_by_id=gone_born_ms_by_id,
         revision=revision,
     )
     return after, tuple(effects)
@@ -200,7 +219,7 @@
         return state, ()
     leaving = dataclasses.replace(before, is_leaving=True)
     leaving_born_ms_by_id = dict(state.leaving_born_ms_by_id)
-    _remember_leaving(leaving_born_ms_by_id, leaving)
+    _remember(leaving_born_ms_by_id, leaving)
     after = dataclasses.replace(
         state,
         upstream_by_id={**state.upstream_by_id, leaving.id: leaving},
@@ -209,10 +228,10 @@
     return after, (Leaving(leaving),)
 
 
-def _remember_leaving(born_ms_by_id: dict[str, int], upstream: entities.Upstream) -> None:
+def _remember(born_ms_by_id: dict[str, int], upstream: entities.Upstream) -> None:
     born_ms_by_id.pop(upstream.id, None)
     born_ms_by_id[upstream.id] = upstream.born_ms
-    if len(born_ms_by_id) > MAX_LEAVING:
+    if len(born_ms_by_id) > MAX_REMEMBERED:
         del born_ms_by_id[next(iter(born_ms_by_id))]
 
 
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -19,6 +19,7 @@
     entities,
     fleet_retry_budget,
     freshness,
+    source_position,
     source_reading,
     stage_balance,
     upstream_directory,
@@ -65,6 +66,8 @@
         self.crash_guard: Final = crash_guard.CrashGuard(clock)
         self._source_reachable_since_s: float | None = None
         self.source_revision = 0
+        # A version that a peer holds of an era before the one of the configuration here.
+        self._version_lost_by_source = 0
         self.on_source_changed: Callable[[], None] = _do_nothing
         self._source_news = threading.Event()
         self.membership = gossip.Membership(options.instance, {})
@@ -104,6 +107,8 @@
         """Return whether the configuration is proven recent enough to accept keys."""
         if not self.configuration.has_workspaces:
             return True
+        if self.configuration.version < self._version_lost_by_source:
+            return False
         now_s, bounds = self.clock.now_s(), self.options.bounds
         return freshness.may_accept_keys(self.freshness, now_s, bounds.withdrawal_s)
 
@@ -116,11 +121,21 @@
         with self._lock:
             if configuration.revision <= self.configuration.revision:
                 return False
+            if configuration.version < self.configuration.version:
+                # A store that was restored from a copy shows an earlier version for a moment.
+                eliot.log_message(
+                    message_type="configuration_not_adopted",
+                    version=configuration.version,
+                    era=source_position.era_of(configuration.revision),
+                    version_in_force=self.configuration.version,
+                )
+                return False
             self.configuration = configuration
         eliot.log_message(
             message_type="configuration_adopted",
             version=configuration.version,
-            revision=configuration.revision,
+            revision=source_position.revision_of(configuration.revision),
+            era=source_position.era_of(configuration.revision),
             routes=sum(len(each) for each in configuration.routes_by_host.values()),
             keys=len(configuration.workspace_by_key),
         )
@@ -348,6 +363,7 @@
                 repeats_by_service=self.retry_budget.retries.own_totals_by_name,
                 source_revision=self.source_revision,
                 set_aside_s_by_upstream=self.selector.paused_s_by_upstream(),
+                configuration_version=self.configuration.version,
                 crashes=shared_crashes,
                 sound_age_s_by_part=sound_parts,
             )
@@ -399,9 +415,31 @@
                     self.membership, effects = gossip.apply_report(self.membership, now_s, report)
             for effect in effects:
                 self._apply_gossip_effect(effect, now_s)
+            if isinstance(report, reports.Report):
+                self._note_version_of_earlier_era(report)
         if report.source_revision > self.source_revision:
             self._source_news.set()
 
+    def _note_version_of_earlier_era(self, report: reports.Report) -> None:
+        """Accept no keys while a peer holds a newer version that the source has lost.
+
+        The configuration here was then read from a copy, and keys in it may have been withdrawn.
+        """
+        own_era = source_position.era_of(self.configuration.revision)
+        if (
+            source_position.era_of(report.revision) < own_era
+            and max(self.configuration.version, self._version_lost_by_source)
+            < report.configuration_version
+        ):
+            self._version_lost_by_source = report.configuration_version
+            eliot.log_message(
+                message_type="configuration_behind_peer",
+                version=self.configuration.version,
+                era=own_era,
+                peer=report.contact.instance,
+                peer_version=report.configuration_version,
+            )
+
     def expire(self) -> None:
         """Apply the changes that result from the passing of time."""
         self.update_directory(upstream_directory.Tick())
--- a/tests/platform_side/fake_store.py
+++ b/tests/platform_side/fake_store.py
@@ -36,14 +36,14 @@
 class FakeStore:
     """In-memory store with one revision counter, served over HTTP.
 
-    :ivar era: counts how often the store was restored from a copy
+    :ivar era: counts how often the store was restored from a copy, None if it does not say
     """
 
     def __init__(self, port: int = 0) -> None:
         self.mode = Mode.GOOD
         self.calls = 0
         self.revision = 1
-        self.era = 3
+        self.era: int | None = None
         self._dropped_up_to_revision = 0
         self._value_by_key: dict[str, tuple[bytes, int]] = {}
         self._changes: list[dict[str, object]] = []
@@ -91,7 +91,7 @@
     def restore(self, copy: Copy) -> None:
         """Go back to the content of a copy; revisions after it are given out again."""
         with self._condition:
-            self.era += 1
+            self.era = (self.era or 0) + 1
             self.revision = self._dropped_up_to_revision = copy.revision
             self._value_by_key = dict(copy.value_by_key)
             self._changes.clear()
@@ -173,7 +173,8 @@
     def _send(self, status: int, content: bytes) -> None:
         self.send_response(status)
         self.send_header("Content-Length", str(len(content)))
-        self.send_header("Store-Era", str(self.server.store.era))
+        if self.server.store.era is not None:
+            self.send_header("Store-Era", str(self.server.store.era))
         self.end_headers()
         if self.server.store.mode is Mode.TRUNCATED:
             content = content[: len(content) // 2]
--- a/tests/platform_side/test_store_restored.py
+++ b/tests/platform_side/test_store_restored.py
@@ -16,6 +16,11 @@
 from tests.platform_side import router_harness, stored_documents
 
 
+@pytest.fixture(autouse=True)
+def count_eras(store):
+    store.era = 3
+
+
 @contextlib.contextmanager
 def instance_watching(store, instance="m"):
     with router_harness.running(instance=instance) as harness:
--- a/tests/policy/test_upstream_directory.py
+++ b/tests/policy/test_upstream_directory.py
@@ -154,8 +154,17 @@
 
 def test_incarnations_that_leave_are_remembered_up_to_a_limit():
     state = upstream_directory.EMPTY
-    for number in range(upstream_directory.MAX_LEAVING + 10):
+    for number in range(upstream_directory.MAX_REMEMBERED + 10):
         leaving = dataclasses.replace(A, id=f"s{number}", is_leaving=True)
         state, _ = run((0.0, changes(1, **{leaving.id: leaving, "a": None})), state=state)
         state, _ = run((0.0, changes(1, **{leaving.id: None})), state=state)
-    assert len(state.leaving_born_ms_by_id) == upstream_directory.MAX_LEAVING
+    assert len(state.leaving_born_ms_by_id) == upstream_directory.MAX_REMEMBERED
+
+
+def test_server_that_had_left_is_not_back_because_a_copy_of_the_store_lists_it():
+    state, _ = run((0.0, snapshot(A, B)), (1.0, changes(a=None)))
+    restored = upstream_directory.Snapshot({"a": A, "b": B}, 9, is_restored=True)
+    state, effects = run((2.0, restored), state=state)
+    assert (set(state.upstream_by_id), effects) == ({"b"}, [])
+    state, effects = run((3.0, changes(10, a=A)), state=state)
+    assert effects == [upstream_directory.Joined(A)], "it lives and has written again"
