Bound the retries of a large fleet that restarts at once

An instance that has just started takes its share of the budget for the peers that it knows, at first none and at least 8, and many generations are rejected just then, as nobody knows the load of the engines.

An instance that started within the window takes one retry at most until the number of instances that it knows has stopped rising for a second.

--- a/src/carawaydoor/policy/fleet_retry_budget.py
+++ b/src/carawaydoor/policy/fleet_retry_budget.py
@@ -27,6 +27,10 @@
 MIN_RATE_PERIOD_S: Final = 1.0
 # Bounds the share of an instance that has not found its peers yet.
 MIN_ASSUMED_INSTANCES: Final = 8
+# An instance that started within the window does not know the size of its fleet while it still finds
+# more peers: the number known rose by this factor within this time.
+SETTLING_GROWTH: Final = 1.1
+SETTLING_TIME_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +55,7 @@
     :ivar recent_own_retries: retries of this instance that peers may not know of yet
     :ivar reachable_instances: instances whose counts are known, including this one
     :ivar known_instances: instances that share the budget
+    :ivar grown_s: when the number of known instances last rose by ``SETTLING_GROWTH``, or the start
     """
 
     rules: BudgetRules
@@ -60,6 +65,7 @@
     recent_own_retries: sliding_window.WindowCounts
     reachable_instances: int = 1
     known_instances: int = 1
+    grown_s: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +90,7 @@
         sliding_window.WindowCounts(rules.window_s),
         sliding_window.WindowCounts(rules.window_s),
         sliding_window.WindowCounts(PEER_REPORT_LAG_S),
+        grown_s=now_s,
     )
 
 
@@ -99,6 +106,10 @@
     instances = max(MIN_ASSUMED_INSTANCES, state.known_instances)
     whole = _whole_budget(state, current.requests)
     is_new = now_s - state.started_s < state.rules.window_s
+    is_settling = is_new and now_s - state.grown_s < SETTLING_TIME_S
+    if is_settling and state.retries.own_totals_by_name.get(service, 0.0) > 0.0:
+        # One retry of every instance stays within the slack, whatever the size of the fleet.
+        return state, False
     left = whole * (USABLE_SHARE_AFTER_START if is_new else USABLE_SHARE) - current.retries
     allowance = left * MAX_SHARES_PER_LAG / instances
     unused = whole * (1.0 - USABLE_SHARE if is_new else 1.0) - current.retries
@@ -144,15 +155,21 @@
 
 
 def with_reachable_instances(
-    state: FleetRetryBudget, reachable: int, known: int
+    state: FleetRetryBudget, reachable: int, known: int, now_s: float = float("-inf")
 ) -> FleetRetryBudget:
     """Return the budget for an instance that gets reports of some of the known instances.
 
     :param reachable: instances whose reports arrive, including this one
     :param known: all instances, including this one
+    :param now_s: time in seconds at which they are known; by default, since before the start
     """
+    known = max(known, reachable, 1)
+    has_grown = known > state.known_instances * SETTLING_GROWTH
     return dataclasses.replace(
-        state, reachable_instances=reachable, known_instances=max(known, reachable, 1)
+        state,
+        reachable_instances=reachable,
+        known_instances=known,
+        grown_s=max(state.grown_s, now_s) if has_grown else state.grown_s,
     )
 
 
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -451,7 +451,7 @@
             reachable, known = gossip.count_live_and_known(self.membership, now_s)
             self.caps = usage_caps.with_reachable_instances(self.caps, reachable, known)
             self.retry_budget = fleet_retry_budget.with_reachable_instances(
-                self.retry_budget, gossip.count_reachable(self.membership, now_s), known
+                self.retry_budget, gossip.count_reachable(self.membership, now_s), known, now_s
             )
         self.connection_pool.close_expired()
 
--- a/tests/policy/test_fleet_retry_budget.py
+++ b/tests/policy/test_fleet_retry_budget.py
@@ -183,3 +183,36 @@
 
 TestFleet = Fleet.TestCase
 TestFleet.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+
+
+def test_large_fleet_that_restarts_at_once_stays_within_the_budget():
+    """All of 195 instances lost power, and found engines full before they had found each other.
+
+    Each took a share for the few instances that it knew, so that together they sent more than the whole
+    budget within seconds.
+    """
+    instances, known_after_s = 195, {0.0: 1, 0.4: 9, 0.8: 40, 1.2: 120, 1.6: 195}
+    rules = fleet_retry_budget.BudgetRules(0.2, 430.0, 10.0)
+    state = fleet_retry_budget.create(rules, 0.0)
+    taken_by_one = 0
+    for now_s, known in known_after_s.items():
+        state = fleet_retry_budget.with_reachable_instances(state, known, known, now_s)
+        for _ in range(4):
+            state = fleet_retry_budget.record_request(state, now_s, SERVICE)
+            state, allowed = fleet_retry_budget.take(state, now_s, SERVICE)
+            taken_by_one += allowed
+    assert taken_by_one * instances <= rules.slack
+
+
+def test_instance_that_knows_its_fleet_takes_retries_again():
+    state = fleet_retry_budget.create(RULES, 0.0)
+    for now_s, known in ((0.1, 5), (0.5, 58), (0.9, 58)):
+        state = fleet_retry_budget.with_reachable_instances(state, known, known, now_s)
+    assert fleet_retry_budget.take(state, 2.0, SERVICE)[1]
+
+
+def test_few_instances_that_join_a_running_fleet_stop_no_retries():
+    state = running_budget(known=58, started_s=0.0)
+    for now_s, known in ((3.0, 59), (3.2, 60)):
+        state = fleet_retry_budget.with_reachable_instances(state, known, known, now_s)
+    assert fleet_retry_budget.take(state, 3.3, SERVICE)[1]
