--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -16,6 +16,12 @@
 MEAN_FAULT_GAP_S: Final = 0.8
 # Every third seed runs planned operations only.
 SEEDS_PER_PLANNED_RUN: Final = 3
+# Time until the operator and the upstreams have written to a restored store again.
+MAX_REWRITE_DELAY_S: Final = 1.5
+# An upstream that crashes would not come back.
+_BAD_ANSWERS: Final = tuple(
+    each for each in fake_upstream.Behaviour if each is not fake_upstream.Behaviour.CRASH_IN_STREAM
+)
 
 
 class FaultInjector:
@@ -48,6 +54,8 @@
             self._break_upstream_connections,
             self._break_store_connections,
             self._inject_store_fault,
+            self._restore_store,
+            self._turn_requests_away,
             self._queue_bad_answers,
             self._withdraw_key,
             self._drain_upstream,
@@ -133,7 +141,7 @@
 
     def _queue_bad_answers(self, duration_s: float) -> str:
         name = self._random.choice(sorted(self._environment.upstream_by_name))
-        behaviours = self._random.choices(tuple(fake_upstream.Behaviour), k=4)
+        behaviours = self._random.choices(_BAD_ANSWERS, k=4)
         self._environment.upstream_by_name[name].behaviours.extend(behaviours)
         # Each of the next requests takes one behaviour, so the fault may end at any later time.
         self._fault_history.record_disturbance(
@@ -141,6 +149,20 @@
         )
         return f"bad answers {name}"
 
+    def _restore_store(self, duration_s: float) -> str:
+        """Restore the store from its last copy; the operator and the upstreams write again later."""
+        delay_s = min(duration_s, MAX_REWRITE_DELAY_S)
+        self._fault_history.record_disturbance("store", time.monotonic(), delay_s)
+        self._environment.restore_store()
+        self._schedule(delay_s, self._environment.write_again)
+        return f"restore store, written again after {delay_s:.1f}"
+
+    def _turn_requests_away(self, duration_s: float) -> str:
+        name = self._random.choice(sorted(self._environment.upstream_by_name))
+        self._environment.turn_requests_away(name, duration_s)
+        self._fault_history.record_disturbance(name, time.monotonic(), duration_s)
+        return f"turn away {name} {duration_s:.1f}"
+
     def _reconfigure(self, duration_s: float) -> str:
         self._environment.publish_configuration(self._environment.configured_keys)
         return "configure"
--- a/tools/soak/soak_environment.py
+++ b/tools/soak/soak_environment.py
@@ -143,6 +143,8 @@
 
     def __init__(self, instance_count: int, directory: pathlib.Path) -> None:
         self.store = fake_store.FakeStore()
+        self.store.era = 1
+        self._copy: fake_store.Copy | None = None
         self.store_proxy = fault_proxy.FaultProxy(("127.0.0.1", self.store.port))
         self.upstream_by_name: dict[str, fake_upstream.FakeUpstream] = {}
         self.proxy_by_name: dict[str, fault_proxy.FaultProxy] = {}
@@ -150,6 +152,8 @@
         self.withdrawn_s_by_key: dict[str, float] = {}
         self.fault_history = fault_history.FaultHistory()
         self._configuration_version = 1
+        self._entry_by_name: dict[str, dict[str, object]] = {}
+        self._configuration: dict[str, object] = {}
         for name, stage in (
             ("p1", "prefill"),
             ("p2", "prefill"),
@@ -187,8 +191,10 @@
         }
         if stage:
             entry["stage"] = stage
+        self._entry_by_name[name] = entry
         self.store.put(names.SERVERS_PREFIX + name, entry)
         if state == "draining":
+            self.upstream_by_name[name].is_leaving = True
             self.draining_since_s_by_name[name] = time.monotonic()
 
     def publish_configuration(self, keys: tuple[str, ...]) -> None:
@@ -217,11 +223,30 @@
             "services": [{"name": "planner", "engine": engine}, {"name": "bookings"}],
             "tenants": [{"name": f"w-{key}", "apiKeys": [key]} for key in keys],
         }
+        self._configuration = document
         self.store.put(names.CONFIGURATION_KEY, document)
         for key in API_KEYS:
             if key not in keys:
                 self.withdrawn_s_by_key.setdefault(key, time.monotonic())
 
+    def restore_store(self) -> None:
+        """Restore the store from the copy that was made at the last call, or at the first one."""
+        copy = self._copy or self.store.copy()
+        self._copy = self.store.copy()
+        self.store.restore(copy)
+
+    def write_again(self) -> None:
+        """Write what the operator and the upstreams last wrote, as they do after a restore."""
+        for name, entry in self._entry_by_name.items():
+            self.store.put(names.SERVERS_PREFIX + name, entry)
+        self.store.put(names.CONFIGURATION_KEY, self._configuration)
+
+    def turn_requests_away(self, name: str, duration_s: float) -> None:
+        """Have an upstream answer its next request 503 with a delay."""
+        upstream = self.upstream_by_name[name]
+        upstream.rejection_headers = {names.Header.RETRY_AFTER.value: f"{duration_s:.3f}"}
+        upstream.behaviours.append(fake_upstream.Behaviour.REJECT)
+
     def stop(self) -> None:
         """Kill the instances and stop the upstreams and the store."""
         for instance in self.instances:
