--- a/tests/platform_side/test_restore_model.py
+++ b/tests/platform_side/test_restore_model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hypothesis
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -207,3 +208,32 @@
     max_examples=100, stateful_step_count=50, derandomize=True, deadline=None
 )
 TestRestores = Restores.TestCase
+
+
+def adopt_lower_versions(patch):
+    """An instance takes what the store shows for the newest configuration."""
+
+    def adopt(self, configuration):
+        if configuration.revision <= self.configuration.revision:
+            return False
+        self.configuration = configuration
+        return True
+
+    patch.setattr(instance_state.InstanceState, "adopt", adopt)
+
+
+def ignore_eras(patch):
+    """Positions are revisions, as if the store had never been restored."""
+    patch.setattr(source_position, "create", lambda era, revision: revision)
+
+
+@pytest.mark.parametrize("plant_fault", [adopt_lower_versions, ignore_eras])
+def test_model_finds(plant_fault, monkeypatch):
+    plant_fault(monkeypatch)
+    settings = hypothesis.settings(
+        Restores.TestCase.settings,
+        phases=[hypothesis.Phase.generate],
+        report_multiple_bugs=False,
+    )
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Restores, settings=settings)
