Bound what reports hold about sound parts, and the cost of repeated proofs

A prompt may have 32 shared parts and 128 crashes are kept, so a report could hold thousands of parts, more than a datagram takes. Proofs of sound parts now go like crashes: new ones at once, older ones in turn, 24 in all.

--- a/src/carawaydoor/policy/crash_suspects.py
+++ b/src/carawaydoor/policy/crash_suspects.py
@@ -19,6 +19,8 @@
 # A part that crashes engines does so when the output begins; a generation that has run for longer is
 # sound.
 CRASH_ONSET_S: Final = 1.0
+# Peers repeat the same proof with slightly different ages.
+SOUND_RESOLUTION_S: Final = 0.2
 MAX_CRASHES: Final = 128
 MAX_SOUND_PARTS: Final = 1024
 
@@ -75,14 +77,14 @@
 
     :param at_s: time in seconds
     """
-    sound_s_by_part = dict(evidence.sound_s_by_part)
-    changed = False
-    for part in parts:
-        before_s = sound_s_by_part.pop(part, None)
-        sound_s_by_part[part] = at_s if before_s is None else max(before_s, at_s)
-        changed = True
-    if not changed:
+    known = evidence.sound_s_by_part
+    newly_seen = [
+        part for part in parts if at_s > known.get(part, float("-inf")) + SOUND_RESOLUTION_S
+    ]
+    if not newly_seen:
         return evidence
+    sound_s_by_part = {part: each for part, each in known.items() if part not in newly_seen}
+    sound_s_by_part.update(dict.fromkeys(newly_seen, at_s))
     while len(sound_s_by_part) > MAX_SOUND_PARTS:
         del sound_s_by_part[next(iter(sound_s_by_part))]
     if not evidence.crash_by_id:
--- a/src/carawaydoor/serving/crash_guard.py
+++ b/src/carawaydoor/serving/crash_guard.py
@@ -94,14 +94,14 @@
             for each in evidence.crash_by_id.values()
             if now_s - each.at_s < crash_suspects.SUSPENSION_S
         ]
-        sound = {
-            part: now_s - at_s
+        sound = [
+            (part, now_s - at_s)
             for part, at_s in crash_suspects.relevant_sound_parts(evidence).items()
-        }
+        ]
         return (
             _select(struck, [each.strike.at_s for each in struck], turn),
             _select(crashed, [each.age_s for each in crashed], turn),
-            sound,
+            dict(_select(sound, [age_s for _, age_s in sound], turn)),
         )
 
     def apply_strike(self, shared: reports.SharedStrike) -> None:
