Keep the soak's proxy accepting when a connection gets no thread

Once a soak found all instances "not ready" to its end, as its store was out of reach. A thread that can't be started raised in the loop that accepts connections and ended the proxy for good; whether that was the cause then is not shown. The connection is reset now, and the next one accepted.

--- a/tools/soak/fault_proxy.py
+++ b/tools/soak/fault_proxy.py
@@ -50,7 +50,12 @@
                 inbound, _ = self._listener.accept()
             except OSError:
                 return
-            threading.Thread(target=self._forward, args=(inbound,), daemon=True).start()
+            try:
+                threading.Thread(target=self._forward, args=(inbound,), daemon=True).start()
+            except RuntimeError as error:
+                # The machine has no thread left for this connection, but may have one for the next.
+                print(f"connection to {self._target} dropped: {error}")
+                _reset(inbound)
 
     def _forward(self, inbound: socket.socket) -> None:
         try:
