Keep the word of a leaving server whose entry is missing just then

A server that did not reach the store loses its entry while requests to it still end. When one of these said that it leaves, nothing was marked, since the directory did not know it; listed again, it got new requests. The test failed before.

--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -187,7 +187,7 @@
         if upstream is not None:
             gone_born_ms_by_id.pop(key, None)
             if upstream.is_leaving:
-                _remember(leaving_born_ms_by_id, upstream)
+                _remember(leaving_born_ms_by_id, key, upstream.born_ms)
             removal_due.pop(key, None)
             upstream_by_id[key] = upstream
             effects.extend(_effects_of(before, upstream))
@@ -200,7 +200,7 @@
         elif before is not None:
             removal_due.pop(key, None)
             del upstream_by_id[key]
-            _remember(gone_born_ms_by_id, before)
+            _remember(gone_born_ms_by_id, key, before.born_ms)
             effects.append(Gone(before))
     after = dataclasses.replace(
         state,
@@ -215,22 +215,22 @@
 
 def _mark_leaving(state: Directory, message: SaidLeaving) -> tuple[Directory, tuple[Effect, ...]]:
     before = state.upstream_by_id.get(message.upstream_id)
-    if before is None or before.born_ms != message.born_ms or before.is_leaving:
+    if before is not None and (before.born_ms != message.born_ms or before.is_leaving):
         return state, ()
-    leaving = dataclasses.replace(before, is_leaving=True)
     leaving_born_ms_by_id = dict(state.leaving_born_ms_by_id)
-    _remember(leaving_born_ms_by_id, leaving)
-    after = dataclasses.replace(
-        state,
-        upstream_by_id={**state.upstream_by_id, leaving.id: leaving},
-        leaving_born_ms_by_id=leaving_born_ms_by_id,
-    )
+    _remember(leaving_born_ms_by_id, message.upstream_id, message.born_ms)
+    after = dataclasses.replace(state, leaving_born_ms_by_id=leaving_born_ms_by_id)
+    if before is None:
+        # Its entry may only have expired while the server did not reach the store.
+        return after, ()
+    leaving = dataclasses.replace(before, is_leaving=True)
+    after = dataclasses.replace(after, upstream_by_id={**state.upstream_by_id, leaving.id: leaving})
     return after, (Leaving(leaving),)
 
 
-def _remember(born_ms_by_id: dict[str, int], upstream: entities.Upstream) -> None:
-    born_ms_by_id.pop(upstream.id, None)
-    born_ms_by_id[upstream.id] = upstream.born_ms
+def _remember(born_ms_by_id: dict[str, int], upstream_id: str, born_ms: int) -> None:
+    born_ms_by_id.pop(upstream_id, None)
+    born_ms_by_id[upstream_id] = born_ms
     if len(born_ms_by_id) > MAX_REMEMBERED:
         del born_ms_by_id[next(iter(born_ms_by_id))]
 
--- a/tests/policy/test_upstream_directory.py
+++ b/tests/policy/test_upstream_directory.py
@@ -168,3 +168,10 @@
     assert (set(state.upstream_by_id), effects) == ({"b"}, [])
     state, effects = run((3.0, changes(10, a=A)), state=state)
     assert effects == [upstream_directory.Joined(A)], "it lives and has written again"
+
+
+def test_word_of_a_server_whose_entry_has_expired_counts_when_it_is_listed_again():
+    """Its entry had expired while it did not reach the store, and was back when it did."""
+    said = upstream_directory.SaidLeaving("a", A.born_ms)
+    state, _ = run((0.0, snapshot(A, B)), (1.0, changes(a=None)), (2.0, said), (3.0, changes(a=A)))
+    assert state.upstream_by_id["a"].is_leaving
