--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -340,5 +340,5 @@
 
 
 def _is_event_stream(response: connections.UpstreamResponse) -> bool:
-    content_type = response.header_by_name.get("content-type", EVENT_STREAM_TYPE)
+    content_type = response.header_by_name.get("content-type", EVENT_STREAM_TYPE).lower()
     return response.status < MIN_UNSUCCESSFUL_STATUS and content_type.startswith(EVENT_STREAM_TYPE)
