Answer what callers have sent when an instance exits, and read nothing after it

An instance exits once it has had no request for 0.4 s, 2.6 s after SIGTERM at the earliest.

Before its exit an instance now lets one whole poll pass, so that all that was sent is read, then stops accepting and reading, and waits until all that was read is answered. A request after that stays unread, and its caller may send it elsewhere.

--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -43,6 +43,9 @@
 # Part of the grace period that is reserved for the exit of the process itself.
 EXIT_RESERVE_S: Final = 0.5
 LOG_FLUSH_TIMEOUT_S: Final = 0.3
+# A request that was just read is seen by the second check at the latest.
+MIN_IDLE_CHECKS: Final = 2
+IDLE_CHECK_INTERVAL_S: Final = 0.02
 # Maximum time for which a thread holds the interpreter lock while others wait for it.
 SWITCH_INTERVAL_S: Final = 0.005
 
@@ -137,6 +140,23 @@
                 eliot.write_traceback()
         eliot.log_message(message_type="stopped", requests_at_work=self._instance.active_requests)
 
+    def close_callers(self) -> None:
+        """Answer the requests that were sent before the drain ended, and read no more.
+
+        Callers may send elsewhere what was not read when their connection closes.
+        """
+        drain_started_s = self._instance.drain_started_s or self._clock.now_s()
+        deadline_s = drain_started_s + self._options.bounds.grace_s - EXIT_RESERVE_S
+        self._caller_server.wait_until_read(deadline_s - self._clock.now_s())
+        self._caller_server.stop_reading()
+        idle_checks = 0
+        while idle_checks < MIN_IDLE_CHECKS and self._clock.now_s() < deadline_s:
+            time.sleep(IDLE_CHECK_INTERVAL_S)
+            idle_checks = 0 if self._caller_server.has_unanswered() else idle_checks + 1
+        eliot.log_message(
+            message_type="callers_closed", unanswered=self._caller_server.has_unanswered()
+        )
+
     def _reload(self, was_signalled: bool) -> None:
         path = platform_settings.path_from_environment()
         if path is None or (not was_signalled and self._is_unchanged(path)):
@@ -188,6 +208,7 @@
     eliot.log_message(message_type="started", version=release.VERSION, process=os.getpid())
     daemon.run(stop_requested, reload_requested)
     daemon.drain()
+    daemon.close_callers()
     log_writer.stop(LOG_FLUSH_TIMEOUT_S)
     # Skips the cleanup at interpreter exit: only idle connections of callers are left.
     os._exit(exit_codes.ExitCode.OK)
--- a/src/carawaydoor/serving/http_servers.py
+++ b/src/carawaydoor/serving/http_servers.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
@@ -28,6 +29,7 @@
 CLEANUP_INTERVAL_S: Final = 5
 # Above this, sending to a slow caller blocks the thread of its request.
 MAX_BUFFERED_RESPONSE_BYTES: Final = 262_144
+POLL_CHECK_INTERVAL_S: Final = 0.005
 
 
 class _Task(caller_channel.Task):
@@ -44,6 +46,15 @@
 class _Channel(caller_channel.Channel):
     task_class = _Task
 
+    def readable(self) -> bool:
+        """Return whether more of a request may be read."""
+        return not self.server.has_stopped_reading and bool(super().readable())
+
+    def handle_read(self) -> None:
+        """Read a part of a request, unless reading was stopped since the poll began."""
+        if not self.server.has_stopped_reading:
+            super().handle_read()
+
 
 class GrowingDispatcher(waitress.task.ThreadedTaskDispatcher):  # type: ignore[misc]
     """Starts threads when they are needed, up to a limit, and keeps them."""
@@ -90,6 +101,9 @@
         )
         self._server.channel_class = _Channel
         self._server.is_draining = is_draining
+        self._server.has_stopped_reading = False
+        self._polls = 0
+        self._count_polls()
         self.apply_limits(entities.Limits())
 
     def apply_limits(self, limits: entities.Limits) -> None:
@@ -99,6 +113,40 @@
         adjustments.max_request_body_size = limits.max_body_bytes
         adjustments.channel_timeout = limits.idle_timeout_s + IDLE_TIMEOUT_SLACK_S
 
+    def wait_until_read(self, timeout_s: float) -> None:
+        """Wait until everything that callers have sent so far was read.
+
+        :param timeout_s: longest wait in seconds
+        """
+        # The poll that is under way may have begun before; the one after it sees all that was sent.
+        until_polls = self._polls + 2
+        deadline_s = time.monotonic() + timeout_s
+        while self._polls < until_polls and time.monotonic() < deadline_s:
+            self._server.pull_trigger()
+            time.sleep(POLL_CHECK_INTERVAL_S)
+
+    def stop_reading(self) -> None:
+        """Accept no connection and read no request any more; those that were read are answered."""
+        self._server.has_stopped_reading = True
+        self._server.accepting = False
+
+    def has_unanswered(self) -> bool:
+        """Return whether a request that was read has no complete response yet."""
+        return any(
+            each.requests or each.total_outbufs_len
+            for each in tuple(self._server.active_channels.values())
+        )
+
+    def _count_polls(self) -> None:
+        is_readable = self._server.readable
+
+        def readable() -> bool:
+            self._polls += 1
+            return bool(is_readable())
+
+        # Called once at the beginning of each poll.
+        self._server.readable = readable
+
     def start(self) -> None:
         """Start to accept callers."""
         threading.Thread(target=self._server.run, name="callers", daemon=True).start()
