Hear the peers before a store that was restored before is trusted

An instance that starts on a store with an era above zero now accepts no keys until it has heard every peer that it knows, for a second at most. Stores without the header or restores are not concerned.

--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -32,6 +32,8 @@
 # A caller whose timeout is a smaller part of the longest one on its route is assumed to be
 # retrying; the timeouts of first attempts differ by some 15% either way.
 MIN_FIRST_ATTEMPT_TIMEOUT_SHARE: Final = 0.7
+# Longest wait of an instance that has started for the reports of its peers, a few rounds of them.
+PEER_VERSION_WAIT_S: Final = 1.0
 # Stands for the infinite age of a configuration that was never proven newest.
 MAX_REPORTED_PROOF_AGE_S: Final = 1e6
 
@@ -54,6 +56,7 @@
         self.directory = upstream_directory.EMPTY
         bounds = options.bounds
         now_s = clock.now_s()
+        self._started_s: Final = now_s
         self.caps = usage_caps.create(
             usage_caps.CapRules(bounds.cap_window_s, bounds.cap_overshoot), now_s
         )
@@ -107,11 +110,24 @@
         """Return whether the configuration is proven recent enough to accept keys."""
         if not self.configuration.has_workspaces:
             return True
-        if self.configuration.version < self._version_lost_by_source:
+        if self.configuration.version < self._version_lost_by_source or self._may_hold_a_copy():
             return False
         now_s, bounds = self.clock.now_s(), self.options.bounds
         return freshness.may_accept_keys(self.freshness, now_s, bounds.withdrawal_s)
 
+    def _may_hold_a_copy(self) -> bool:
+        """Return whether the configuration may be an old one, read from a store just restored.
+
+        An instance that has just started does not know when the last restore was. Its peers do, so
+        it hears them first.
+        """
+        now_s = self.clock.now_s()
+        was_ever_restored = source_position.era_of(self.configuration.revision) > 0
+        if not was_ever_restored or now_s - self._started_s >= PEER_VERSION_WAIT_S:
+            return False
+        peers = self.membership.peer_by_instance.values()
+        return not peers or any(each.report is None for each in peers)
+
     def proof_age_s(self) -> float:
         """Return the time in seconds since the configuration was last proven newest."""
         return freshness.age_s(self.freshness, self.clock.now_s())
