Log the limits that upstreams name, and count what is sent to them

Incident with a server's limit, observability: nothing said that an upstream named a limit, or how much an instance sent to it, so unknown headers, limits kept by each instance alone and ways around a limit could not be told apart. The limit is decoded from every response (another server's and late ones to earlier requests excepted), its changes are logged with their age, and requests to limited upstreams are counted by upstream. Headers of the same family that this version does not know are logged once. Nothing obeys the limit yet.

--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -26,6 +26,10 @@
         self.upstream_calls: Final = exporter.create_counter(
             "carawaydoor_upstream_calls", "Calls to upstreams, by service and outcome."
         )
+        self.limited_requests: Final = exporter.create_counter(
+            "carawaydoor_limited_requests",
+            "Requests sent to upstreams that name a limit, by upstream.",
+        )
         self.stream_ends: Final = exporter.create_counter(
             "carawaydoor_stream_ends",
             "Streams whose upstream ended them, by framing and whether inside an event.",
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -30,6 +30,8 @@
 _PART_DIGEST_BYTES: Final = 8
 # Bounds what is kept of one prompt; the headers alone would allow hundreds of parts.
 _MAX_SHARED_PARTS: Final = 32
+# Standard headers for callers that begin like an upstream's notices to the router.
+_FORWARDED_NOTICE_HEADERS: Final = frozenset({"server-timing"})
 _PROBLEM_TYPE: Final = "application/problem+json"
 
 
@@ -82,7 +84,7 @@
             headers = [each for each in headers if each[0] != names.Header.LAST_EVENT_ID.value]
             headers.append((names.Header.LAST_EVENT_ID.value, request.last_event_id))
         return protocol_adapter.EncodedRequest(
-            inbound.method, inbound.target, tuple(headers), inbound.body
+            inbound.method, inbound.target, tuple(headers), inbound.body, inbound.id
         )
 
     def check_response(
@@ -110,15 +112,17 @@
         )
 
     def decode_notice(
-        self, status: int, headers: Mapping[str, str]
-    ) -> protocol_adapter.UpstreamNotice:
+        self, status: int, headers: Mapping[str, str], request_id: str
+    ) -> protocol_adapter.UpstreamNotice | None:
         """Decode what an upstream says about further requests.
 
         :param headers: headers of the response, with names in lower case
+        :param request_id: id of the request that was sent, empty for one without an id
         """
-        if status == _MISDIRECTED_STATUS:
-            # Sent by another server that now has the address.
-            return protocol_adapter.UpstreamNotice()
+        echoed_id = headers.get(names.Header.REQUEST_ID.lower(), request_id)
+        if status == _MISDIRECTED_STATUS or echoed_id != request_id:
+            # Sent by another server that now has the address, or in response to an earlier request.
+            return None
         return protocol_adapter.UpstreamNotice(
             is_leaving=headers.get(names.Header.LEAVING.lower(), "").strip() == _LEAVING,
             retry_after=(
@@ -127,11 +131,19 @@
                 else ""
             ),
             date=headers.get("date", ""),
+            limit=headers.get(names.Header.LIMIT.lower(), "").strip(),
+            unknown_headers=tuple(
+                name
+                for name in headers
+                if name.startswith(names.UPSTREAM_NOTICE_PREFIX)
+                and name not in names.UPSTREAM_NOTICE_HEADERS
+                and name not in _FORWARDED_NOTICE_HEADERS
+            ),
         )
 
     def caller_headers(self, headers: http_exchange.Headers) -> http_exchange.Headers:
         """Return the headers of an upstream's response that are passed on to the caller."""
-        dropped = {*names.HOP_BY_HOP_HEADERS, names.Header.LEAVING.lower()}
+        dropped = names.HOP_BY_HOP_HEADERS | names.UPSTREAM_NOTICE_HEADERS
         return tuple(each for each in headers if each[0].lower() not in dropped)
 
     def parse_prefill(
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -37,6 +37,9 @@
     STORE_ERA = "Store-Era"
     # "1" in every response of an upstream that is about to stop.
     LEAVING = "Server-Leaving"
+    # Requests a second that an upstream takes from all instances together, in each response for as
+    # long as the limit holds.
+    LIMIT = "Server-Limit"
 
 
 # Never forwarded from callers: the router consumes them or sets them itself.
@@ -57,6 +60,9 @@
         Header.HOLD,
     )
 )
+# What upstreams say of themselves to the router; not forwarded to callers.
+UPSTREAM_NOTICE_PREFIX: Final = "server-"
+UPSTREAM_NOTICE_HEADERS: Final = frozenset({Header.LEAVING.lower(), Header.LIMIT.lower()})
 HOP_BY_HOP_HEADERS: Final = frozenset(
     {
         "connection",
--- a/src/carawaydoor/policy/entities.py
+++ b/src/carawaydoor/policy/entities.py
@@ -7,6 +7,9 @@
 from collections.abc import Mapping
 from typing import Final
 
+# Id of an upstream and start of its process.
+Incarnation = tuple[str, int]
+
 BYTES_PER_MEGABIT: Final = 125_000.0
 # A generation's output grows from nothing to its whole length, so half of it is in the KV cache on
 # average.
@@ -187,6 +190,11 @@
         """Address as ``host:port``."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Id and start, which no other upstream shares."""
+        return self.id, self.born_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prompt:
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -83,10 +83,10 @@
         self,
         upstream: entities.Upstream,
         connected: sockets.InterruptibleSocket,
-        on_response: ResponseCallback,
+        pool: ConnectionPool,
     ) -> None:
         self.upstream: Final = upstream
-        self._on_response: Final = on_response
+        self._pool: Final = pool
         self.origin = Origin.NEW
         self._socket = connected
         self._http = http.client.HTTPConnection(upstream.host, upstream.port)
@@ -105,6 +105,8 @@
         self._socket.wait_limit = wait_limit
         self._socket.readable_bytes = MAX_HEAD_BYTES
         wait_limit.next_wait_s()
+        sent_s = self._pool.clock.now_s()
+        self._pool.on_request(self.upstream)
         try:
             self._write(request)
             response = self._http.getresponse()
@@ -113,8 +115,8 @@
         except (http.client.HTTPException, ValueError) as error:
             raise MalformedResponseError(repr(error)) from error
         self._socket.readable_bytes = MAX_TRANSFERRED_BODY_BYTES
-        opened = UpstreamResponse(self, response)
-        self._on_response(self.upstream, opened)
+        opened = UpstreamResponse(self, response, request.request_id, sent_s)
+        self._pool.on_response(self.upstream, opened)
         return opened
 
     def set_wait_limit(self, wait_limit: sockets.WaitLimit) -> None:
@@ -145,10 +147,22 @@
 
 
 class UpstreamResponse:
-    """The response of an upstream, whose body is read as it arrives."""
+    """The response of an upstream, whose body is read as it arrives.
 
-    def __init__(self, connection: Connection, response: http.client.HTTPResponse) -> None:
+    :ivar request_id: id of the request, empty for one without an id
+    :ivar requested_s: when the request was sent, by this instance's clock
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        response: http.client.HTTPResponse,
+        request_id: str,
+        requested_s: float,
+    ) -> None:
         self._connection = connection
+        self.request_id: Final = request_id
+        self.requested_s: Final = requested_s
         self._response = response
         self.status: Final = response.status
         self.reason: Final = response.reason
@@ -204,18 +218,21 @@
         return MAX_IDLE_SHARE * int(match.group(1)) if match else DEFAULT_MAX_IDLE_S
 
 
+RequestCallback = Callable[[entities.Upstream], None]
 ResponseCallback = Callable[[entities.Upstream, UpstreamResponse], None]
 
 
 class ConnectionPool:
     """Idle connections by upstream.
 
+    :ivar on_request: called before any request is sent
     :ivar on_response: called with each response to any request, as soon as its headers are there
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
+        self.on_request: RequestCallback = _ignore_request
         self.on_response: ResponseCallback = _ignore_response
-        self._clock = clock
+        self.clock: Final = clock
         self._lock = threading.Lock()
         self._idle_by_upstream: dict[tuple[str, str, int], collections.deque[_IdleConnection]] = (
             collections.defaultdict(collections.deque)
@@ -247,7 +264,7 @@
         except OSError as error:
             raise NotSentError(repr(error)) from error
         interruptible = sockets.InterruptibleSocket(connected, sockets.NO_WAIT)
-        return Connection(upstream, interruptible, self.on_response)
+        return Connection(upstream, interruptible, self)
 
     def release(self, connection: Connection, response: UpstreamResponse) -> None:
         """Keep a connection for the next request, or close it if it cannot be reused."""
@@ -255,7 +272,7 @@
         if not max_idle_s or not connection.is_reusable():
             connection.close()
             return
-        idle = _IdleConnection(connection, self._clock.now_s() + max_idle_s)
+        idle = _IdleConnection(connection, self.clock.now_s() + max_idle_s)
         with self._lock:
             self._idle_by_upstream[_pool_key(connection.upstream)].append(idle)
 
@@ -268,7 +285,7 @@
 
     def close_expired(self) -> None:
         """Close the connections that were idle for too long."""
-        now_s = self._clock.now_s()
+        now_s = self.clock.now_s()
         expired: list[_IdleConnection] = []
         with self._lock:
             for idle in self._idle_by_upstream.values():
@@ -284,11 +301,15 @@
                 newest = idle.pop() if idle else None
             if newest is None:
                 return None
-            if newest.expires_s > self._clock.now_s() and newest.connection.is_reusable():
+            if newest.expires_s > self.clock.now_s() and newest.connection.is_reusable():
                 return newest.connection
             newest.connection.close()
 
 
+def _ignore_request(_: entities.Upstream) -> None:
+    """Do nothing, as the default callback."""
+
+
 def _ignore_response(_: entities.Upstream, __: UpstreamResponse) -> None:
     """Do nothing, as the default callback."""
 
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -25,7 +25,7 @@
     upstream_directory,
     usage_caps,
 )
-from carawaydoor.serving import connections, crash_guard, upstream_selection
+from carawaydoor.serving import connections, crash_guard, upstream_limiter, upstream_selection
 
 # Changed usage is repeated in work reports for this time, in case one of them is lost.
 RECENT_USAGE_S: Final = 2.0
@@ -67,6 +67,7 @@
             now_s,
         )
         self.crash_guard: Final = crash_guard.CrashGuard(clock)
+        self.upstream_limiter: Final = upstream_limiter.UpstreamLimiter(clock, metrics)
         self._source_reachable_since_s: float | None = None
         self.source_revision = 0
         # A version that a peer holds of an era before the one of the configuration here.
@@ -522,6 +523,7 @@
             case upstream_directory.Gone():
                 self.connection_pool.close_idle(upstream)
                 self.selector.forget_health(upstream.id)
+                self.upstream_limiter.remove(upstream)
                 change = "upstream_gone"
             case upstream_directory.Leaving():
                 self.connection_pool.close_idle(upstream)
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -19,12 +19,14 @@
     """An HTTP request in the form in which it is written to an upstream.
 
     :ivar headers: all headers except ``Content-Length``
+    :ivar request_id: id of the request, empty for one without an id
     """
 
     method: str
     target: str
     headers: http_exchange.Headers
     body: bytes
+    request_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,11 +72,16 @@
     :ivar retry_after: how long it wants no requests from this instance, as stated; empty if it does
         not say
     :ivar date: when it sent the response, as stated
+    :ivar limit: requests a second that it takes from all instances together, as stated; empty if it
+        names no limit
+    :ivar unknown_headers: names of headers that seem to be notices of another kind
     """
 
     is_leaving: bool = False
     retry_after: str = ""
     date: str = ""
+    limit: str = ""
+    unknown_headers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,8 +139,14 @@
         """Return what an upstream's response means; header names are in lower case."""
 
     @abc.abstractmethod
-    def decode_notice(self, status: int, headers: Mapping[str, str]) -> UpstreamNotice:
-        """Return what an upstream says about further requests; header names are in lower case."""
+    def decode_notice(
+        self, status: int, headers: Mapping[str, str], request_id: str
+    ) -> UpstreamNotice | None:
+        """Return what an upstream says about further requests; header names are in lower case.
+
+        :param request_id: id of the request that was sent, empty for one without an id
+        :return: None if the response is another server's, or a late one to an earlier request
+        """
 
     @abc.abstractmethod
     def caller_headers(self, headers: http_exchange.Headers) -> http_exchange.Headers:
--- a/src/carawaydoor/serving/turned_away.py
+++ b/src/carawaydoor/serving/turned_away.py
@@ -26,7 +26,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        self._until_s_by_incarnation: dict[tuple[str, int], float] = {}
+        self._until_s_by_incarnation: dict[entities.Incarnation, float] = {}
         self._malformed_logged_s_by_id: dict[str, float] = {}
         self._random = random.Random()
 
@@ -39,9 +39,9 @@
                 for key, until_s in self._until_s_by_incarnation.items()
                 if until_s > now_s
             }
-            is_longer = now_s + delay_s > waiting.get(_incarnation(upstream), now_s)
+            is_longer = now_s + delay_s > waiting.get(upstream.incarnation, now_s)
             if is_longer:
-                waiting[_incarnation(upstream)] = now_s + delay_s
+                waiting[upstream.incarnation] = now_s + delay_s
             self._until_s_by_incarnation = waiting
         if is_longer:
             eliot.log_message(
@@ -66,7 +66,7 @@
 
     def remaining_s(self, upstream: entities.Upstream) -> float:
         """Return for how many more seconds an upstream wants no requests, zero if it takes them."""
-        until_s = self._until_s_by_incarnation.get(_incarnation(upstream))
+        until_s = self._until_s_by_incarnation.get(upstream.incarnation)
         return 0.0 if until_s is None else max(0.0, until_s - self._clock.now_s())
 
     def willing(self, upstreams: Iterable[entities.Upstream]) -> tuple[entities.Upstream, ...]:
@@ -84,7 +84,3 @@
         if not remaining_s or min(remaining_s) <= 0.0:
             return None
         return min(remaining_s) * (1.0 + RETRY_SPREAD_SHARE * self._random.random())
-
-
-def _incarnation(upstream: entities.Upstream) -> tuple[str, int]:
-    return upstream.id, upstream.born_ms
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -22,6 +22,7 @@
 KV_RELEASE_TIMEOUT_S = 0.5
 # A crashed upstream refuses a connection within a round trip.
 QUICK_CRASH_CHECK_TIMEOUT_S = 0.05
+MAX_LOGGED_UNKNOWN_HEADERS = 16
 
 
 class Failure(enum.Enum):
@@ -82,19 +83,40 @@
     ) -> None:
         self._instance = instance
         self._adapter = adapter
-        # Covers the responses to reports and stage orders as well.
+        # Covers reports and stage orders as well.
+        instance.connection_pool.on_request = instance.upstream_limiter.record_sent
         instance.connection_pool.on_response = self._apply_notice
+        self._logged_unknown_headers: set[str] = set()
 
     def _apply_notice(
         self, upstream: entities.Upstream, response: connections.UpstreamResponse
     ) -> None:
-        notice = self._adapter.decode_notice(response.status, response.header_by_name)
+        notice = self._adapter.decode_notice(
+            response.status, response.header_by_name, response.request_id
+        )
+        if notice is None:
+            return
         if notice.is_leaving:
             self._instance.update_directory(
                 upstream_directory.SaidLeaving(upstream.id, upstream.born_ms)
             )
         if notice.retry_after:
             self._apply_retry_after(upstream, notice)
+        self._instance.upstream_limiter.record_text(upstream, notice.limit, response.requested_s)
+        self._log_unknown_headers(upstream, notice.unknown_headers)
+
+    def _log_unknown_headers(self, upstream: entities.Upstream, names: tuple[str, ...]) -> None:
+        """Log notices that this version can't obey, once for each name."""
+        for name in names:
+            if (
+                name in self._logged_unknown_headers
+                or len(self._logged_unknown_headers) >= MAX_LOGGED_UNKNOWN_HEADERS
+            ):
+                continue
+            self._logged_unknown_headers.add(name)
+            eliot.log_message(
+                message_type="upstream_notice_unknown", upstream=upstream.id, header=name[:64]
+            )
 
     def _apply_retry_after(
         self, upstream: entities.Upstream, notice: protocol_adapter.UpstreamNotice
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -117,6 +117,7 @@
         self.released_handles: list[str] = []
         self.events = events
         self.is_leaving = False
+        self.notice_headers: dict[str, str] = {}
         self.rejection_headers: dict[str, str] = {}
         self.connections = 0
         self.orders: list[dict[str, object]] = []
@@ -163,6 +164,8 @@
     def end_headers(self) -> None:
         if self.server.upstream.is_leaving:
             self.send_header("Server-Leaving", "1")
+        for name, value in self.server.upstream.notice_headers.items():
+            self.send_header(name, value)
         super().end_headers()
 
     def _handle(self) -> None:
