--- /dev/null
+++ b/tests/platform_side/harness_fleet.py
@@ -0,0 +1,57 @@
+"""Several router instances in the test process that share upstreams and exchange reports."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import Iterator
+
+from carawaydoor.fleet import codec
+from carawaydoor.operating import clocks
+from carawaydoor.policy import entities, upstream_directory
+from tests.platform_side import fake_upstream, router_harness
+
+
+class HarnessFleet:
+    """Instances with the same upstreams and one clock."""
+
+    def __init__(self, size: int, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.members = [router_harness.RouterHarness(clock, f"m-{n}") for n in range(size)]
+        self.random = random.Random(1)
+
+    def add_upstream(
+        self, name: str, stage: entities.Stage = entities.Stage.NONE
+    ) -> fake_upstream.FakeUpstream:
+        """Start a fake upstream and add it to the directories of all instances."""
+        first, *others = self.members
+        upstream = first.add_upstream(name, stage)
+        entry = first.instance.directory.upstream_by_id[name]
+        for each in others:
+            each.instance.update_directory(upstream_directory.Changes({name: entry}, 1))
+        return upstream
+
+    def exchange_reports(self) -> None:
+        """Have every instance report to every other one, and prove the configuration newest."""
+        for sender in self.members:
+            sender.instance.confirm_revision(1, self.clock.now_s())
+            sender.instance.expire()
+            report, _, _ = sender.instance.compose_report()
+            for receiver in self.members:
+                if receiver is not sender:
+                    receiver.instance.handle_report(codec.decode(codec.encode(report)))
+
+    def any_member(self) -> router_harness.RouterHarness:
+        """Return an instance that is drawn at random."""
+        return self.random.choice(self.members)
+
+
+@contextlib.contextmanager
+def running(size: int, clock: clocks.Clock) -> Iterator[HarnessFleet]:
+    """Provide a fleet and stop its upstreams at the end."""
+    fleet = HarnessFleet(size, clock)
+    try:
+        yield fleet
+    finally:
+        for upstream in fleet.members[0].upstreams.values():
+            upstream.stop()
