--- a/src/carawaydoor/coordination/idempotency_owner.py
+++ b/src/carawaydoor/coordination/idempotency_owner.py
@@ -10,9 +10,9 @@
     idempotency,
     messages,
     ownership,
-    rendezvous,
 )
 from carawaydoor.interface import errors
+from carawaydoor.policy import rendezvous
 
 PARTITION_COUNT = 64
 MAX_ISSUED_KEY_AGE_S = 900.0
--- a/src/carawaydoor/coordination/ownership.py
+++ b/src/carawaydoor/coordination/ownership.py
@@ -20,7 +20,8 @@
 import dataclasses
 from collections.abc import Iterable, Iterator, Mapping
 
-from carawaydoor.coordination import cluster_view, messages, rendezvous
+from carawaydoor.coordination import cluster_view, messages
+from carawaydoor.policy import rendezvous
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/publishing/watchers.py
+++ b/src/carawaydoor/publishing/watchers.py
@@ -4,10 +4,11 @@
 
 from typing import Final
 
-from carawaydoor.coordination import cluster_view, core_events, messages, rendezvous
+from carawaydoor.coordination import cluster_view, core_events, messages
 from carawaydoor.interface import errors, instance_context
 from carawaydoor.links import peer_connection
 from carawaydoor.operating import audit, clocks, task
+from carawaydoor.policy import rendezvous
 from carawaydoor.publishing import configuration_state, platform_client
 
 LONG_POLL_S: Final = 0.4
