--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -43,6 +43,7 @@
         proxy_by_name={"s1": None},
         draining_since_s_by_name={"s1": 50.0},
         withdrawn_s_by_key={"key-b": 10.0},
+        limit_by_name={},
     )
 
 
@@ -100,3 +101,17 @@
     late = outcome(key="key-b", is_complete=True, status=502, instance="i1", sent_s=39.0)
     (violation,) = checks.find_violations(environment, [late])
     assert "withdrawn 29.0 s earlier" in violation
+
+
+@pytest.mark.parametrize(("count", "is_reported"), [(11, False), (12, True)])
+def test_requests_beyond_a_limit_are_reported(environment, count, is_reported):
+    environment.limit_by_name["s1"] = soak_environment.Limit(1.0, 30.0)
+    environment.draining_since_s_by_name.clear()
+    upstream = environment.upstream_by_name["s1"]
+    upstream.received = [received_request(40.0 + 0.1 * number) for number in range(count)]
+    upstream.received += [received_request(31.0 + 0.01 * number) for number in range(40)]
+    answered = outcome(path="/safe/x", is_complete=True, status=502)
+    violations = list(checks.find_violations(environment, [answered]))
+    assert bool(violations) is is_reported
+    environment.fault_history.record_disturbance("i0", 38.0, 0.5)
+    assert not list(checks.find_violations(environment, [answered]))
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,7 +13,7 @@
 
 import cyclopts
 
-from tools.soak import callers, checks, faults, soak_environment
+from tools.soak import callers, checks, faults, limits, soak_environment
 
 DEFAULT_FAULT_DURATION_S: Final = 20.0
 CALLER_COUNT: Final = 12
@@ -41,6 +41,7 @@
         violations = list(checks.wait_until_ready(environment))
         for sender in senders:
             sender.start()
+        limits.LimitNamer(environment, seed).start()
         injector = faults.FaultInjector(environment, seed)
         injector.run(seconds)
         violations.extend(checks.wait_until_ready(environment))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -19,6 +19,11 @@
 UNDISTURBED_BEFORE_S: Final = 3.0
 # An instance that no fault affects has read a request within this time.
 MAX_READ_DELAY_S: Final = 0.2
+# A limit holds in each window of this length, from some time after an upstream first named it.
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_NOTICE_S: Final = 3.0
+LIMIT_OVERSHOOT: Final = 1.5
+LIMIT_SLACK_REQUESTS: Final = 5
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 _NO_RUN_BEHAVIOURS: Final = frozenset(
     {fake_upstream.Behaviour.REJECT, fake_upstream.Behaviour.MISDIRECT}
@@ -73,6 +78,7 @@
             yield f"{each.id} ran with a key withdrawn {late_s:.1f} s earlier"
     yield from _find_requests_aborted_by_shutdown(environment, outcomes)
     yield from _find_requests_to_drained_upstreams(environment, outcomes)
+    yield from _find_requests_beyond_limits(environment, outcomes)
     for upstream in environment.upstream_by_name.values():
         for request in upstream.received:
             if request.header(names.Header.KEY) is not None:
@@ -135,6 +141,37 @@
                 yield f"{name} received a request of {instance} {late_s:.1f} s after drain start"
 
 
+def _find_requests_beyond_limits(
+    environment: soak_environment.SoakEnvironment, outcomes: list[callers.Outcome]
+) -> Iterator[str]:
+    """Yield limits that instances without a disturbance did not keep together.
+
+    Prefills of a request count as well, since each is a request to an engine.
+    """
+    instance_by_id = {each.id: each.instance for each in outcomes}
+    for name, limit in environment.limit_by_name.items():
+        bound_s = [
+            request.at_s
+            for request in environment.upstream_by_name[name].received
+            if request.at_s >= limit.since_s + LIMIT_NOTICE_S
+            and environment.fault_history.is_undisturbed(
+                {instance_by_id.get(request.header(names.Header.REQUEST_ID) or "", ""), name},
+                request.at_s - UNDISTURBED_BEFORE_S,
+                request.at_s,
+            )
+        ]
+        allowed = LIMIT_OVERSHOOT * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK_REQUESTS
+        most = max(
+            (
+                sum(from_s <= each < from_s + LIMIT_WINDOW_S for each in bound_s)
+                for from_s in bound_s
+            ),
+            default=0,
+        )
+        if most > allowed:
+            yield f"{name} with a limit of {limit.per_s} a second got {most} requests in 4 s"
+
+
 def wait_until_ready(environment: soak_environment.SoakEnvironment) -> Iterator[str]:
     """Wait until all instances are ready and yield those that are not in time."""
     deadline_s = time.monotonic() + READY_TIMEOUT_S
--- a/tools/soak/soak_environment.py
+++ b/tools/soak/soak_environment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import http.client
 import json
 import os
@@ -133,11 +134,20 @@
         return document
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """A limit in requests a second that an upstream names since a time."""
+
+    per_s: float
+    since_s: float
+
+
 class SoakEnvironment:
     """Instances, with fault proxies in front of each upstream and of the configuration store.
 
     :ivar store: stand-in for the store of configuration and upstream entries
     :ivar draining_since_s_by_name: monotonic time at which an upstream began to drain
+    :ivar limit_by_name: limits that upstreams name, and since when in monotonic seconds
     :ivar withdrawn_s_by_key: monotonic time at which an API key was withdrawn
     """
 
@@ -149,6 +159,7 @@
         self.upstream_by_name: dict[str, fake_upstream.FakeUpstream] = {}
         self.proxy_by_name: dict[str, fault_proxy.FaultProxy] = {}
         self.draining_since_s_by_name: dict[str, float] = {}
+        self.limit_by_name: dict[str, Limit] = {}
         self.withdrawn_s_by_key: dict[str, float] = {}
         self.fault_history = fault_history.FaultHistory()
         self._configuration_version = 1
@@ -247,6 +258,12 @@
         upstream.rejection_headers = {names.Header.RETRY_AFTER.value: f"{duration_s:.3f}"}
         upstream.behaviours.append(fake_upstream.Behaviour.REJECT)
 
+    def name_limit(self, name: str, limit_per_s: float, at_s: float) -> None:
+        """Have an upstream name a limit in all further responses."""
+        upstream = self.upstream_by_name[name]
+        upstream.notice_headers = {names.Header.LIMIT.value: str(limit_per_s)}
+        self.limit_by_name[name] = Limit(limit_per_s, at_s)
+
     def stop(self) -> None:
         """Kill the instances and stop the upstreams and the store."""
         for instance in self.instances:
