Compare a copy that was read late with what peers were heard to hold

An instance started while the store was away, heard its peers, and only then read the restored copy. What peers hold of an earlier era was compared with its own configuration as they reported, when it had none; so it trusted the copy until the next report, 70 ms later. It is compared now when a configuration is adopted as well. The test fails before (the key is accepted).

--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -152,6 +152,10 @@
                 )
                 return False
             self.configuration = configuration
+            for peer in self.membership.peer_by_instance.values():
+                # Peers may have been heard before this instance knew which era it reads.
+                if peer.report is not None:
+                    self._note_version_of_earlier_era(peer.report)
         eliot.log_message(
             message_type="configuration_adopted",
             version=configuration.version,
--- a/tests/platform_side/test_store_restored.py
+++ b/tests/platform_side/test_store_restored.py
@@ -146,3 +146,30 @@
             put_configuration(store, 9, ["other-key"])
             stored_documents.wait_until(lambda: version_of(started) == 9)
             stored_documents.wait_until(started.accepts_keys)
+
+
+# Guards against withdrawn keys at an instance that started while the store was away: what its peers held
+# was compared with its own configuration only as they reported, and not once it had read the copy.
+def test_copy_that_is_read_after_the_peers_were_heard_does_not_bring_a_withdrawn_key_back(store):
+    with instance_watching(store, "before") as before:
+        put_configuration(store, 8, ["withdrawn-key"])
+        copy = store.copy()
+        put_configuration(store, 9, ["other-key"])
+        stored_documents.wait_until(lambda: version_of(before) == 9)
+        report = before.compose_report()[0]
+    store.restore(copy)
+    with router_harness.running(instance="started") as harness:
+        started = harness.instance
+        started.configuration = router_harness.entities.EMPTY_CONFIGURATION
+        started.handle_report(report)
+        source = store_source.StoreSource(platform_options.Address("127.0.0.1", store.port))
+        update = source.read(1.0)
+        assert update.configuration is not None
+        started.adopt(update.configuration)
+        started.confirm_revision(update.configuration.revision, harness.clock.now_s())
+        assert version_of(started) == 8
+        assert not started.accepts_keys()
+        put_configuration(store, 9, ["other-key"])
+        started.adopt(source.read(1.0).configuration)
+        started.confirm_revision(started.configuration.revision, harness.clock.now_s())
+        assert started.accepts_keys()
