Use upstreams that all leave at once for as long as they serve

Where all servers of a plain service said that they leave, requests were refused at once although the servers go on for a while. They are used until drainMs less a second after this instance learned it; not if it learned it after an outage of the store, when the time is not known, and not for generations, which last longer.

--- a/src/carawaydoor/operating/platform_options.py
+++ b/src/carawaydoor/operating/platform_options.py
@@ -29,6 +29,7 @@
     :ivar stable_window_s: time without a disturbance after which the instance has to meet its
         bounds
     :ivar cap_window_s: length of the window in which the usage of a workspace is counted
+    :ivar drain_s: time from an upstream's notice that it leaves until no request may be sent there
     :ivar cap_overshoot: fraction by which all instances together may exceed a workspace's cap
     """
 
@@ -40,6 +41,7 @@
     stable_window_s: float
     cap_window_s: float
     cap_overshoot: float
+    drain_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -124,6 +124,7 @@
             stable_window_s=bounds.stableWindowMs / _MS_PER_S,
             cap_window_s=bounds.quotaWindowS,
             cap_overshoot=bounds.quotaOvershoot,
+            drain_s=bounds.drainMs / _MS_PER_S,
         ),
         max_descriptors=settings.limits.fileDescriptors,
     )
--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -29,6 +29,7 @@
         first
     :ivar gone_born_ms_by_id: the start of the latest incarnation whose entry was removed, oldest
         first
+    :ivar leaving_since_s_by_id: when upstreams began to leave that this instance knew before
     :ivar grace_until_s: until then a missing entry may still reappear
     :ivar revision: revision of the store that this reflects, zero before the first read
     """
@@ -40,6 +41,7 @@
     revision: int
     leaving_born_ms_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
     gone_born_ms_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    leaving_since_s_by_id: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 EMPTY: Final = Directory({}, {}, 0.0, False, 0)
@@ -131,6 +133,33 @@
 Effect = Gone | Leaving | Joined | StageChanged
 
 
+def usable(state: Directory, now_s: float, last_use_s: float) -> tuple[entities.Upstream, ...]:
+    """Return the upstreams with those that began to leave lately as if they stayed, if none else is.
+
+    A server goes on serving for a while after it has said that it leaves. That is of use only for
+    plain requests, since generations last longer.
+
+    :param last_use_s: seconds after the beginning for which requests may still be sent
+    """
+    upstreams = tuple(state.upstream_by_id.values())
+    lately = {
+        key for key, since_s in state.leaving_since_s_by_id.items() if now_s - since_s < last_use_s
+    }
+    if not lately:
+        return upstreams
+    with_staying = {each.service for each in upstreams if not each.is_leaving}
+    return tuple(
+        (
+            dataclasses.replace(each, is_leaving=False)
+            if each.id in lately
+            and each.stage is entities.Stage.NONE
+            and each.service not in with_staying
+            else each
+        )
+        for each in upstreams
+    )
+
+
 def step(state: Directory, now_s: float, message: Message) -> tuple[Directory, tuple[Effect, ...]]:
     """Apply a message and return the changes of upstreams that follow from it."""
     match message:
@@ -162,7 +191,7 @@
         case Changes():
             return _apply_changes(state, now_s, message.upstream_by_id, message.revision)
         case SaidLeaving():
-            return _mark_leaving(state, message)
+            return _mark_leaving(state, now_s, message)
         case Tick():
             return _remove_expired(state, now_s)
 
@@ -205,6 +234,7 @@
     after = dataclasses.replace(
         state,
         upstream_by_id=upstream_by_id,
+        leaving_since_s_by_id=_leaving_since(state, now_s, upstream_by_id, effects),
         removal_due_s_by_id=removal_due,
         leaving_born_ms_by_id=leaving_born_ms_by_id,
         gone_born_ms_by_id=gone_born_ms_by_id,
@@ -213,7 +243,30 @@
     return after, tuple(effects)
 
 
-def _mark_leaving(state: Directory, message: SaidLeaving) -> tuple[Directory, tuple[Effect, ...]]:
+def _leaving_since(
+    state: Directory,
+    now_s: float,
+    upstream_by_id: Mapping[str, entities.Upstream],
+    effects: list[Effect],
+) -> dict[str, float]:
+    since_s_by_id = {
+        key: since_s
+        for key, since_s in state.leaving_since_s_by_id.items()
+        if key in upstream_by_id
+    }
+    # After an outage of the store it is not known when they began to leave.
+    is_current = not state.is_store_unavailable and now_s >= state.grace_until_s
+    for effect in effects:
+        if isinstance(effect, Joined):
+            since_s_by_id.pop(effect.upstream.id, None)
+        elif isinstance(effect, Leaving) and is_current:
+            since_s_by_id.setdefault(effect.upstream.id, now_s)
+    return since_s_by_id
+
+
+def _mark_leaving(
+    state: Directory, now_s: float, message: SaidLeaving
+) -> tuple[Directory, tuple[Effect, ...]]:
     before = state.upstream_by_id.get(message.upstream_id)
     if before is not None and (before.born_ms != message.born_ms or before.is_leaving):
         return state, ()
@@ -224,7 +277,11 @@
         # Its entry may only have expired while the server did not reach the store.
         return after, ()
     leaving = dataclasses.replace(before, is_leaving=True)
-    after = dataclasses.replace(after, upstream_by_id={**state.upstream_by_id, leaving.id: leaving})
+    after = dataclasses.replace(
+        after,
+        upstream_by_id={**state.upstream_by_id, leaving.id: leaving},
+        leaving_since_s_by_id={**state.leaving_since_s_by_id, leaving.id: now_s},
+    )
     return after, (Leaving(leaving),)
 
 
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -49,7 +49,7 @@
         "first_port": 0,
         "seeds": (),
         "store": platform_options.Address("127.0.0.1", 1),
-        "bounds": platform_options.Bounds(5.0, 8.0, 0.2, 54.0, 10.0, 3.0, 8.0, 0.25),
+        "bounds": platform_options.Bounds(5.0, 8.0, 0.2, 54.0, 10.0, 3.0, 8.0, 0.25, 2.0),
         "max_descriptors": 1000,
     }
     return platform_options.Options(**{**values, **changes})
--- a/tests/platform_side/test_upstream_notices.py
+++ b/tests/platform_side/test_upstream_notices.py
@@ -179,3 +179,35 @@
     other.behaviours = [Behaviour.REJECT] * 9
     live_harness.stream().read()
     assert len(other.received) <= 1
+
+
+def test_upstreams_that_all_leave_serve_plain_requests_for_a_while(harness, clock):
+    """Requests were refused at once, although the servers go on until others have taken over."""
+    upstreams = [harness.add_upstream(name) for name in ("a", "b")]
+    for each in upstreams:
+        each.is_leaving = True
+    assert [harness.call("/safe/x").read().status for _ in range(6)] == [200] * 6
+    clock.advance(1.1)
+    assert harness.call("/safe/x").read().status == 503
+    reached = sum(len(each.received) for each in upstreams)
+    assert reached == 6, "nothing is sent later than a server serves for certain"
+
+
+def test_upstream_that_leaves_gets_nothing_while_another_one_stays(harness):
+    leaving, staying = harness.add_upstream("a"), harness.add_upstream("b")
+    leaving.is_leaving = True
+    reach(leaving, harness)
+    staying.behaviours = [Behaviour.REJECT] * 3
+    assert requests_reaching(leaving, harness) == 0
+
+
+def test_upstreams_that_left_during_an_outage_of_the_store_are_not_used(harness, clock):
+    """It is not known for how long they still serve."""
+    upstream = harness.add_upstream("a")
+    harness.instance.update_directory(upstream_directory.StoreUnavailable())
+    harness.instance.update_directory(upstream_directory.StoreRecovered())
+    address = f"127.0.0.1:{upstream.port}"
+    entry = builders.upstream("a", address=address, is_leaving=True)
+    harness.instance.update_directory(upstream_directory.Changes({"a": entry}, 2))
+    assert harness.call("/safe/x").read().status == 503
+    assert upstream.received == []
