Tell peers which upstreams turn requests away, and have them prefer others

Peers learned nothing of an upstream that wants no requests from an instance, and each had to be turned away itself. The upstream spoke of one instance alone, so peers go on using it, but only if it is less loaded by half of its capacity than others, for 5 s at most.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -108,6 +108,7 @@
         sound_age_s_by_part=dict(report.sound_age_s_by_part),
         configuration_version=report.configuration_version,
         limits=_limit_structs(report.limits),
+        turned_away_s_by_upstream=dict(report.turned_away_s_by_upstream),
     )
 
 
@@ -193,6 +194,7 @@
         sound_age_s_by_part=message.sound_age_s_by_part or {},
         configuration_version=int(message.configuration_version or 0),
         limits=_limits(message.limits),
+        turned_away_s_by_upstream=message.turned_away_s_by_upstream or {},
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -132,6 +132,14 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerTurnedAway:
+    """An upstream wants no requests from a peer for a while."""
+
+    upstream: str
+    for_s: float
+
+
 Effect = (
     FreshnessProof
     | PeerUsage
@@ -142,6 +150,7 @@
     | reports.SoundPart
     | reports.SharedLimit
     | UpstreamPaused
+    | PeerTurnedAway
 )
 
 
@@ -175,6 +184,7 @@
     effects.extend(report.crashes)
     effects.extend(reports.SoundPart(*each) for each in report.sound_age_s_by_part.items())
     effects.extend(report.limits)
+    effects.extend(PeerTurnedAway(*each) for each in report.turned_away_s_by_upstream.items())
     effects.extend(UpstreamPaused(*each) for each in report.set_aside_s_by_upstream.items())
     echo_s = report.echo_by_instance.get(state.instance)
     if echo_s is not None and echo_s <= now_s:
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -77,6 +77,7 @@
     _amounts("sound_age_s_by_part"),
     (_I64, "configuration_version"),
     (thrift.TType.LIST, "limits", (thrift.TType.STRUCT, Limit)),
+    _amounts("turned_away_s_by_upstream"),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -91,6 +91,8 @@
     :ivar sound_age_s_by_part: for parts of prompts that occur in crashes, the seconds since a
         generation with the part was seen to go on
     :ivar limits: limits that upstreams have told the sender
+    :ivar turned_away_s_by_upstream: for each upstream that wants no requests from the sender, the
+        seconds for which it wants none
     """
 
     contact: Contact
@@ -115,6 +117,7 @@
     sound_age_s_by_part: Mapping[str, float] = dataclasses.field(default_factory=dict)
     configuration_version: int = 0
     limits: tuple[SharedLimit, ...] = ()
+    turned_away_s_by_upstream: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -42,6 +42,10 @@
 # Fraction of a KV cache that has to stay free beside the copy of another engine's generation. A copy
 # can't be evicted, so it may only take room that no burst needs.
 BACKUP_RESERVE_SHARE: Final = 0.7
+# An upstream that turns peers away is used only if it is less loaded by this fraction of its capacity,
+# or if the wait elsewhere is longer by this time.
+AVOIDANCE_PENALTY_SHARE: Final = 0.5
+AVOIDANCE_PENALTY_S: Final = 0.1
 # Longer wait that is accepted for a prefill in the failure domain of the decode engine.
 CROSS_DOMAIN_PREFILL_PENALTY_S: Final = 0.02
 
@@ -53,6 +57,7 @@
     :ivar domain: failure domain of the instance
     :ivar staleness_s: mean age of what is known about the work of peers
     :ivar seed: differs for each placement, so that instances don't all choose the same upstream
+    :ivar turning_peers_away: upstreams that want no requests from some peer for a while
     :ivar generations_per_s: rate at which all instances together place generations
     """
 
@@ -64,6 +69,7 @@
     staleness_s: float = 0.0
     seed: int = 0
     generations_per_s: float = 0.0
+    turning_peers_away: frozenset[str] = frozenset()
 
     @property
     def unseen_share(self) -> float:
@@ -248,14 +254,15 @@
     queued_s = context.upstream_load.at(prefill.id).tokens / PREFILL_TOKENS_PER_S
     domain_cost_s = 0.0 if prefill.domain == decode.domain else CROSS_DOMAIN_PREFILL_PENALTY_S
     failure_cost_s = FAILURE_RATE_WEIGHT * health.failure_rate(context.upstream_health, prefill.id)
-    return queued_s + domain_cost_s + failure_cost_s
+    avoidance_cost_s = AVOIDANCE_PENALTY_S if prefill.id in context.turning_peers_away else 0.0
+    return queued_s + domain_cost_s + failure_cost_s + avoidance_cost_s
 
 
 def _penalty(context: PlacementContext, upstream: entities.Upstream) -> float:
     domain_cost = 0.0 if upstream.domain == context.domain else CROSS_DOMAIN_PENALTY_SHARE
-    return domain_cost + FAILURE_RATE_WEIGHT * health.failure_rate(
-        context.upstream_health, upstream.id
-    )
+    avoidance_cost = AVOIDANCE_PENALTY_SHARE if upstream.id in context.turning_peers_away else 0.0
+    failure_cost = FAILURE_RATE_WEIGHT * health.failure_rate(context.upstream_health, upstream.id)
+    return domain_cost + failure_cost + avoidance_cost
 
 
 def _has_room(
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -397,6 +397,7 @@
                 crashes=shared_crashes,
                 sound_age_s_by_part=sound_parts,
                 limits=self.upstream_limiter.share(),
+                turned_away_s_by_upstream=self.selector.turned_away.share(),
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
@@ -522,6 +523,9 @@
             case gossip.UpstreamPaused(upstream, for_s):
                 if upstream in self.directory.upstream_by_id:
                     self.selector.pause(upstream, for_s)
+            case gossip.PeerTurnedAway(upstream, for_s):
+                if upstream in self.directory.upstream_by_id:
+                    self.selector.turned_away.record_of_peer(upstream, for_s)
             case reports.SharedStrike():
                 self.crash_guard.apply_strike(effect)
             case reports.SharedCrash():
--- a/src/carawaydoor/serving/turned_away.py
+++ b/src/carawaydoor/serving/turned_away.py
@@ -13,20 +13,24 @@
 from carawaydoor.policy import entities
 
 MALFORMED_LOG_INTERVAL_S: Final = 1.0
+# By then an upstream that is full has ended most of its work, however long it wants to be left alone.
+MAX_AVOIDANCE_S: Final = 5.0
 # Callers that are refused together come back over this part of the delay.
 RETRY_SPREAD_SHARE: Final = 0.25
 
 
 class TurnedAway:
-    """The times until which upstreams want no requests from this instance.
+    """The times until which upstreams want no requests from this instance, or from a peer.
 
-    Peers are not told: the upstream spoke of this instance alone.
+    An upstream that turns a peer away spoke of that one alone. It is only avoided here while others
+    will do, since it is probably full.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._lock = threading.Lock()
         self._until_s_by_incarnation: dict[entities.Incarnation, float] = {}
+        self._peers_until_s_by_id: dict[str, float] = {}
         self._malformed_logged_s_by_id: dict[str, float] = {}
         self._random = random.Random()
 
@@ -48,6 +52,38 @@
                 message_type="upstream_turned_away", upstream=upstream.id, delay_s=round(delay_s, 3)
             )
 
+    def record_of_peer(self, upstream_id: str, delay_s: float) -> None:
+        """Record that an upstream wants no requests from a peer for some seconds."""
+        now_s = self._clock.now_s()
+        until_s = now_s + min(delay_s, MAX_AVOIDANCE_S)
+        with self._lock:
+            self._peers_until_s_by_id = {
+                key: each_s
+                for key, each_s in {
+                    **self._peers_until_s_by_id,
+                    upstream_id: max(until_s, self._peers_until_s_by_id.get(upstream_id, 0.0)),
+                }.items()
+                if each_s > now_s
+            }
+
+    def avoided(self) -> frozenset[str]:
+        """Return the ids of the upstreams that want no requests from some peer."""
+        if not self._peers_until_s_by_id:
+            return frozenset()
+        now_s = self._clock.now_s()
+        return frozenset(key for key, each_s in self._peers_until_s_by_id.items() if each_s > now_s)
+
+    def share(self) -> dict[str, float]:
+        """Return for how many more seconds upstreams want no requests from this instance."""
+        if not self._until_s_by_incarnation:
+            return {}
+        now_s = self._clock.now_s()
+        return {
+            upstream_id: until_s - now_s
+            for (upstream_id, _), until_s in self._until_s_by_incarnation.items()
+            if until_s > now_s
+        }
+
     def report_malformed(self, upstream: entities.Upstream, detail: str) -> None:
         """Log an unusable delay, once a second for each upstream."""
         now_s = self._clock.now_s()
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -288,6 +288,7 @@
             gossip.staleness_s(membership, now_s),
             self._random.getrandbits(32),
             self._requests_per_s(generation_service) if membership.peer_by_instance else 0.0,
+            self.turned_away.avoided(),
         )
 
     def _usable_upstreams(self, now_s: float) -> tuple[entities.Upstream, ...]:
--- a/tests/platform_side/test_upstream_notices.py
+++ b/tests/platform_side/test_upstream_notices.py
@@ -13,7 +13,7 @@
 from carawaydoor.operating import clocks
 from carawaydoor.platform import names
 from carawaydoor.policy import entities, upstream_directory
-from tests.platform_side import router_harness
+from tests.platform_side import harness_fleet, router_harness
 from tests.platform_side.fake_upstream import Behaviour
 from tests.policy import builders
 
@@ -211,3 +211,35 @@
     harness.instance.update_directory(upstream_directory.Changes({"a": entry}, 2))
     assert harness.call("/safe/x").read().status == 503
     assert upstream.received == []
+
+
+def test_instance_prefers_other_upstreams_while_one_turns_a_peer_away():
+    """Each instance had to be turned away itself, by a server that was full."""
+    clock = clocks.ManualClock()
+    with harness_fleet.running(2, clock) as fleet:
+        first, second = fleet.members
+        fleet.exchange_reports()
+        full, other = fleet.add_upstream("a"), fleet.add_upstream("b")
+        full.rejection_headers = {"Retry-After": "2"}
+        full.behaviours = [Behaviour.REJECT]
+        reach(full, first)
+        fleet.exchange_reports()
+        before = len(other.received)
+        assert requests_reaching(full, second, calls=4) == 0
+        assert len(other.received) == before + 4
+        clock.advance(2.5)
+        fleet.exchange_reports()
+        assert requests_reaching(full, second, calls=4) > 0
+
+
+def test_upstream_that_turns_a_peer_away_is_still_used_if_it_is_the_only_one():
+    """It spoke of the peer alone."""
+    with harness_fleet.running(2, clocks.ManualClock()) as fleet:
+        first, second = fleet.members
+        fleet.exchange_reports()
+        full = fleet.add_upstream("a")
+        full.rejection_headers = {"Retry-After": "2"}
+        full.behaviours = [Behaviour.REJECT]
+        reach(full, first)
+        fleet.exchange_reports()
+        assert second.call("/safe/x").read().status == 200
