Check in the soak that upstreams which turn requests away get none

An instance may send two requests to an upstream from half a second after it answered 503 with Retry-After until that time has passed. The fault no longer counts as a disturbance of the upstream, which excused it from the other checks.

--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import enum
 import http.server
@@ -101,6 +102,8 @@
     headers: dict[str, str]
     body: bytes
     behaviour: Behaviour = Behaviour.ANSWER
+    # Seconds for which the response wants no further requests from the same instance.
+    retry_after_s: float = 0.0
     at_s: float = dataclasses.field(default_factory=time.monotonic)
     caller_disconnected: threading.Event = dataclasses.field(default_factory=threading.Event)
 
@@ -219,6 +222,8 @@
                 rejection: dict[str, str] = {names.Header.NOT_RUN: "1"}
                 rejection[names.Header.REQUEST_ID] = self._request_id(received)
                 rejection.update(self.server.upstream.rejection_headers)
+                with contextlib.suppress(ValueError):
+                    received.retry_after_s = float(rejection.get(names.Header.RETRY_AFTER, 0.0))
                 self._send_response(503, b"", rejection)
             case Behaviour.WITHOUT_REQUEST_ID:
                 self._send_response(200, b"answer", {names.Header.STAMP: "s"})
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -115,3 +115,18 @@
     assert bool(violations) is is_reported
     environment.fault_history.record_disturbance("i0", 38.0, 0.5)
     assert not list(checks.find_violations(environment, [answered]))
+
+
+@pytest.mark.parametrize(("count", "is_reported"), [(2, False), (3, True)])
+def test_requests_to_an_upstream_that_wants_none_are_reported(environment, count, is_reported):
+    environment.draining_since_s_by_name.clear()
+    upstream = environment.upstream_by_name["s1"]
+    rejected = received_request(40.0)
+    rejected.behaviour, rejected.retry_after_s = fake_upstream.Behaviour.REJECT, 2.0
+    upstream.received = [rejected, received_request(40.4), received_request(42.1)]
+    upstream.received += [received_request(41.0 + 0.1 * number) for number in range(count)]
+    answered = outcome(path="/safe/x", is_complete=True, status=502)
+    violations = list(checks.find_violations(environment, [answered]))
+    assert bool(violations) is is_reported
+    environment.fault_history.record_disturbance("s1", 38.0, 0.5)
+    assert not list(checks.find_violations(environment, [answered]))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -19,6 +19,8 @@
 UNDISTURBED_BEFORE_S: Final = 3.0
 # An instance that no fault affects has read a request within this time.
 MAX_READ_DELAY_S: Final = 0.2
+# Requests that may reach an upstream while it wants none from an instance: they were under way.
+MAX_REQUESTS_AFTER_REJECTION: Final = 2
 # A limit holds in each window of this length, from some time after an upstream first named it.
 LIMIT_WINDOW_S: Final = 4.0
 LIMIT_NOTICE_S: Final = 3.0
@@ -79,6 +81,7 @@
     yield from _find_requests_aborted_by_shutdown(environment, outcomes)
     yield from _find_requests_to_drained_upstreams(environment, outcomes)
     yield from _find_requests_beyond_limits(environment, outcomes)
+    yield from _find_requests_after_rejections(environment, outcomes)
     for upstream in environment.upstream_by_name.values():
         for request in upstream.received:
             if request.header(names.Header.KEY) is not None:
@@ -141,6 +144,32 @@
                 yield f"{name} received a request of {instance} {late_s:.1f} s after drain start"
 
 
+def _find_requests_after_rejections(
+    environment: soak_environment.SoakEnvironment, outcomes: list[callers.Outcome]
+) -> Iterator[str]:
+    """Yield upstreams that got requests of an instance which they had told to send none for a while."""
+    instance_by_id = {each.id: each.instance for each in outcomes}
+    for name, upstream in environment.upstream_by_name.items():
+        received = [
+            (instance_by_id.get(each.header(names.Header.REQUEST_ID) or "", ""), each)
+            for each in upstream.received
+        ]
+        for instance, rejected in received:
+            from_s = rejected.at_s + IN_FLIGHT_ALLOWANCE_S
+            until_s = rejected.at_s + rejected.retry_after_s
+            count = sum(
+                sender == instance and from_s < each.at_s < until_s for sender, each in received
+            )
+            # A fault at the upstream's connections may have kept the rejection from the instance.
+            if count > MAX_REQUESTS_AFTER_REJECTION and environment.fault_history.is_undisturbed(
+                {instance, name}, rejected.at_s - UNDISTURBED_BEFORE_S, until_s
+            ):
+                yield (
+                    f"{name} received {count} requests of {instance} in the "
+                    f"{rejected.retry_after_s:.1f} s for which it wanted none"
+                )
+
+
 def _find_requests_beyond_limits(
     environment: soak_environment.SoakEnvironment, outcomes: list[callers.Outcome]
 ) -> Iterator[str]:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -160,7 +160,6 @@
     def _turn_requests_away(self, duration_s: float) -> str:
         name = self._random.choice(sorted(self._environment.upstream_by_name))
         self._environment.turn_requests_away(name, duration_s)
-        self._fault_history.record_disturbance(name, time.monotonic(), duration_s)
         return f"turn away {name} {duration_s:.1f}"
 
     def _reconfigure(self, duration_s: float) -> str:
