Move what an instance knows about the source to a module of its own

instance_state.py held too many concerns (596 lines, 521 now). No change of behaviour; names of methods lose the prefix that the attribute now gives. Tests follow the names.

--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -63,7 +63,7 @@
         if changes is None or not math.isfinite(proof_age_s):
             return _respond(start_response, "410 Gone", TEXT_CONTENT_TYPE, b"")
         relayed = source_relay.RelayedChanges(
-            changes, proof_age_s, self._instance.source_steady_s()
+            changes, proof_age_s, self._instance.source.steady_s()
         )
         return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, source_relay.encode(relayed))
 
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -95,15 +95,15 @@
     def _reads_source(self) -> bool:
         if self._clock.now_s() < self._self_reading_until_s:
             return True
-        return self._instance.options.instance in self._instance.source_readers()
+        return self._instance.options.instance in self._instance.source.readers()
 
     def _follow(self, revision: int) -> int:
         """Wait for news from the instances that read the source, and fetch what they have read."""
-        self._instance.mark_source_unused()
-        has_news = self._instance.wait_for_source_news(revision, FOLLOW_INTERVAL_S)
+        self._instance.source.mark_unused()
+        has_news = self._instance.source.wait_for_news(revision, FOLLOW_INTERVAL_S)
         if not has_news and self._instance.proof_age_s() < self._timing.proof_request_age_s:
             return revision
-        for host in self._instance.source_reader_hosts():
+        for host in self._instance.source.reader_hosts():
             try:
                 revision = self._fetch(host, revision)
             except source_relay.RelayError as error:
@@ -126,7 +126,7 @@
         update = self._source.take_over(relayed.changes)
         is_recovering = relayed.steady_s < upstream_directory.REAPPEARANCE_GRACE_S
         if is_recovering and None in update.upstream_by_id.values():
-            self._instance.mark_source_recovering()
+            self._instance.source.mark_recovering()
         self._apply_configuration(update)
         if update.upstream_by_id:
             self._instance.update_directory(
@@ -136,12 +136,12 @@
             self._instance.configuration.revision, requested_s - relayed.proof_age_s
         )
         self._count_store_call("relayed")
-        self._instance.source_revision = max(revision, update.revision)
-        return self._instance.source_revision
+        self._instance.source.revision = max(revision, update.revision)
+        return self._instance.source.revision
 
     def _watch_times_s(self) -> tuple[float, float]:
         """Return how long a watch lasts, and the delay after one with changes, in seconds."""
-        if self._instance.has_source_followers():
+        if self._instance.source.has_followers():
             return self._timing.reader_watch_s, READER_WATCH_DELAY_S
         count = len(self._instance.membership.peer_by_instance) + 1
         return self._longest_watch_s, watch_delay_s(count)
@@ -160,7 +160,7 @@
         )
         self._instance.confirm_revision(self._instance.configuration.revision, requested_s)
         self._count_store_call("read")
-        self._instance.source_revision = update.revision
+        self._instance.source.revision = update.revision
         return update.revision
 
     def _watch(self, revision: int) -> int:
@@ -168,7 +168,7 @@
         requested_s = self._clock.now_s()
         update = self._source.watch(revision, watch_s, watch_s + RESPONSE_MARGIN_S)
         self._record_recovery()
-        self._instance.mark_source_used()
+        self._instance.source.mark_used()
         is_unchanged = not update.upstream_by_id and not update.configuration_revision
         self._apply_configuration(update)
         if update.upstream_by_id:
@@ -180,12 +180,12 @@
         confirmed_s = requested_s + (watch_s if lasted_whole_watch else 0.0)
         self._instance.confirm_revision(self._instance.configuration.revision, confirmed_s)
         self._count_store_call("watch")
-        self._instance.source_revision = max(revision, update.revision)
+        self._instance.source.revision = max(revision, update.revision)
         if not is_unchanged:
-            if self._instance.has_source_followers():
-                self._instance.on_source_changed()
+            if self._instance.source.has_followers():
+                self._instance.source.on_changed()
             self._stop_requested.wait(delay_s)
-        return self._instance.source_revision
+        return self._instance.source.revision
 
     def _apply_configuration(self, update: configuration_source.SourceUpdate) -> None:
         if update.configuration is not None:
@@ -198,7 +198,7 @@
         if self._unreachable_since_s is not None:
             return
         self._unreachable_since_s = self._clock.now_s()
-        self._instance.mark_source_lost()
+        self._instance.source.mark_lost()
         eliot.log_message(
             message_type="source_lost",
             detail=str(error),
@@ -211,7 +211,7 @@
             return
         outage_s = self._clock.now_s() - self._unreachable_since_s
         self._unreachable_since_s = None
-        self._instance.mark_source_regained(outage_s)
+        self._instance.source.mark_regained(outage_s)
         eliot.log_message(
             message_type="source_regained",
             away_s=round(outage_s, 3),
@@ -227,7 +227,7 @@
         self._era = era
         if known_era is None or era <= known_era:
             return False
-        self._instance.mark_source_recovering()
+        self._instance.source.mark_recovering()
         eliot.log_message(
             message_type="source_restored",
             era=era,
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -69,7 +69,7 @@
         )
         self._instance.selector.on_generations_changed = self._transport.announce_work
         self._instance.upstream_limiter.on_change = self._transport.announce_work
-        self._instance.on_source_changed = self._transport.announce_source_change
+        self._instance.source.on_changed = self._transport.announce_source_change
         adapter = http_adapter.PlatformHttpAdapter()
         self._caller_server = http_servers.CallerServer(
             caller_app.CallerApp(self._instance, adapter),
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -8,7 +8,6 @@
 import random
 import secrets
 import threading
-from collections.abc import Callable
 from typing import Final
 
 import eliot
@@ -20,13 +19,18 @@
     fleet_retry_budget,
     freshness,
     source_position,
-    source_reading,
     stage_balance,
     upstream_directory,
     upstream_limits,
     usage_caps,
 )
-from carawaydoor.serving import connections, crash_guard, upstream_limiter, upstream_selection
+from carawaydoor.serving import (
+    connections,
+    crash_guard,
+    source_state,
+    upstream_limiter,
+    upstream_selection,
+)
 
 # Changed usage is repeated in work reports for this time, in case one of them is lost.
 RECENT_USAGE_S: Final = 2.0
@@ -74,12 +78,8 @@
         self.upstream_limiter: Final = upstream_limiter.UpstreamLimiter(
             options.instance, clock, metrics
         )
-        self._source_reachable_since_s: float | None = None
-        self.source_revision = 0
         # A version that a peer holds of an era before the one of the configuration here.
         self._version_lost_by_source = 0
-        self.on_source_changed: Callable[[], None] = _do_nothing
-        self._source_news = threading.Event()
         self.membership = gossip.Membership(options.instance, {})
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
@@ -89,6 +89,14 @@
         self.active_requests = 0
         self._random = random.Random()
         self._lock = threading.RLock()
+        self.source: Final = source_state.SourceState(
+            options.instance,
+            options.domain,
+            clock,
+            self._lock,
+            lambda: self.membership,
+            self.update_directory,
+        )
         self.selector = upstream_selection.UpstreamSelector(
             options.domain,
             clock,
@@ -200,82 +208,6 @@
         with self._lock:
             self.active_requests -= 1
 
-    def mark_source_lost(self) -> None:
-        """Record that the source does not respond."""
-        self._source_reachable_since_s = None
-        self.update_directory(upstream_directory.StoreUnavailable())
-
-    def mark_source_regained(self, away_s: float) -> None:
-        """Record that the source responds again.
-
-        If it served peers all the time, it was up, and the entries now missing have really left.
-
-        :param away_s: seconds for which the source did not respond to this instance
-        """
-        with self._lock:
-            now_s = self.clock.now_s()
-            self._source_reachable_since_s = now_s
-            uptime_s = gossip.longest_source_uptime_s(self.membership, now_s)
-        self.update_directory(upstream_directory.StoreRecovered(served_peers=uptime_s > away_s))
-
-    def mark_source_unused(self) -> None:
-        """Record that this instance does not read the source itself, but follows those that do."""
-        self._source_reachable_since_s = None
-
-    def mark_source_used(self) -> None:
-        """Record that the source has responded to this instance."""
-        if self._source_reachable_since_s is None:
-            self._source_reachable_since_s = self.clock.now_s()
-
-    def mark_source_recovering(self) -> None:
-        """Record that the instance from which changes were fetched has just regained the source."""
-        self.update_directory(upstream_directory.StoreUnavailable())
-        self.update_directory(upstream_directory.StoreRecovered())
-
-    def source_steady_s(self) -> float:
-        """Return for how many seconds this instance has reached the source without a break."""
-        since_s = self._source_reachable_since_s
-        return 0.0 if since_s is None else self.clock.now_s() - since_s
-
-    def source_readers(self) -> tuple[str, ...]:
-        """Return the instances that read the source for this failure domain."""
-        peers = self._live_domain_peers()
-        own = source_reading.Candidate(self.options.instance, self.source_steady_s() > 0.0)
-        others = (
-            source_reading.Candidate(each.contact.instance, each.report.source_steady_s > 0.0)
-            for each in peers
-            if each.report is not None
-        )
-        return source_reading.readers((own, *others))
-
-    def source_reader_hosts(self) -> tuple[str, ...]:
-        """Return the hosts of the other instances that read the source for this failure domain."""
-        host_by_instance = {
-            each.contact.instance: each.contact.host for each in self._live_domain_peers()
-        }
-        return tuple(
-            host_by_instance[each] for each in self.source_readers() if each in host_by_instance
-        )
-
-    def has_source_followers(self) -> bool:
-        """Return whether instances of this failure domain rely on others to read the source."""
-        return source_reading.has_followers(len(self._live_domain_peers()) + 1)
-
-    def wait_for_source_news(self, revision: int, timeout_s: float) -> bool:
-        """Wait until a peer of this failure domain knows a newer revision of the source.
-
-        :param timeout_s: longest wait in seconds
-        """
-        if self._source_news.wait(timeout_s):
-            self._source_news.clear()
-        return any(
-            each.report is not None and each.report.source_revision > revision
-            for each in self._live_domain_peers()
-        )
-
-    def _live_domain_peers(self) -> tuple[gossip.Peer, ...]:
-        return gossip.live_peers_in_domain(self.membership, self.clock.now_s(), self.options.domain)
-
     def random_fraction(self) -> float:
         """Return a random number of at least 0 and below 1."""
         return self._random.random()
@@ -388,10 +320,10 @@
                 echo_by_instance=gossip.clock_echoes(self.membership, contacts),
                 contacts=gossip.contacts_to_share(self.membership),
                 strikes=shared_strikes,
-                source_steady_s=self.source_steady_s(),
+                source_steady_s=self.source.steady_s(),
                 requests_by_service=self.retry_budget.requests.own_totals_by_name,
                 repeats_by_service=self.retry_budget.retries.own_totals_by_name,
-                source_revision=self.source_revision,
+                source_revision=self.source.revision,
                 set_aside_s_by_upstream=self.selector.paused_s_by_upstream(),
                 configuration_version=self.configuration.version,
                 crashes=shared_crashes,
@@ -416,7 +348,7 @@
             now_s = self.clock.now_s()
             contacts: tuple[reports.Contact, ...]
             if for_domain:
-                contacts = tuple(each.contact for each in self._live_domain_peers())
+                contacts = tuple(each.contact for each in self.source.domain_peers())
             else:
                 self.membership, contacts = gossip.next_work_recipients(self.membership, now_s)
             self._sequence += 1
@@ -428,7 +360,7 @@
                 self._recent_usage(now_s),
                 self.retry_budget.requests.own_totals_by_name,
                 self.retry_budget.retries.own_totals_by_name,
-                self.source_revision,
+                self.source.revision,
                 self.upstream_limiter.share(recent_only=True),
             )
         self.metrics.peer_datagrams.add(len(contacts), {"direction": "sent"})
@@ -450,8 +382,7 @@
                 self._apply_gossip_effect(effect, now_s)
             if isinstance(report, reports.Report):
                 self._note_version_of_earlier_era(report)
-        if report.source_revision > self.source_revision:
-            self._source_news.set()
+        self.source.note_peer_revision(report.source_revision)
 
     def _note_version_of_earlier_era(self, report: reports.Report) -> None:
         """Accept no keys while a peer holds a newer version that the source has lost.
@@ -588,7 +519,3 @@
             stage=upstream.stage.value,
             revision=self.directory.revision,
         )
-
-
-def _do_nothing() -> None:
-    """Do nothing, as the default callback."""
--- /dev/null
+++ b/src/carawaydoor/serving/source_state.py
@@ -0,0 +1,121 @@
+"""What an instance knows about the source, and about the peers that read it for its domain."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from carawaydoor.fleet import gossip
+from carawaydoor.operating import clocks
+from carawaydoor.policy import source_reading, upstream_directory
+
+
+class SourceState:
+    """The connection of an instance to its source of configuration and upstreams.
+
+    :ivar revision: position up to which this instance knows the content of the source
+    :ivar on_changed: called when this instance has read a change that others of its domain wait for
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        domain: str,
+        clock: clocks.Clock,
+        lock: threading.RLock,
+        membership: Callable[[], gossip.Membership],
+        update_directory: Callable[[upstream_directory.Message], None],
+    ) -> None:
+        self.revision = 0
+        self.on_changed: Callable[[], None] = _do_nothing
+        self._instance = instance
+        self._domain = domain
+        self._clock = clock
+        self._lock = lock
+        self._membership = membership
+        self._update_directory = update_directory
+        self._reachable_since_s: float | None = None
+        self._has_news = threading.Event()
+
+    def mark_lost(self) -> None:
+        """Record that the source does not respond."""
+        self._reachable_since_s = None
+        self._update_directory(upstream_directory.StoreUnavailable())
+
+    def mark_regained(self, away_s: float) -> None:
+        """Record that the source responds again.
+
+        If it served peers all the time, it was up, and the entries now missing have really left.
+
+        :param away_s: seconds for which the source did not respond to this instance
+        """
+        with self._lock:
+            now_s = self._clock.now_s()
+            self._reachable_since_s = now_s
+            uptime_s = gossip.longest_source_uptime_s(self._membership(), now_s)
+        self._update_directory(upstream_directory.StoreRecovered(served_peers=uptime_s > away_s))
+
+    def mark_unused(self) -> None:
+        """Record that this instance does not read the source itself, but follows those that do."""
+        self._reachable_since_s = None
+
+    def mark_used(self) -> None:
+        """Record that the source has responded to this instance."""
+        if self._reachable_since_s is None:
+            self._reachable_since_s = self._clock.now_s()
+
+    def mark_recovering(self) -> None:
+        """Record that the instance from which changes were fetched has just regained the source."""
+        self._update_directory(upstream_directory.StoreUnavailable())
+        self._update_directory(upstream_directory.StoreRecovered())
+
+    def steady_s(self) -> float:
+        """Return for how many seconds this instance has reached the source without a break."""
+        since_s = self._reachable_since_s
+        return 0.0 if since_s is None else self._clock.now_s() - since_s
+
+    def readers(self) -> tuple[str, ...]:
+        """Return the instances that read the source for this failure domain."""
+        own = source_reading.Candidate(self._instance, self.steady_s() > 0.0)
+        others = (
+            source_reading.Candidate(each.contact.instance, each.report.source_steady_s > 0.0)
+            for each in self.domain_peers()
+            if each.report is not None
+        )
+        return source_reading.readers((own, *others))
+
+    def reader_hosts(self) -> tuple[str, ...]:
+        """Return the hosts of the other instances that read the source for this failure domain."""
+        host_by_instance = {
+            each.contact.instance: each.contact.host for each in self.domain_peers()
+        }
+        return tuple(host_by_instance[each] for each in self.readers() if each in host_by_instance)
+
+    def has_followers(self) -> bool:
+        """Return whether instances of this failure domain rely on others to read the source."""
+        return source_reading.has_followers(len(self.domain_peers()) + 1)
+
+    def note_peer_revision(self, revision: int) -> None:
+        """Record up to which position a peer knows the content of the source."""
+        if revision > self.revision:
+            self._has_news.set()
+
+    def wait_for_news(self, revision: int, timeout_s: float) -> bool:
+        """Wait until a peer of this failure domain knows a newer revision of the source.
+
+        :param timeout_s: longest wait in seconds
+        """
+        if self._has_news.wait(timeout_s):
+            self._has_news.clear()
+        return any(
+            each.report is not None and each.report.source_revision > revision
+            for each in self.domain_peers()
+        )
+
+    def domain_peers(self) -> tuple[gossip.Peer, ...]:
+        """Return the peers of this failure domain that report and are not leaving."""
+        return gossip.live_peers_in_domain(self._membership(), self._clock.now_s(), self._domain)
+
+
+def _do_nothing() -> None:
+    """Do nothing, as the default callback."""
--- a/tests/platform_side/test_source_relay.py
+++ b/tests/platform_side/test_source_relay.py
@@ -131,7 +131,7 @@
                 5.0 if name in (self.reader_name, *self.others) else 0.0,
                 {},
                 {},
-                self.reader.source_revision if is_reader else 0,
+                self.reader.source.revision if is_reader else 0,
             )
             self.reader.handle_report(report)
             self.follower.handle_report(report)
@@ -161,7 +161,7 @@
     wait_until(lambda: follower.reader.configuration.version == 9)
     follower.hear_of_the_domain()
     wait_until(lambda: instance.configuration.version == 9)
-    assert instance.source_steady_s() == 0.0, "it doesn't claim to reach the store itself"
+    assert instance.source.steady_s() == 0.0, "it doesn't claim to reach the store itself"
     assert instance.accepts_keys()
 
 
@@ -178,13 +178,13 @@
     while time.monotonic() < deadline_s:
         assert follower.follower.proof_age_s() < 3.0
         time.sleep(0.05)
-    assert follower.follower.source_steady_s() == 0.0
+    assert follower.follower.source.steady_s() == 0.0
 
 
 def test_follower_reads_the_store_itself_once_its_readers_are_gone(follower, store):
     follower.relay._server.close()
     follower.watchers[0].stop()
-    wait_until(lambda: follower.follower.source_steady_s() > 0.0)
+    wait_until(lambda: follower.follower.source.steady_s() > 0.0)
     store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 11})
     wait_until(lambda: follower.follower.configuration.version == 11)
 
