Tell peers which upstreams have begun to leave

Each instance sent requests to a leaving upstream until it was told itself or read it in the store. Reports name for 10 s the incarnations that have begun to leave; a peer's word about another incarnation changes nothing. Test: a peer's request reached the leaving server before, none does now.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -109,6 +109,7 @@
         configuration_version=report.configuration_version,
         limits=_limit_structs(report.limits),
         turned_away_s_by_upstream=dict(report.turned_away_s_by_upstream),
+        leaving_born_ms_by_upstream=dict(report.leaving_born_ms_by_upstream),
     )
 
 
@@ -195,6 +196,7 @@
         configuration_version=int(message.configuration_version or 0),
         limits=_limits(message.limits),
         turned_away_s_by_upstream=message.turned_away_s_by_upstream or {},
+        leaving_born_ms_by_upstream=message.leaving_born_ms_by_upstream or {},
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -140,6 +140,14 @@
     for_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLeaving:
+    """A peer knows that an incarnation of an upstream leaves."""
+
+    upstream: str
+    born_ms: int
+
+
 Effect = (
     FreshnessProof
     | PeerUsage
@@ -151,6 +159,7 @@
     | reports.SharedLimit
     | UpstreamPaused
     | PeerTurnedAway
+    | UpstreamLeaving
 )
 
 
@@ -184,6 +193,7 @@
     effects.extend(report.crashes)
     effects.extend(reports.SoundPart(*each) for each in report.sound_age_s_by_part.items())
     effects.extend(report.limits)
+    effects.extend(UpstreamLeaving(*each) for each in report.leaving_born_ms_by_upstream.items())
     effects.extend(PeerTurnedAway(*each) for each in report.turned_away_s_by_upstream.items())
     effects.extend(UpstreamPaused(*each) for each in report.set_aside_s_by_upstream.items())
     echo_s = report.echo_by_instance.get(state.instance)
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -78,6 +78,7 @@
     (_I64, "configuration_version"),
     (thrift.TType.LIST, "limits", (thrift.TType.STRUCT, Limit)),
     _amounts("turned_away_s_by_upstream"),
+    _map("leaving_born_ms_by_upstream", (_STRING, _I64)),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -93,6 +93,7 @@
     :ivar limits: limits that upstreams have told the sender
     :ivar turned_away_s_by_upstream: for each upstream that wants no requests from the sender, the
         seconds for which it wants none
+    :ivar leaving_born_ms_by_upstream: start of the incarnations that have lately begun to leave
     """
 
     contact: Contact
@@ -118,6 +119,7 @@
     configuration_version: int = 0
     limits: tuple[SharedLimit, ...] = ()
     turned_away_s_by_upstream: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    leaving_born_ms_by_upstream: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -15,6 +15,8 @@
 # Entries that expired during an outage of the store reappear within about 2 s of its recovery; a
 # tenth of that is left for the response that delivers them.
 REAPPEARANCE_GRACE_S: Final = 1.8
+# Some rounds of reports, also in a large fleet. By then the store has told the others.
+LEAVING_SHARED_S: Final = 10.0
 # More than leave within the time for which a store may show their entries again.
 MAX_REMEMBERED: Final = 4096
 
@@ -69,7 +71,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SaidLeaving:
-    """An upstream has said in a response that it will stop.
+    """An upstream has said in a response, to this instance or a peer, that it will stop.
 
     :ivar born_ms: start of the incarnation that said so
     """
@@ -160,6 +162,15 @@
     )
 
 
+def lately_leaving(state: Directory, now_s: float) -> dict[str, int]:
+    """Return the start of the incarnations of which peers should know that they leave."""
+    return {
+        key: state.upstream_by_id[key].born_ms
+        for key, since_s in state.leaving_since_s_by_id.items()
+        if now_s - since_s < LEAVING_SHARED_S and key in state.upstream_by_id
+    }
+
+
 def step(state: Directory, now_s: float, message: Message) -> tuple[Directory, tuple[Effect, ...]]:
     """Apply a message and return the changes of upstreams that follow from it."""
     match message:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -330,6 +330,9 @@
                 sound_age_s_by_part=sound_parts,
                 limits=self.upstream_limiter.share(),
                 turned_away_s_by_upstream=self.selector.turned_away.share(),
+                leaving_born_ms_by_upstream=upstream_directory.lately_leaving(
+                    self.directory, now_s
+                ),
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
@@ -454,6 +457,8 @@
             case gossip.UpstreamPaused(upstream, for_s):
                 if upstream in self.directory.upstream_by_id:
                     self.selector.pause(upstream, for_s)
+            case gossip.UpstreamLeaving(upstream, born_ms):
+                self.update_directory(upstream_directory.SaidLeaving(upstream, born_ms))
             case gossip.PeerTurnedAway(upstream, for_s):
                 if upstream in self.directory.upstream_by_id:
                     self.selector.turned_away.record_of_peer(upstream, for_s)
--- a/tests/platform_side/test_upstream_notices.py
+++ b/tests/platform_side/test_upstream_notices.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import email.utils
 
 import pytest
@@ -243,3 +244,30 @@
         reach(full, first)
         fleet.exchange_reports()
         assert second.call("/safe/x").read().status == 200
+
+
+def test_peers_learn_that_an_upstream_leaves():
+    """Each instance sent requests to it until it was told itself, or read it in the store."""
+    with harness_fleet.running(2, clocks.ManualClock()) as fleet:
+        first, second = fleet.members
+        fleet.exchange_reports()
+        leaving, _ = fleet.add_upstream("a"), fleet.add_upstream("b")
+        leaving.is_leaving = True
+        reach(leaving, first)
+        fleet.exchange_reports()
+        assert requests_reaching(leaving, second) == 0
+
+
+def test_peer_that_names_another_incarnation_as_leaving_changes_nothing():
+    with harness_fleet.running(2, clocks.ManualClock()) as fleet:
+        first, second = fleet.members
+        server = fleet.add_upstream("a")
+        server.is_leaving = True
+        reach(server, first)
+        started_again = dataclasses.replace(
+            second.instance.directory.upstream_by_id["a"], born_ms=2
+        )
+        changes = upstream_directory.Changes({"a": started_again}, 2)
+        second.instance.update_directory(changes)
+        fleet.exchange_reports()
+        assert not second.instance.directory.upstream_by_id["a"].is_leaving
