Bound what reports hold about limits, rejections and leaving upstreams

With 3,000 upstreams that name limits a report took 165 kB, with as many that turn requests away or leave 78 kB, beyond the 64 kB of a datagram: it is not sent then, and peers hear nothing of the instance. A statement that repeats a limit no longer updates the permits of all others.

--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -17,6 +17,8 @@
 REAPPEARANCE_GRACE_S: Final = 1.8
 # Some rounds of reports, also in a large fleet. By then the store has told the others.
 LEAVING_SHARED_S: Final = 10.0
+# Fits into a report beside its other parts.
+MAX_LEAVING_SHARED: Final = 64
 # More than leave within the time for which a store may show their entries again.
 MAX_REMEMBERED: Final = 4096
 
@@ -164,11 +166,12 @@
 
 def lately_leaving(state: Directory, now_s: float) -> dict[str, int]:
     """Return the start of the incarnations of which peers should know that they leave."""
-    return {
-        key: state.upstream_by_id[key].born_ms
+    lately = [
+        (key, state.upstream_by_id[key].born_ms)
         for key, since_s in state.leaving_since_s_by_id.items()
         if now_s - since_s < LEAVING_SHARED_S and key in state.upstream_by_id
-    }
+    ]
+    return dict(lately[-MAX_LEAVING_SHARED:])
 
 
 def step(state: Directory, now_s: float, message: Message) -> tuple[Directory, tuple[Effect, ...]]:
--- a/src/carawaydoor/policy/upstream_limits.py
+++ b/src/carawaydoor/policy/upstream_limits.py
@@ -142,21 +142,29 @@
         return state
     is_same = known is not None and known.limit_per_s == statement.limit_per_s
     changed_s = known.changed_s if known is not None and is_same else now_s
-    permits = _all_updated(state, now_s)
     statements = {
         **state.statement_by_incarnation,
         incarnation: dataclasses.replace(statement, changed_s=changed_s),
     }
-    state = dataclasses.replace(state, statement_by_incarnation=statements)
+    after = dataclasses.replace(state, statement_by_incarnation=statements)
+    if is_same:
+        return after
+    permits = dict(state.permits_by_incarnation)
     if statement.limit_per_s is None:
         permits.pop(incarnation, None)
-    elif incarnation not in permits:
-        rank = _rank(state, incarnation)
-        has_share = _share_per_s(state, statement, rank) > 0.0
-        # The first permits of the sharing instances come one after the other.
-        level = rank / _sharing_instances(state, statement) if has_share else 0.0
-        permits[incarnation] = Permits(rank, level, now_s)
-    return dataclasses.replace(state, permits_by_incarnation=permits)
+    elif incarnation in permits:
+        permits[incarnation] = _updated(state, now_s, incarnation)
+    else:
+        permits[incarnation] = _first_permits(after, now_s, statement)
+    return dataclasses.replace(after, permits_by_incarnation=permits)
+
+
+def _first_permits(state: UpstreamLimits, now_s: float, statement: Statement) -> Permits:
+    """Return permits that come up one after the other at the instances that share a limit."""
+    rank = _rank(state, statement.incarnation)
+    has_share = _share_per_s(state, statement, rank) > 0.0
+    level = rank / _sharing_instances(state, statement) if has_share else 0.0
+    return Permits(rank, level, now_s)
 
 
 def record_shared(
--- a/src/carawaydoor/serving/crash_guard.py
+++ b/src/carawaydoor/serving/crash_guard.py
@@ -4,23 +4,14 @@
 
 import itertools
 import threading
-from collections.abc import Iterable, Sequence
-from typing import Final, TypeVar
+from collections.abc import Sequence
 
 import eliot
 
-from carawaydoor.fleet import reports
+from carawaydoor.fleet import report_selection, reports
 from carawaydoor.operating import clocks
 from carawaydoor.policy import crash_suspects, entities, strikes
 
-# Newer records go into every report, so that they reach all peers within some rounds; older ones take
-# turns, for instances that have started since.
-MAX_URGENT_AGE_S: Final = 2.0
-MAX_URGENT_PER_REPORT: Final = 16
-MAX_REPEATED_PER_REPORT: Final = 8
-
-_Record = TypeVar("_Record")
-
 
 class CrashGuard:
     """Strikes against whole requests, and the evidence against parts of prompts."""
@@ -99,9 +90,9 @@
             for part, at_s in crash_suspects.relevant_sound_parts(evidence).items()
         ]
         return (
-            _select(struck, [each.strike.at_s for each in struck], turn),
-            _select(crashed, [each.age_s for each in crashed], turn),
-            dict(_select(sound, [age_s for _, age_s in sound], turn)),
+            report_selection.select(struck, [each.strike.at_s for each in struck], turn),
+            report_selection.select(crashed, [each.age_s for each in crashed], turn),
+            dict(report_selection.select(sound, [age_s for _, age_s in sound], turn)),
         )
 
     def apply_strike(self, shared: reports.SharedStrike) -> None:
@@ -124,14 +115,3 @@
         at_s = self._clock.now_s() - age_s
         with self._lock:
             self._evidence = crash_suspects.record_sound(self._evidence, at_s, (part,))
-
-
-def _select(records: Sequence[_Record], ages_s: Iterable[float], turn: int) -> tuple[_Record, ...]:
-    """Return the newest records and, in turn, some of the older ones."""
-    urgent: list[_Record] = []
-    older: list[_Record] = []
-    for record, age_s in zip(records, ages_s, strict=True):
-        (urgent if age_s < MAX_URGENT_AGE_S else older).append(record)
-    start = turn * MAX_REPEATED_PER_REPORT % max(1, len(older))
-    repeated = (older[start:] + older[:start])[:MAX_REPEATED_PER_REPORT]
-    return (*urgent[-MAX_URGENT_PER_REPORT:], *repeated)
--- a/src/carawaydoor/serving/turned_away.py
+++ b/src/carawaydoor/serving/turned_away.py
@@ -9,6 +9,7 @@
 
 import eliot
 
+from carawaydoor.fleet import report_selection
 from carawaydoor.operating import clocks
 from carawaydoor.policy import entities
 
@@ -78,11 +79,13 @@
         if not self._until_s_by_incarnation:
             return {}
         now_s = self._clock.now_s()
-        return {
-            upstream_id: until_s - now_s
+        waiting = [
+            (upstream_id, until_s - now_s)
             for (upstream_id, _), until_s in self._until_s_by_incarnation.items()
             if until_s > now_s
-        }
+        ]
+        # The latest ones tell most about what is full now.
+        return dict(waiting[-report_selection.MAX_URGENT_PER_REPORT :])
 
     def report_malformed(self, upstream: entities.Upstream, detail: str) -> None:
         """Log an unusable delay, once a second for each upstream."""
--- a/src/carawaydoor/serving/upstream_limiter.py
+++ b/src/carawaydoor/serving/upstream_limiter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import random
 import threading
 from collections.abc import Callable, Collection
@@ -10,7 +11,7 @@
 
 import eliot
 
-from carawaydoor.fleet import reports
+from carawaydoor.fleet import report_selection, reports
 from carawaydoor.operating import clocks, platform_metrics
 from carawaydoor.policy import entities, upstream_limits
 
@@ -39,6 +40,7 @@
         self._state = upstream_limits.create(instance)
         self._malformed_logged_s_by_id: dict[str, float] = {}
         self._next_return_s_by_service: dict[str, float] = {}
+        self._turns = itertools.count()
         self._random = random.Random()
 
     def limit_per_s(self, upstream: entities.Upstream) -> float | None:
@@ -125,16 +127,20 @@
         self._log_change(upstream, before, after, "peer", shared.age_s)
 
     def share(self, recent_only: bool = False) -> tuple[reports.SharedLimit, ...]:
-        """Return what upstreams have told this instance, for its peers.
+        """Return what upstreams have told this instance, as much as goes into one report.
 
         :param recent_only: whether to return only limits that changed lately
         """
         now_s = self._clock.now_s()
+        statements = upstream_limits.own_statements(self._state, now_s, recent_only)
+        selected = report_selection.select(
+            statements, [now_s - each.changed_s for each in statements], next(self._turns)
+        )
         return tuple(
             reports.SharedLimit(
                 each.upstream_id, each.born_ms, each.limit_per_s, now_s - each.asked_s
             )
-            for each in upstream_limits.own_statements(self._state, now_s, recent_only)
+            for each in selected
         )
 
     def set_fleet(self, fleet: upstream_limits.Fleet) -> None:
--- a/tests/platform_side/test_crash_guard.py
+++ b/tests/platform_side/test_crash_guard.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from carawaydoor.fleet import report_selection
 from carawaydoor.operating import clocks
 from carawaydoor.policy import crash_suspects
 from carawaydoor.serving import crash_guard
 from tests.policy import builders
 
-MAX_PER_REPORT = crash_guard.MAX_URGENT_PER_REPORT + crash_guard.MAX_REPEATED_PER_REPORT
+MAX_PER_REPORT = report_selection.MAX_URGENT_PER_REPORT + report_selection.MAX_REPEATED_PER_REPORT
 
 
 def guard_after_crashes(clock, count):
@@ -29,7 +30,7 @@
     guard = guard_after_crashes(clock, 40)
     clock.advance(60.0)
     later = crash_guard.CrashGuard(clock)
-    for _ in range(40 // crash_guard.MAX_REPEATED_PER_REPORT + 1):
+    for _ in range(40 // report_selection.MAX_REPEATED_PER_REPORT + 1):
         strikes, crashes, sound = guard.share()
         for each in strikes:
             later.apply_strike(each)
@@ -39,7 +40,7 @@
             later.apply_sound_part(part, age_s)
     assert later.suspended_for_s("other", ["x"]) > 0.0
     assert later.suspended_for_s("other", ["p1"]) == 0.0
-    assert len(later.share()[1]) == crash_guard.MAX_REPEATED_PER_REPORT
+    assert len(later.share()[1]) == report_selection.MAX_REPEATED_PER_REPORT
 
 
 def test_nothing_is_told_after_the_suspension_has_ended():
