--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -15,7 +15,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from carawaydoor.fleet import reports
+from carawaydoor.fleet import report_effects, reports
 from carawaydoor.policy import load
 
 # A peer without reports counts as silent after the minimum timeout or, in a large fleet, after a
@@ -84,88 +84,9 @@
     work_credit_updated_s: float = float("-inf")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FreshnessProof:
-    """A peer confirmed that a revision was the newest at ``proven_s``."""
-
-    revision: int
-    proven_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerUsage:
-    """Counters of a peer since its start: usage of workspaces, and requests and retries by service.
-
-    :ivar peer: its name and incarnation, since the counters restart with the process
-    """
-
-    peer: str
-    used_by_workspace: Mapping[str, float]
-    requests_by_service: Mapping[str, float]
-    repeats_by_service: Mapping[str, float]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerJoined:
-    """A peer reported for the first time, after a silence or in a new incarnation."""
-
-    contact: reports.Contact
-    incarnation: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerLost:
-    """A peer is leaving or has expired.
-
-    :ivar is_leaving: whether it announced that it leaves
-    """
-
-    contact: reports.Contact
-    is_leaving: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamPaused:
-    """A peer ordered an engine to change its stage; no requests go to it for a while."""
-
-    upstream: str
-    for_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerTurnedAway:
-    """An upstream wants no requests from a peer for a while."""
-
-    upstream: str
-    for_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamLeaving:
-    """A peer knows that an incarnation of an upstream leaves."""
-
-    upstream: str
-    born_ms: int
-
-
-Effect = (
-    FreshnessProof
-    | PeerUsage
-    | PeerJoined
-    | PeerLost
-    | reports.SharedStrike
-    | reports.SharedCrash
-    | reports.SoundPart
-    | reports.SharedLimit
-    | UpstreamPaused
-    | PeerTurnedAway
-    | UpstreamLeaving
-)
-
-
 def apply_report(
     state: Membership, now_s: float, report: reports.Report
-) -> tuple[Membership, tuple[Effect, ...]]:
+) -> tuple[Membership, tuple[report_effects.Effect, ...]]:
     """Apply the full report of a peer, unless a newer one is known."""
     name = report.contact.instance
     if name == state.instance:
@@ -178,13 +99,13 @@
     ):
         return state, ()
     peers = dict(state.peer_by_instance)
-    effects: list[Effect] = []
+    effects: list[report_effects.Effect] = []
     peers[name] = Peer(report.contact, now_s, now_s, report)
     if report.is_leaving:
         if known_peer is None or known_peer.report is None or not known_peer.report.is_leaving:
-            effects.append(PeerLost(report.contact, True))
+            effects.append(report_effects.PeerLost(report.contact, True))
     elif _is_new(known_peer, now_s - silence_timeout_s(state), report):
-        effects.append(PeerJoined(report.contact, report.incarnation))
+        effects.append(report_effects.PeerJoined(report.contact, report.incarnation))
     for contact in report.contacts:
         if contact.instance != state.instance and contact.instance not in peers:
             peers[contact.instance] = Peer(contact, now_s, float("-inf"), None)
@@ -193,12 +114,18 @@
     effects.extend(report.crashes)
     effects.extend(reports.SoundPart(*each) for each in report.sound_age_s_by_part.items())
     effects.extend(report.limits)
-    effects.extend(UpstreamLeaving(*each) for each in report.leaving_born_ms_by_upstream.items())
-    effects.extend(PeerTurnedAway(*each) for each in report.turned_away_s_by_upstream.items())
-    effects.extend(UpstreamPaused(*each) for each in report.set_aside_s_by_upstream.items())
+    effects.extend(
+        report_effects.UpstreamLeaving(*each) for each in report.leaving_born_ms_by_upstream.items()
+    )
+    effects.extend(
+        report_effects.PeerTurnedAway(*each) for each in report.turned_away_s_by_upstream.items()
+    )
+    effects.extend(
+        report_effects.UpstreamPaused(*each) for each in report.set_aside_s_by_upstream.items()
+    )
     echo_s = report.echo_by_instance.get(state.instance)
     if echo_s is not None and echo_s <= now_s:
-        effects.append(FreshnessProof(report.revision, echo_s - report.proof_age_s))
+        effects.append(report_effects.FreshnessProof(report.revision, echo_s - report.proof_age_s))
     # In a large fleet some peer is always silent for a moment, since datagrams are lost.
     is_tolerated = (
         known_peer is not None
@@ -207,7 +134,8 @@
         and _tolerated_silent_peers(len(peers) + 1) > 0
     )
     has_changed = any(
-        isinstance(each, PeerLost) or (isinstance(each, PeerJoined) and not is_tolerated)
+        isinstance(each, report_effects.PeerLost)
+        or (isinstance(each, report_effects.PeerJoined) and not is_tolerated)
         for each in effects
     )
     last_change_s = now_s if has_changed else state.last_change_s
@@ -217,7 +145,7 @@
 
 def apply_work_report(
     state: Membership, now_s: float, report: reports.WorkReport
-) -> tuple[Membership, tuple[Effect, ...]]:
+) -> tuple[Membership, tuple[report_effects.Effect, ...]]:
     """Apply the work report of a peer.
 
     It is ignored if the peer is unknown or silent: only a full report makes a peer live again.
@@ -245,8 +173,8 @@
     return dataclasses.replace(state, peer_by_instance=peers), (usage, *report.limits)
 
 
-def _peer_usage(report: reports.Report) -> PeerUsage:
-    return PeerUsage(
+def _peer_usage(report: reports.Report) -> report_effects.PeerUsage:
+    return report_effects.PeerUsage(
         f"{report.contact.instance}/{report.incarnation}",
         report.used_by_workspace,
         report.requests_by_service,
@@ -254,7 +182,7 @@
     )
 
 
-def expire(state: Membership, now_s: float) -> tuple[Membership, tuple[Effect, ...]]:
+def expire(state: Membership, now_s: float) -> tuple[Membership, tuple[report_effects.Effect, ...]]:
     """Remove the peers that have been silent for too long or have left."""
     expired = [each for each in state.peer_by_instance.values() if _is_expired(each, now_s)]
     if not expired:
@@ -262,7 +190,7 @@
     names = {each.contact.instance for each in expired}
     peers = {name: each for name, each in state.peer_by_instance.items() if name not in names}
     lost = tuple(
-        PeerLost(each.contact, False)
+        report_effects.PeerLost(each.contact, False)
         for each in expired
         if each.report is not None and not each.report.is_leaving
     )
--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -15,7 +15,7 @@
 # Entries that expired during an outage of the store reappear within about 2 s of its recovery; a
 # tenth of that is left for the response that delivers them.
 REAPPEARANCE_GRACE_S: Final = 1.8
-# Some rounds of reports, also in a large fleet. By then the store has told the others.
+# Several rounds of reports in a large fleet. After it, the store shows the same.
 LEAVING_SHARED_S: Final = 10.0
 # Fits into a report beside its other parts.
 MAX_LEAVING_SHARED: Final = 64
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -12,7 +12,7 @@
 
 import eliot
 
-from carawaydoor.fleet import codec, gossip, reports, transport
+from carawaydoor.fleet import codec, gossip, report_effects, reports, transport
 from carawaydoor.operating import clocks, platform_metrics, platform_options
 from carawaydoor.policy import (
     entities,
@@ -166,7 +166,7 @@
                 return False
             self.configuration = configuration
             for peer in self.membership.peer_by_instance.values():
-                # Peers may have been heard before this instance knew which era it reads.
+                # Their reports may have arrived before this instance knew which era it reads.
                 if peer.report is not None:
                     self._note_version_of_earlier_era(peer.report)
         eliot.log_message(
@@ -433,7 +433,7 @@
         :param known: all known instances, including this one
         """
         if known == 1 and self._has_seeds_beside_itself():
-            # It was cut off before it heard any peer, or is the last one left.
+            # It was cut off before any report arrived, or is the last one left.
             known = fleet_retry_budget.MIN_ASSUMED_INSTANCES
         return upstream_limits.Fleet(
             gossip.sharing_instances(self.membership, now_s, self.is_draining),
@@ -444,22 +444,22 @@
     def _has_seeds_beside_itself(self) -> bool:
         return any(each.host != self.options.peer_host for each in self.options.seeds)
 
-    def _apply_gossip_effect(self, effect: gossip.Effect, now_s: float) -> None:
+    def _apply_gossip_effect(self, effect: report_effects.Effect, now_s: float) -> None:
         match effect:
-            case gossip.FreshnessProof(revision, proven_s):
+            case report_effects.FreshnessProof(revision, proven_s):
                 if revision == self.configuration.revision:
                     self.freshness = freshness.record_proof(self.freshness, revision, proven_s)
-            case gossip.PeerUsage(peer, used_by_workspace, requests, retries):
+            case report_effects.PeerUsage(peer, used_by_workspace, requests, retries):
                 self.caps = usage_caps.merge_peer_totals(self.caps, now_s, peer, used_by_workspace)
                 self.retry_budget = fleet_retry_budget.merge_peer_totals(
                     self.retry_budget, now_s, peer, requests, retries
                 )
-            case gossip.UpstreamPaused(upstream, for_s):
+            case report_effects.UpstreamPaused(upstream, for_s):
                 if upstream in self.directory.upstream_by_id:
                     self.selector.pause(upstream, for_s)
-            case gossip.UpstreamLeaving(upstream, born_ms):
+            case report_effects.UpstreamLeaving(upstream, born_ms):
                 self.update_directory(upstream_directory.SaidLeaving(upstream, born_ms))
-            case gossip.PeerTurnedAway(upstream, for_s):
+            case report_effects.PeerTurnedAway(upstream, for_s):
                 if upstream in self.directory.upstream_by_id:
                     self.selector.turned_away.record_of_peer(upstream, for_s)
             case reports.SharedStrike():
@@ -472,12 +472,12 @@
                 limited = self.directory.upstream_by_id.get(effect.upstream)
                 if limited is not None and limited.born_ms == effect.born_ms:
                     self.upstream_limiter.record_shared(limited, effect)
-            case gossip.PeerJoined(contact, incarnation):
+            case report_effects.PeerJoined(contact, incarnation):
                 self._forget_earlier_incarnations(contact.instance, incarnation)
                 eliot.log_message(
                     message_type="peer_joined", peer=contact.instance, incarnation=incarnation
                 )
-            case gossip.PeerLost(contact, is_leaving):
+            case report_effects.PeerLost(contact, is_leaving):
                 eliot.log_message(message_type="peer_lost", peer=contact.instance, left=is_leaving)
 
     def _recent_usage(self, now_s: float) -> dict[str, float]:
--- a/src/carawaydoor/serving/upstream_limiter.py
+++ b/src/carawaydoor/serving/upstream_limiter.py
@@ -18,7 +18,7 @@
 MALFORMED_LOG_INTERVAL_S: Final = 1.0
 # Bounds what is kept to avoid repeated log lines.
 MAX_LOGGED_UPSTREAMS: Final = 1024
-# Refused callers are told to come back one after the other, but not later than this.
+# Longest delay of a refused caller; callers of one service get successive times to retry.
 MAX_RETRY_AFTER_S: Final = 10.0
 # Delays vary by this part, so that callers refused by several instances don't return together.
 RETRY_SPREAD_SHARE: Final = 0.25
--- a/tests/platform_side/test_store_restored.py
+++ b/tests/platform_side/test_store_restored.py
@@ -48,6 +48,15 @@
     return instance.configuration.version
 
 
+def copy_and_withdraw_key(store, instance):
+    """Return a copy of the store with a key, and the instance's report after it was withdrawn."""
+    put_configuration(store, 8, ["withdrawn-key"])
+    copy = store.copy()
+    put_configuration(store, 9, ["other-key"])
+    stored_documents.wait_until(lambda: version_of(instance) == 9)
+    return copy, instance.compose_report()[0]
+
+
 def test_changes_after_a_restore_apply_although_their_revisions_are_lower(store):
     with instance_watching(store) as instance:
         copy = store.copy()
@@ -133,11 +142,7 @@
 
 def test_instance_that_starts_on_the_copy_does_not_accept_a_key_that_peers_saw_withdrawn(store):
     with instance_watching(store, "before") as before:
-        put_configuration(store, 8, ["withdrawn-key"])
-        copy = store.copy()
-        put_configuration(store, 9, ["other-key"])
-        stored_documents.wait_until(lambda: version_of(before) == 9)
-        report = before.compose_report()[0]
+        copy, report = copy_and_withdraw_key(store, before)
         store.restore(copy)
         with instance_watching(store, "started") as started:
             stored_documents.wait_until(lambda: version_of(started) == 8)
@@ -152,11 +157,7 @@
 # was compared with its own configuration only as they reported, and not once it had read the copy.
 def test_copy_that_is_read_after_the_peers_were_heard_does_not_bring_a_withdrawn_key_back(store):
     with instance_watching(store, "before") as before:
-        put_configuration(store, 8, ["withdrawn-key"])
-        copy = store.copy()
-        put_configuration(store, 9, ["other-key"])
-        stored_documents.wait_until(lambda: version_of(before) == 9)
-        report = before.compose_report()[0]
+        copy, report = copy_and_withdraw_key(store, before)
     store.restore(copy)
     with router_harness.running(instance="started") as harness:
         started = harness.instance
--- a/tests/policy/test_gossip.py
+++ b/tests/policy/test_gossip.py
@@ -8,7 +8,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from carawaydoor.fleet import codec, gossip, reports
+from carawaydoor.fleet import codec, gossip, report_effects, reports
 from carawaydoor.policy import load, strikes
 
 OWN_NAME = "m"
@@ -48,17 +48,17 @@
 def test_freshness_proof_counts_from_the_echo_even_if_the_report_is_read_late():
     """A report may wait in the socket of a suspended process: its arrival time proves nothing."""
     _, effects = apply_reports(report(echo_by_instance={OWN_NAME: 90.0}), now_s=100.0)
-    assert gossip.FreshnessProof(7, 89.5) in effects
+    assert report_effects.FreshnessProof(7, 89.5) in effects
 
 
 def test_report_without_an_echo_proves_no_freshness():
     _, effects = apply_reports(report())
-    assert not any(isinstance(each, gossip.FreshnessProof) for each in effects)
+    assert not any(isinstance(each, report_effects.FreshnessProof) for each in effects)
 
 
 def test_echo_from_the_future_proves_no_freshness():
     _, effects = apply_reports(report(echo_by_instance={OWN_NAME: 101.0}), now_s=100.0)
-    assert not any(isinstance(each, gossip.FreshnessProof) for each in effects)
+    assert not any(isinstance(each, report_effects.FreshnessProof) for each in effects)
 
 
 def test_older_report_of_the_same_incarnation_is_ignored():
@@ -69,7 +69,7 @@
 
 def test_first_report_of_a_new_incarnation_replaces_the_old_one():
     state, effects = apply_reports(report(sequence=9), report(incarnation=6, work_by_upstream={}))
-    assert any(isinstance(each, gossip.PeerJoined) for each in effects)
+    assert any(isinstance(each, report_effects.PeerJoined) for each in effects)
     assert gossip.peer_work(state, 100.0) == {}
 
 
@@ -100,7 +100,7 @@
     assert gossip.expire(state, 120.0)[0].peer_by_instance
     state, effects = gossip.expire(state, 131.0)
     assert not state.peer_by_instance
-    assert effects == (gossip.PeerLost(report().contact, False),)
+    assert effects == (report_effects.PeerLost(report().contact, False),)
     leaving, _ = apply_reports(report(is_leaving=True))
     assert not gossip.expire(leaving, 106.0)[0].peer_by_instance
 
@@ -151,7 +151,7 @@
     state, _ = apply_reports(full)
     work_report = reports.WorkReport("p", 5, 5, {}, {"w": 30.0}, {"s": 9.0}, {})
     state, effects = gossip.apply_work_report(state, 101.0, work_report)
-    usage = gossip.PeerUsage("p/5", {"w": 30.0, "x": 5.0}, {"s": 9.0}, {"s": 1.0})
+    usage = report_effects.PeerUsage("p/5", {"w": 30.0, "x": 5.0}, {"s": 9.0}, {"s": 1.0})
     assert effects == (usage,)
     assert state.peer_by_instance["p"].report.used_by_workspace == {"w": 30.0, "x": 5.0}
 
@@ -283,7 +283,7 @@
     assert gossip.count_live_and_known(state, 120.0) == (193, 195)
     assert gossip.is_leader(state, 120.0, 6.0)
     state, effects = gossip.apply_report(state, 121.0, report("i007", 9))
-    assert any(isinstance(each, gossip.PeerJoined) for each in effects)
+    assert any(isinstance(each, report_effects.PeerJoined) for each in effects)
     assert gossip.is_leader(state, 121.0, 6.0)
     state, _ = gossip.apply_report(state, 121.0, report("i008", incarnation=6))
     assert not gossip.is_leader(state, 122.0, 6.0), "a restarted peer is a change"
--- a/tools/emulator/emulated_fleet.py
+++ b/tools/emulator/emulated_fleet.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import Final
 
-from carawaydoor.fleet import gossip, reports
+from carawaydoor.fleet import gossip, report_effects, reports
 from carawaydoor.policy import entities, fleet_retry_budget, health, load, placement
 
 # How long the instances have been running when the first request arrives.
@@ -110,7 +110,7 @@
     def _receive(self, receiver: Instance, report: reports.Report, now_s: float) -> None:
         receiver.membership, effects = gossip.apply_report(receiver.membership, now_s, report)
         for effect in effects:
-            if isinstance(effect, gossip.PeerUsage):
+            if isinstance(effect, report_effects.PeerUsage):
                 receiver.retry_budget = fleet_retry_budget.merge_peer_totals(
                     receiver.retry_budget,
                     now_s,
