--- a/src/carawaydoor/fleet/report_effects.py
+++ b/src/carawaydoor/fleet/report_effects.py
@@ -58,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerTurnedAway:
-    """An upstream wants no requests from a peer for a while."""
+    """An upstream rejects the requests of a peer for a while."""
 
     upstream: str
     for_s: float
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -55,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedLimit:
-    """What an upstream has told a peer about its limit.
+    """The limit of an upstream, as a response to a peer stated it.
 
     :ivar born_ms: start of the incarnation that said so
     :ivar limit_per_s: requests a second from all instances together, None for no limit
@@ -90,9 +90,9 @@
     :ivar configuration_version: number that operators gave the sender's configuration
     :ivar sound_age_s_by_part: for parts of prompts that occur in crashes, the seconds since a
         generation with the part was seen to go on
-    :ivar limits: limits that upstreams have told the sender
-    :ivar turned_away_s_by_upstream: for each upstream that wants no requests from the sender, the
-        seconds for which it wants none
+    :ivar limits: limits of upstreams, as responses to the sender stated them
+    :ivar turned_away_s_by_upstream: for each upstream that rejects requests of the sender, the seconds
+        for which it asked to send none
     :ivar leaving_born_ms_by_upstream: start of the incarnations that have lately begun to leave
     """
 
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -57,7 +57,7 @@
     :ivar domain: failure domain of the instance
     :ivar staleness_s: mean age of what is known about the work of peers
     :ivar seed: differs for each placement, so that instances don't all choose the same upstream
-    :ivar turning_peers_away: upstreams that want no requests from some peer for a while
+    :ivar turning_peers_away: upstreams that reject requests of some peer for a while
     :ivar generations_per_s: rate at which all instances together place generations
     """
 
--- a/src/carawaydoor/policy/upstream_limits.py
+++ b/src/carawaydoor/policy/upstream_limits.py
@@ -32,7 +32,7 @@
 # Statements of peers are dated by their age when they were sent. The assumed delay since then makes
 # them look too old rather than too new beside an instance's own.
 REPORT_DELAY_S: Final = 0.2
-# Peers need not believe older statements, since newer ones exist if the upstream is in use.
+# Older statements of peers are ignored, since newer ones exist if the upstream is in use.
 MAX_SHARED_AGE_S: Final = 30.0
 # An upstream that names no limit any more is remembered until no peer can bring the limit back.
 ENDED_LIMIT_RETENTION_S: Final = 2.0 * MAX_SHARED_AGE_S
@@ -188,9 +188,9 @@
 def own_statements(
     state: UpstreamLimits, now_s: float, recent_only: bool = False
 ) -> tuple[Statement, ...]:
-    """Return the statements to tell peers: those that this instance got itself.
+    """Return the statements to report to peers: those that this instance got itself.
 
-    What peers have told is not passed on, since its age would be less certain each time.
+    What peers reported is not passed on, since its age would be less certain each time.
 
     :param recent_only: whether to return only those whose limit changed lately
     """
--- a/src/carawaydoor/serving/turned_away.py
+++ b/src/carawaydoor/serving/turned_away.py
@@ -21,10 +21,10 @@
 
 
 class TurnedAway:
-    """The times until which upstreams want no requests from this instance, or from a peer.
+    """The times until which upstreams reject requests of this instance, or of a peer.
 
-    An upstream that turns a peer away spoke of that one alone. It is only avoided here while others
-    will do, since it is probably full.
+    The delay that an upstream asks of a peer is meant for that one alone. Here the upstream is only
+    avoided while others will do, since it is probably full.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -54,7 +54,7 @@
             )
 
     def record_of_peer(self, upstream_id: str, delay_s: float) -> None:
-        """Record that an upstream wants no requests from a peer for some seconds."""
+        """Record that an upstream rejects requests of a peer for some seconds."""
         now_s = self._clock.now_s()
         until_s = now_s + min(delay_s, MAX_AVOIDANCE_S)
         with self._lock:
@@ -68,14 +68,14 @@
             }
 
     def avoided(self) -> frozenset[str]:
-        """Return the ids of the upstreams that want no requests from some peer."""
+        """Return the ids of the upstreams that reject requests of some peer."""
         if not self._peers_until_s_by_id:
             return frozenset()
         now_s = self._clock.now_s()
         return frozenset(key for key, each_s in self._peers_until_s_by_id.items() if each_s > now_s)
 
     def share(self) -> dict[str, float]:
-        """Return for how many more seconds upstreams want no requests from this instance."""
+        """Return for how many more seconds upstreams reject requests of this instance."""
         if not self._until_s_by_incarnation:
             return {}
         now_s = self._clock.now_s()
@@ -84,7 +84,7 @@
             for (upstream_id, _), until_s in self._until_s_by_incarnation.items()
             if until_s > now_s
         ]
-        # The latest ones tell most about what is full now.
+        # The latest ones are the most likely to be full now.
         return dict(waiting[-report_selection.MAX_URGENT_PER_REPORT :])
 
     def report_malformed(self, upstream: entities.Upstream, detail: str) -> None:
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -294,7 +294,7 @@
         """Release the KV cache of a prompt that no engine will fetch.
 
         A failure is only logged, since the engine soon drops the cache by itself. For the same
-        reason, nothing is sent to an engine that wants no requests or names a limit.
+        reason, nothing is sent to an engine that rejects requests or names a limit.
         """
         if (
             self._instance.selector.turned_away.remaining_s(upstream) > 0.0
--- a/src/carawaydoor/serving/upstream_limiter.py
+++ b/src/carawaydoor/serving/upstream_limiter.py
@@ -27,7 +27,7 @@
 class UpstreamLimiter:
     """Holds the limits of upstreams and this instance's permits, and logs changes of limits.
 
-    :ivar on_change: called when an upstream has told this instance another limit than before
+    :ivar on_change: called when a response to this instance has changed the limit of an upstream
     """
 
     def __init__(
@@ -77,7 +77,7 @@
     def retry_after_s(self, service: str, upstreams: Collection[entities.Upstream]) -> float:
         """Return when a caller should retry that none of some limited upstreams may serve now.
 
-        Callers are told successive times, at the rate at which the upstreams take requests.
+        Callers get successive times, at the rate at which the upstreams take requests.
 
         :param service: groups the callers that wait for the same upstreams
         """
@@ -116,7 +116,7 @@
             self.on_change()
 
     def record_shared(self, upstream: entities.Upstream, shared: reports.SharedLimit) -> None:
-        """Record what an upstream has told a peer about its limit."""
+        """Record the limit of an upstream that a peer reports."""
         now_s = self._clock.now_s()
         with self._lock:
             before = self._state
@@ -127,7 +127,7 @@
         self._log_change(upstream, before, after, "peer", shared.age_s)
 
     def share(self, recent_only: bool = False) -> tuple[reports.SharedLimit, ...]:
-        """Return what upstreams have told this instance, as much as goes into one report.
+        """Return the limits that this instance read itself, as many as go into one report.
 
         :param recent_only: whether to return only limits that changed lately
         """
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -102,7 +102,7 @@
     headers: dict[str, str]
     body: bytes
     behaviour: Behaviour = Behaviour.ANSWER
-    # Seconds for which the response wants no further requests from the same instance.
+    # Seconds for which the response asks the instance to send no further requests.
     retry_after_s: float = 0.0
     at_s: float = dataclasses.field(default_factory=time.monotonic)
     caller_disconnected: threading.Event = dataclasses.field(default_factory=threading.Event)
--- a/tests/platform_side/test_report_size.py
+++ b/tests/platform_side/test_report_size.py
@@ -1,6 +1,6 @@
 """Reports fit into a datagram however many upstreams name limits, turn requests away or leave.
 
-A report that does not fit is not sent at all, so that peers hear nothing of the instance.
+A report that does not fit is not sent at all, so that peers learn nothing of the instance.
 """
 
 from __future__ import annotations
@@ -42,11 +42,11 @@
     for each in upstreams_of(harness):
         harness.instance.upstream_limiter.record_text(each, "2.5", harness.clock.now_s())
     assert max(sizes(harness)) < transport.MAX_DATAGRAM_BYTES / 4
-    told = set()
+    reported = set()
     harness.clock.advance(5.0)
     for _ in range(COUNT):
-        told.update(each.upstream for each in harness.instance.upstream_limiter.share())
-    assert len(told) == COUNT, "all have their turn"
+        reported.update(each.upstream for each in harness.instance.upstream_limiter.share())
+    assert len(reported) == COUNT, "all have their turn"
 
 
 def test_reports_with_many_upstreams_that_turn_requests_away_fit(harness):
--- a/tests/platform_side/test_upstream_notices.py
+++ b/tests/platform_side/test_upstream_notices.py
@@ -234,7 +234,7 @@
 
 
 def test_upstream_that_turns_a_peer_away_is_still_used_if_it_is_the_only_one():
-    """It spoke of the peer alone."""
+    """The delay is meant for the peer alone."""
     with harness_fleet.running(2, clocks.ManualClock()) as fleet:
         first, second = fleet.members
         fleet.exchange_reports()
@@ -247,7 +247,7 @@
 
 
 def test_peers_learn_that_an_upstream_leaves():
-    """Each instance sent requests to it until it was told itself, or read it in the store."""
+    """Each instance sent requests to it until a response to itself, or the store, said so."""
     with harness_fleet.running(2, clocks.ManualClock()) as fleet:
         first, second = fleet.members
         fleet.exchange_reports()
--- a/tests/policy/test_limit_shares.py
+++ b/tests/policy/test_limit_shares.py
@@ -1,6 +1,6 @@
 """A limit that an upstream names holds for all instances together, in a fleet of any size.
 
-Instances that choose by what they last heard send too much at once where reports are late, and an equal
+Instances that choose by the last reports of peers send too much at once where reports are late, and an equal
 part for each is too small to be of use in a large fleet.
 """
 
@@ -40,7 +40,7 @@
             self.set_fleet(name, 0.0, self.names)
 
     def start(self, name, now_s):
-        """Start an instance that has heard of the limit, but not of its peers."""
+        """Start an instance that knows the limit, but not its peers."""
         state = upstream_limits.create(name)
         statement = upstream_limits.Statement(*UPSTREAM, self.limit_per_s, now_s)
         self.state_by_name[name] = upstream_limits.record(state, now_s, statement)
@@ -125,7 +125,7 @@
 
 @pytest.mark.parametrize("size", SIZES[2:])
 def test_instances_that_start_keep_the_limit_with_those_that_run(size):
-    """Instances start in turn; each hears its peers a second later and is missed until then."""
+    """Instances start in turn; each gets reports a second later, and its peers do without it until then."""
     events = []
     for number, name in enumerate(instance_names(size)[:8]):
         others = tuple(each for each in instance_names(size) if each != name)
@@ -136,17 +136,17 @@
             fleet.start(name, at_s)
             fleet.set_fleet(name, at_s, (name,), 8, is_settled=False)
 
-        def heard(fleet, at_s):
+        def report_arrives(fleet, at_s):
             for each in fleet.names:
                 fleet.set_fleet(each, at_s, fleet.names)
 
-        events += [(5.0 + 4.0 * number, stop), (6.5 + 4.0 * number, heard)]
+        events += [(5.0 + 4.0 * number, stop), (6.5 + 4.0 * number, report_arrives)]
     fleet = EmulatedFleet(size, 2.3, max(12.0, 0.5 * size))
     fleet.run(0.0, 45.0, events)
     assert fleet.most_in_a_window() <= fleet.allowed()
 
 
-def test_instance_that_has_not_heard_its_peers_sends_nothing():
+def test_instance_without_reports_of_its_peers_sends_nothing():
     fleet = EmulatedFleet(1, 2.3, 12.0)
     fleet.set_fleet("i-0", 0.0, ("i-0",), 8, is_settled=False)
     fleet.run(0.0, 20.0)
--- a/tests/policy/test_upstream_limits.py
+++ b/tests/policy/test_upstream_limits.py
@@ -1,4 +1,4 @@
-"""Limits that upstreams name are read and believed for as long as the newest response says so."""
+"""Limits that upstreams name are read, and hold for as long as the newest response says so."""
 
 from __future__ import annotations
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -19,7 +19,7 @@
 UNDISTURBED_BEFORE_S: Final = 3.0
 # An instance that no fault affects has read a request within this time.
 MAX_READ_DELAY_S: Final = 0.2
-# Requests that may reach an upstream while it wants none from an instance: they were under way.
+# Requests that may reach an upstream after it has asked an instance for none: they were under way.
 MAX_REQUESTS_AFTER_REJECTION: Final = 2
 # A limit holds in each window of this length, from some time after an upstream first named it.
 LIMIT_WINDOW_S: Final = 4.0
@@ -147,7 +147,7 @@
 def _find_requests_after_rejections(
     environment: soak_environment.SoakEnvironment, outcomes: list[callers.Outcome]
 ) -> Iterator[str]:
-    """Yield upstreams that got requests of an instance which they had told to send none for a while."""
+    """Yield upstreams that got requests of an instance after they had asked it to send none for a while."""
     instance_by_id = {each.id: each.instance for each in outcomes}
     for name, upstream in environment.upstream_by_name.items():
         received = [
