Test that an upstream which turns peers away is neither overrun nor left out

It is chosen only if others are busier by more than half of their capacity, or have a longer queue of prompts. A case each; an emulator run of a whole fleet was not made.

--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -6,6 +6,8 @@
 import dataclasses
 import random
 
+import pytest
+
 from carawaydoor.policy import entities, health, load, placement
 from tests.policy import builders
 from tests.policy.builders import context, decode, prefill, upstream
@@ -217,3 +219,28 @@
     context = builders.context(builders.decode("d1"), own={"d1": fill})
     assert placement.choose_generation(context, builders.MODEL_SERVICE, short) is not None
     assert placement.choose_generation(context, builders.MODEL_SERVICE, long) is None
+
+
+@pytest.mark.parametrize(("others_busy", "expected"), [(1, "b"), (2, "b"), (4, "a"), (6, "a")])
+def test_upstream_that_turns_peers_away_is_used_only_if_others_are_much_busier(
+    others_busy, expected
+):
+    """Instances must neither go on with a full server nor all leave it for the others."""
+    upstreams = (upstream("a", slots=6), upstream("b", slots=6))
+    avoiding = dataclasses.replace(
+        context(*upstreams, peers={"b": WORK(others_busy)}), turning_peers_away=frozenset({"a"})
+    )
+    chosen = placement.choose_plain(avoiding, "bookings")
+    assert chosen is not None and chosen.id == expected
+
+
+def test_prefill_engine_that_turns_peers_away_is_used_if_the_others_have_a_queue():
+    engines = (prefill("p"), prefill("q"), decode("d"))
+    prompt = entities.Prompt(4000, 100, 100)
+    for queued, expected in ((1000, "q"), (20_000, "p")):
+        avoiding = dataclasses.replace(
+            context(*engines, peers={"q": WORK(1, queued)}), turning_peers_away=frozenset({"p"})
+        )
+        chosen = placement.choose_generation(avoiding, builders.MODEL_SERVICE, prompt)
+        assert chosen is not None and chosen.prefill is not None
+        assert chosen.prefill.id == expected
