--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -271,7 +271,7 @@
         sender.join()
     for each in paused:
         running.resume(each)
-    assert responses["status"].problem == "deadline-exceeded"
+    assert responses["status"].problem == "deadline-exceeded", responses["status"]
     assert responses["status"].ran == "unknown"
     assert responses["model"].status in (503, 504)
     assert responses["model"].ran == "unknown"
