Wait until a paused process has stopped

It had failed once before, beside load.

Cause: SIGSTOP stops the threads of a process as they are scheduled. Beside 20 busy processes on 8 processors the 32 threads of a stand-in took 37 ms to stop (median, 56 ms at most), and 2 of 60 status reads sent right after the signal were answered, after 8 and 13 ms; the answer is a fault of the test's pause, not of the product. Ruled out: an upstream that was not paused, or one that was resumed early (the four paused processes are the only ones of their services, and are resumed after both responses).

Change: LocalCluster.pause returns once the kernel reports the whole process stopped.

--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -304,7 +304,7 @@
 
     def pause(self, name: str) -> None:
         """Suspend a process until :meth:`resume`."""
-        self.process_by_name[name].send_signal(signal.SIGSTOP)
+        pause_process(self.process_by_name[name])
 
     def resume(self, name: str) -> None:
         """Resume a paused process."""
@@ -354,6 +354,15 @@
             )
 
 
+def pause_process(process: subprocess.Popen[bytes]) -> None:
+    """Suspend a child process, and return once all of its threads have stopped or it has exited.
+
+    Without the wait, threads on a busy machine run on for tens of milliseconds.
+    """
+    process.send_signal(signal.SIGSTOP)
+    os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+
+
 def http_get(port: int, path: str, timeout_s: float = 2.0) -> tuple[int, bytes]:
     """Send a GET request to a port on loopback and return status and body."""
     connection = http.client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
