Tell peers which upstreams fail, so that not each instance loses a request to them

Cause: an instance judged upstreams by its own calls alone. When one crashed, went dark or was cut off, each instance of the fleet lost a request to it, and again after each of its backoffs; a failing upstream is the emptiest one and attracts requests.

Change: reports name the suspect upstreams with incarnation, age and time left, urgently when one becomes suspect. Peers prefer others while these have room. An own answer since outweighs the evidence; evidence of another failure domain counts only if a further one confirms it; an instance for which most upstreams of a service fail reports none; upstreams that only lack capacity are not reported. Single requests of the fleet, one a second at any size, try the upstream.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -16,7 +16,7 @@
 from thriftpy2.transport.memory import cymemory
 
 from carawaydoor.fleet import report_structs, reports
-from carawaydoor.policy import load, strikes
+from carawaydoor.policy import load, peer_evidence, strikes
 
 AnyReport = reports.Report | reports.WorkReport
 
@@ -51,9 +51,19 @@
         repeats_by_service=dict(report.repeats_by_service),
         source_revision=report.source_revision,
         limits=_limit_structs(report.limits),
+        failures=_failure_structs(report.failures),
     )
 
 
+def _failure_structs(failures: Iterable[peer_evidence.Failure]) -> list[Any]:
+    return [
+        report_structs.Failure(
+            upstream=each.upstream, born_ms=each.born_ms, age_s=each.age_s, for_s=each.for_s
+        )
+        for each in failures
+    ]
+
+
 def _limit_structs(limits: Iterable[reports.SharedLimit]) -> list[Any]:
     return [
         report_structs.Limit(
@@ -110,6 +120,7 @@
         limits=_limit_structs(report.limits),
         turned_away_s_by_upstream=dict(report.turned_away_s_by_upstream),
         leaving_born_ms_by_upstream=dict(report.leaving_born_ms_by_upstream),
+        failures=_failure_structs(report.failures),
     )
 
 
@@ -143,6 +154,16 @@
         message.repeats_by_service or {},
         int(message.source_revision or 0),
         _limits(message.limits),
+        _failures(message.failures),
+    )
+
+
+def _failures(structs: Iterable[Any] | None) -> tuple[peer_evidence.Failure, ...]:
+    return tuple(
+        peer_evidence.Failure(
+            _required_text(each.upstream), int(each.born_ms), float(each.age_s), float(each.for_s)
+        )
+        for each in structs or ()
     )
 
 
@@ -197,6 +218,7 @@
         limits=_limits(message.limits),
         turned_away_s_by_upstream=message.turned_away_s_by_upstream or {},
         leaving_born_ms_by_upstream=message.leaving_born_ms_by_upstream or {},
+        failures=_failures(message.failures),
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -16,7 +16,7 @@
 from typing import Final
 
 from carawaydoor.fleet import report_effects, reports
-from carawaydoor.policy import load
+from carawaydoor.policy import entities, load, peer_evidence
 
 # A peer without reports counts as silent after the minimum timeout or, in a large fleet, after a
 # number of cycles, so that a few lost datagrams have no effect. In each cycle, an instance sends
@@ -166,6 +166,7 @@
         requests_by_service={**known.requests_by_service, **report.requests_by_service},
         repeats_by_service={**known.repeats_by_service, **report.repeats_by_service},
         source_revision=max(known.source_revision, report.source_revision),
+        failures=report.failures,
     )
     new_peer = dataclasses.replace(known_peer, report=new_report, last_report_s=now_s)
     peers = {**state.peer_by_instance, report.instance: new_peer}
@@ -286,6 +287,18 @@
     return {key: load.Work(round(requests[key]), round(tokens[key])) for key in requests}
 
 
+def peer_failures(
+    state: Membership, own_domain: str, now_s: float
+) -> dict[entities.Incarnation, float]:
+    """Return when upstreams last failed peers, as far as that counts for an instance."""
+    reported = (
+        (each.report.domain, each.last_report_s, each.report.failures)
+        for each in state.peer_by_instance.values()
+        if each.report is not None and each.report.failures
+    )
+    return peer_evidence.combine(reported, own_domain, now_s)
+
+
 def count_live_and_known(state: Membership, now_s: float) -> tuple[int, int]:
     """Return how many instances are live and how many are known, including this one."""
     peers = [each for each in state.peer_by_instance.values() if each.report is not None]
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -6,6 +6,8 @@
 struct Crash { 1: string engine, 2: string request, 3: list<string> parts, 4: double age_s }
 // Without per_s the upstream names no limit any more.
 struct Limit { 1: string upstream, 2: i64 born_ms, 3: double per_s, 4: double age_s }
+// An upstream that has failed requests of the sender; age_s since the latest failure.
+struct Failure { 1: string upstream, 2: i64 born_ms, 3: double age_s, 4: double for_s }
 struct Report {
   1: string instance, 2: string host, 3: string domain, 4: i64 incarnation, 5: i64 sequence,
   6: double sent_s, 7: bool leaving, 8: i64 revision, 9: double proof_age_s,
@@ -16,12 +18,12 @@
   19: i64 source_revision, 20: list<Crash> crashes, 21: map<string, double> sound_age_s_by_part,
   22: i64 configuration_version, 23: list<Limit> limits,
   24: map<string, double> turned_away_s_by_upstream,
-  25: map<string, i64> leaving_born_ms_by_upstream
+  25: map<string, i64> leaving_born_ms_by_upstream, 26: list<Failure> failures
 }
 struct WorkReport {
   1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream,
   5: map<string, double> used_by_workspace, 6: map<string, double> requests_by_service,
   7: map<string, double> repeats_by_service,
-  8: i64 source_revision, 9: list<Limit> limits
+  8: i64 source_revision, 9: list<Limit> limits, 10: list<Failure> failures
 }
 struct Datagram { 1: Report report, 2: WorkReport work }
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -51,6 +51,9 @@
 Limit: Final = _declare(
     "Limit", (_STRING, "upstream"), (_I64, "born_ms"), (_DOUBLE, "per_s"), (_DOUBLE, "age_s")
 )
+Failure: Final = _declare(
+    "Failure", (_STRING, "upstream"), (_I64, "born_ms"), (_DOUBLE, "age_s"), (_DOUBLE, "for_s")
+)
 _WORK_BY_UPSTREAM: Final = _map("work_by_upstream", (_STRING, (thrift.TType.STRUCT, Work)))
 Report: Final = _declare(
     "Report",
@@ -79,6 +82,7 @@
     (thrift.TType.LIST, "limits", (thrift.TType.STRUCT, Limit)),
     _amounts("turned_away_s_by_upstream"),
     _map("leaving_born_ms_by_upstream", (_STRING, _I64)),
+    (thrift.TType.LIST, "failures", (thrift.TType.STRUCT, Failure)),
 )
 WorkReport: Final = _declare(
     "WorkReport",
@@ -91,6 +95,7 @@
     _amounts("repeats_by_service"),
     (_I64, "source_revision"),
     (thrift.TType.LIST, "limits", (thrift.TType.STRUCT, Limit)),
+    (thrift.TType.LIST, "failures", (thrift.TType.STRUCT, Failure)),
 )
 Datagram: Final = _declare(
     "Datagram",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from carawaydoor.policy import load, strikes
+from carawaydoor.policy import load, peer_evidence, strikes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +94,7 @@
     :ivar turned_away_s_by_upstream: for each upstream that rejects requests of the sender, the seconds
         for which it asked to send none
     :ivar leaving_born_ms_by_upstream: start of the incarnations that have lately begun to leave
+    :ivar failures: upstreams that have failed requests of the sender lately
     """
 
     contact: Contact
@@ -120,6 +121,7 @@
     limits: tuple[SharedLimit, ...] = ()
     turned_away_s_by_upstream: Mapping[str, float] = dataclasses.field(default_factory=dict)
     leaving_born_ms_by_upstream: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    failures: tuple[peer_evidence.Failure, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,6 +136,7 @@
     :ivar repeats_by_service: likewise
     :ivar source_revision: as in a full report
     :ivar limits: as in a full report, but only what has changed lately
+    :ivar failures: as in a full report
     """
 
     instance: str
@@ -145,3 +148,4 @@
     repeats_by_service: Mapping[str, float] = dataclasses.field(default_factory=dict)
     source_revision: int = 0
     limits: tuple[SharedLimit, ...] = ()
+    failures: tuple[peer_evidence.Failure, ...] = ()
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -68,6 +68,7 @@
             clock,
         )
         self._instance.selector.on_generations_changed = self._transport.announce_work
+        self._instance.selector.on_failure = self._transport.announce_work
         self._instance.upstream_limiter.on_change = self._transport.announce_work
         self._instance.source.on_changed = self._transport.announce_source_change
         adapter = http_adapter.PlatformHttpAdapter()
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -15,6 +15,8 @@
 CROSS_DOMAIN_PENALTY_SHARE: Final = 0.15
 # Weight of the failure rate in the cost of an upstream, as long as the upstream is not suspect.
 FAILURE_RATE_WEIGHT: Final = 1.0
+# Assumed failure rate of an upstream that has failed peers, if this instance's own calls tell no more.
+PEER_FAILURE_RATE: Final = 1.0
 # Assumed of every prefill engine, since their actual speeds are not observed.
 PREFILL_TOKENS_PER_S: Final = 40_000.0
 # A decode engine prefills a prompt at this fraction of a prefill engine's speed.
@@ -58,6 +60,7 @@
     :ivar staleness_s: mean age of what is known about the work of peers
     :ivar seed: differs for each placement, so that instances don't all choose the same upstream
     :ivar turning_peers_away: upstreams that reject requests of some peer for a while
+    :ivar failing_peers: upstreams that have lately failed requests of some peer
     :ivar generations_per_s: rate at which all instances together place generations
     """
 
@@ -70,6 +73,7 @@
     seed: int = 0
     generations_per_s: float = 0.0
     turning_peers_away: frozenset[str] = frozenset()
+    failing_peers: frozenset[str] = frozenset()
 
     @property
     def unseen_share(self) -> float:
@@ -253,7 +257,7 @@
 ) -> float:
     queued_s = context.upstream_load.at(prefill.id).tokens / PREFILL_TOKENS_PER_S
     domain_cost_s = 0.0 if prefill.domain == decode.domain else CROSS_DOMAIN_PREFILL_PENALTY_S
-    failure_cost_s = FAILURE_RATE_WEIGHT * health.failure_rate(context.upstream_health, prefill.id)
+    failure_cost_s = FAILURE_RATE_WEIGHT * _failure_rate(context, prefill)
     avoidance_cost_s = AVOIDANCE_PENALTY_S if prefill.id in context.turning_peers_away else 0.0
     return queued_s + domain_cost_s + failure_cost_s + avoidance_cost_s
 
@@ -261,10 +265,16 @@
 def _penalty(context: PlacementContext, upstream: entities.Upstream) -> float:
     domain_cost = 0.0 if upstream.domain == context.domain else CROSS_DOMAIN_PENALTY_SHARE
     avoidance_cost = AVOIDANCE_PENALTY_SHARE if upstream.id in context.turning_peers_away else 0.0
-    failure_cost = FAILURE_RATE_WEIGHT * health.failure_rate(context.upstream_health, upstream.id)
+    failure_cost = FAILURE_RATE_WEIGHT * _failure_rate(context, upstream)
     return domain_cost + failure_cost + avoidance_cost
 
 
+def _failure_rate(context: PlacementContext, upstream: entities.Upstream) -> float:
+    """Return the failure rate that is expected of an upstream, 0 to 1."""
+    own = health.failure_rate(context.upstream_health, upstream.id)
+    return max(own, PEER_FAILURE_RATE) if upstream.id in context.failing_peers else own
+
+
 def _has_room(
     context: PlacementContext,
     upstream: entities.Upstream,
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -333,6 +333,7 @@
                 leaving_born_ms_by_upstream=upstream_directory.lately_leaving(
                     self.directory, now_s
                 ),
+                failures=self.selector.failures_to_report(),
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
@@ -365,6 +366,7 @@
                 self.retry_budget.retries.own_totals_by_name,
                 self.source.revision,
                 self.upstream_limiter.share(recent_only=True),
+                self.selector.failures_to_report(),
             )
         self.metrics.peer_datagrams.add(len(contacts), {"direction": "sent"})
         return report, [each.host for each in contacts]
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -12,7 +12,14 @@
 
 from carawaydoor.fleet import gossip
 from carawaydoor.operating import clocks, platform_metrics
-from carawaydoor.policy import entities, health, load, placement, stage_balance
+from carawaydoor.policy import (
+    entities,
+    health,
+    load,
+    peer_evidence,
+    placement,
+    stage_balance,
+)
 from carawaydoor.serving import turned_away, upstream_limiter
 
 # An engine that was ordered to change its stage is used again after this time, even if its entry
@@ -30,6 +37,7 @@
     :ivar health: recent outcomes of calls to each upstream
     :ivar turned_away: upstreams that have asked for no requests for a while
     :ivar on_generations_changed: called after a generation was placed or has ended
+    :ivar on_failure: called when an upstream has become suspect
     """
 
     def __init__(
@@ -46,6 +54,7 @@
         self.load = load.EMPTY
         self.health: health.Health = {}
         self.on_generations_changed: Callable[[], None] = _do_nothing
+        self.on_failure: Callable[[], None] = _do_nothing
         self.turned_away: Final = turned_away.TurnedAway(clock)
         self._domain = domain
         self._clock = clock
@@ -57,6 +66,8 @@
         self._requests_per_s = requests_per_s
         self._limiter = limiter
         self._peer_load_summed_s = float("-inf")
+        self._next_trial_s: float | None = None
+        self._peer_failures: Mapping[entities.Incarnation, float] = {}
         self._balance = stage_balance.Balance()
         self._paused_until_s_by_id: dict[str, float] = {}
         self._random = random.Random()
@@ -70,7 +81,9 @@
         """
         with self._lock:
             while True:
-                upstream = placement.choose_plain(self._placement_context(), service, excluded)
+                upstream = placement.choose_plain(
+                    self._placement_context(may_try=True), service, excluded
+                )
                 if upstream is None:
                     return None
                 # Another request may have taken the last permit meanwhile.
@@ -93,7 +106,11 @@
         with self._lock:
             while True:
                 chosen = placement.choose_generation(
-                    self._placement_context(service.name), service, prompt, excluded, reserve_share
+                    self._placement_context(service.name, may_try=True),
+                    service,
+                    prompt,
+                    excluded,
+                    reserve_share,
                 )
                 if chosen is None:
                     return None
@@ -199,6 +216,8 @@
             was_suspect = health.is_suspect(self.health, now_s, upstream.id)
             self.health = health.record_outcome(self.health, now_s, upstream.id, outcome)
             is_suspect = health.is_suspect(self.health, now_s, upstream.id)
+        if is_suspect and not was_suspect:
+            self.on_failure()
         self._metrics.upstream_calls.add(1, {"service": upstream.service, "outcome": outcome.value})
         if is_suspect != was_suspect:
             eliot.log_message(
@@ -207,6 +226,23 @@
                 outcome=outcome.value,
             )
 
+    def failures_to_report(self) -> tuple[peer_evidence.Failure, ...]:
+        """Return the upstreams that have failed requests of this instance, to tell peers."""
+        with self._lock:
+            return peer_evidence.to_report(self.health, self._clock.now_s(), self._upstreams())
+
+    def failing_peers(self) -> frozenset[str]:
+        """Return the ids of the upstreams that have lately failed requests of peers."""
+        if not self._peer_failures:
+            return frozenset()
+        known = {each.id: each.incarnation for each in self._upstreams()}
+        failures = {
+            incarnation: failed_s
+            for incarnation, failed_s in self._peer_failures.items()
+            if known.get(incarnation[0]) == incarnation
+        }
+        return peer_evidence.outweighing(failures, self.health)
+
     def forget_health(self, upstream: str) -> None:
         """Remove the health of an upstream that has left or changed its stage."""
         with self._lock:
@@ -267,10 +303,13 @@
                 if until_s > now_s
             }
 
-    def _placement_context(self, generation_service: str = "") -> placement.PlacementContext:
+    def _placement_context(
+        self, generation_service: str = "", may_try: bool = False
+    ) -> placement.PlacementContext:
         """Return the input of a placement.
 
         :param generation_service: the service if a generation is placed
+        :param may_try: whether the request may be the trial of an upstream that has failed peers
         """
         now_s = self._clock.now_s()
         membership = self._membership()
@@ -279,6 +318,7 @@
             self._peer_load_summed_s = now_s
             peers_by_id = gossip.peer_work(membership, now_s)
             self.load = load.step(self.load, load.PeersReported(peers_by_id))
+            self._peer_failures = gossip.peer_failures(membership, self._domain, now_s)
         return placement.PlacementContext(
             now_s,
             self._domain,
@@ -289,8 +329,21 @@
             self._random.getrandbits(32),
             self._requests_per_s(generation_service) if membership.peer_by_instance else 0.0,
             self.turned_away.avoided(),
+            self._failing_peers_unless_trial(now_s) if may_try else self.failing_peers(),
         )
 
+    def _failing_peers_unless_trial(self, now_s: float) -> frozenset[str]:
+        failing = self.failing_peers()
+        if not failing:
+            self._next_trial_s = None
+            return failing
+        is_due = self._next_trial_s is not None and now_s >= self._next_trial_s
+        if self._next_trial_s is None or is_due:
+            draw = self._random.random()
+            instances = len(self._membership().peer_by_instance) + 1
+            self._next_trial_s = peer_evidence.next_trial_s(now_s, draw, instances)
+        return frozenset() if is_due else failing
+
     def _usable_upstreams(self, now_s: float) -> tuple[entities.Upstream, ...]:
         willing = self._limiter.permitted(self.turned_away.willing(self._upstreams()))
         if not self._paused_until_s_by_id:
--- a/tests/policy/test_report_structs.py
+++ b/tests/policy/test_report_structs.py
@@ -10,7 +10,17 @@
 from carawaydoor.fleet import report_structs
 
 FILE = pathlib.Path(report_structs.__file__).with_name("report.thrift")
-NAMES = ["Work", "Contact", "Strike", "Crash", "Limit", "Report", "WorkReport", "Datagram"]
+NAMES = [
+    "Work",
+    "Contact",
+    "Strike",
+    "Crash",
+    "Limit",
+    "Failure",
+    "Report",
+    "WorkReport",
+    "Datagram",
+]
 
 
 def described(struct):
