--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -72,6 +72,7 @@
     """Return the status of an instance, with its view of the configuration and the upstreams."""
     now_s = instance.clock.now_s()
     configuration = instance.configuration
+    failing_peers = instance.selector.failing_peers()
     return {
         "instance": instance.options.instance,
         "ready": instance.is_ready,
@@ -93,6 +94,7 @@
                 "turned_away_s": round(instance.selector.turned_away.remaining_s(each), 3),
                 "limit_per_s": instance.upstream_limiter.limit_per_s(each),
                 "next_request_s": _finite(instance.upstream_limiter.next_permit_s(each)),
+                "fails_peers": each.id in failing_peers,
                 "suspect_for_s": max(
                     0.0,
                     (
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -20,7 +20,7 @@
     placement,
     stage_balance,
 )
-from carawaydoor.serving import turned_away, upstream_limiter
+from carawaydoor.serving import peer_failures, turned_away, upstream_limiter
 
 # An engine that was ordered to change its stage is used again after this time, even if its entry
 # still shows the old stage. The change takes about six seconds once running work has ended.
@@ -66,8 +66,7 @@
         self._requests_per_s = requests_per_s
         self._limiter = limiter
         self._peer_load_summed_s = float("-inf")
-        self._next_trial_s: float | None = None
-        self._peer_failures: Mapping[entities.Incarnation, float] = {}
+        self._peer_failures = peer_failures.PeerFailures(domain)
         self._balance = stage_balance.Balance()
         self._paused_until_s_by_id: dict[str, float] = {}
         self._random = random.Random()
@@ -233,15 +232,7 @@
 
     def failing_peers(self) -> frozenset[str]:
         """Return the ids of the upstreams that have lately failed requests of peers."""
-        if not self._peer_failures:
-            return frozenset()
-        known = {each.id: each.incarnation for each in self._upstreams()}
-        failures = {
-            incarnation: failed_s
-            for incarnation, failed_s in self._peer_failures.items()
-            if known.get(incarnation[0]) == incarnation
-        }
-        return peer_evidence.outweighing(failures, self.health)
+        return self._peer_failures.current(self._upstreams(), self.health)
 
     def forget_health(self, upstream: str) -> None:
         """Remove the health of an upstream that has left or changed its stage."""
@@ -318,7 +309,8 @@
             self._peer_load_summed_s = now_s
             peers_by_id = gossip.peer_work(membership, now_s)
             self.load = load.step(self.load, load.PeersReported(peers_by_id))
-            self._peer_failures = gossip.peer_failures(membership, self._domain, now_s)
+            self._peer_failures.update(membership, now_s)
+        is_trial = may_try and self._peer_failures.is_trial_due(now_s)
         return placement.PlacementContext(
             now_s,
             self._domain,
@@ -329,21 +321,9 @@
             self._random.getrandbits(32),
             self._requests_per_s(generation_service) if membership.peer_by_instance else 0.0,
             self.turned_away.avoided(),
-            self._failing_peers_unless_trial(now_s) if may_try else self.failing_peers(),
+            frozenset() if is_trial else self.failing_peers(),
         )
 
-    def _failing_peers_unless_trial(self, now_s: float) -> frozenset[str]:
-        failing = self.failing_peers()
-        if not failing:
-            self._next_trial_s = None
-            return failing
-        is_due = self._next_trial_s is not None and now_s >= self._next_trial_s
-        if self._next_trial_s is None or is_due:
-            draw = self._random.random()
-            instances = len(self._membership().peer_by_instance) + 1
-            self._next_trial_s = peer_evidence.next_trial_s(now_s, draw, instances)
-        return frozenset() if is_due else failing
-
     def _usable_upstreams(self, now_s: float) -> tuple[entities.Upstream, ...]:
         willing = self._limiter.permitted(self.turned_away.willing(self._upstreams()))
         if not self._paused_until_s_by_id:
--- a/tests/platform_side/test_peer_failures.py
+++ b/tests/platform_side/test_peer_failures.py
@@ -74,3 +74,22 @@
     successor = dataclasses.replace(entry, born_ms=entry.born_ms + 1)
     second.instance.update_directory(upstream_directory.Changes({"a": successor}, 2))
     assert second.instance.selector.failing_peers() == frozenset()
+
+
+def test_upstream_that_has_recovered_is_used_again_by_all(fleet):
+    """Evidence of peers must not keep a sound upstream from getting requests."""
+    recovered = fleet.add_upstream("a")
+    for name in ("b", "c"):
+        fleet.add_upstream(name)
+    entry = fleet.members[0].instance.directory.upstream_by_id["a"]
+    fleet.members[0].instance.selector.record_outcome(entry, health.Outcome.SILENT)
+    seen_again = set()
+    for _ in range(200):
+        fleet.clock.advance(0.25)
+        fleet.exchange_reports()
+        member = fleet.any_member()
+        before = len(recovered.received)
+        assert member.call("/safe/x").read().status == 200
+        if len(recovered.received) > before:
+            seen_again.add(member.instance.options.instance)
+    assert len(seen_again) >= FLEET_SIZE - 1, "the one that saw it fail prefers others for longer"
