Tell peers only of upstreams that can't be reached

Cause: a call without a response was told as a failure, but under load it may have met a slow upstream. Peers left it for the others, which became slow next.

Change: only failures to connect are evidence, and a response since ends it.

--- a/src/carawaydoor/policy/health.py
+++ b/src/carawaydoor/policy/health.py
@@ -57,7 +57,7 @@
     :ivar backoff_s: length of the latest backoff
     :ivar full_until_s: until then the upstream is treated as full
     :ivar answered_s: when it last answered
-    :ivar failed_s: when a call to it last failed, other than for lack of capacity
+    :ivar unreachable_s: when it could last not be reached
     """
 
     failure_rate: float = 0.0
@@ -65,7 +65,7 @@
     backoff_s: float = 0.0
     full_until_s: float = 0.0
     answered_s: float = float("-inf")
-    failed_s: float = float("-inf")
+    unreachable_s: float = float("-inf")
 
 
 HEALTHY: Final = UpstreamHealth()
@@ -97,7 +97,7 @@
         before.failure_rate * (1.0 - NEWEST_OUTCOME_WEIGHT) + weight * NEWEST_OUTCOME_WEIGHT,
     )
     if outcome is Outcome.OTHER_INCARNATION:
-        return {**health, upstream: UpstreamHealth(1.0, math.inf, MAX_BACKOFF_S, failed_s=now_s)}
+        return {**health, upstream: UpstreamHealth(1.0, math.inf, MAX_BACKOFF_S)}
     full_until_s = now_s + ASSUMED_FULL_S if outcome is Outcome.FULL else before.full_until_s
     if weight == 0.0:
         after = UpstreamHealth(rate, 0.0, before.backoff_s if rate >= SUSPECT_FAILURE_RATE else 0.0)
@@ -106,14 +106,14 @@
     else:
         backoff_s = _next_backoff_s(before, now_s)
         after = UpstreamHealth(rate, now_s + backoff_s, backoff_s)
-    has_failed = outcome not in (Outcome.ANSWERED, Outcome.FULL)
+    is_unreachable = outcome is Outcome.UNREACHABLE
     return {
         **health,
         upstream: dataclasses.replace(
             after,
             full_until_s=full_until_s,
             answered_s=now_s if outcome is Outcome.ANSWERED else before.answered_s,
-            failed_s=now_s if has_failed else before.failed_s,
+            unreachable_s=now_s if is_unreachable else before.unreachable_s,
         ),
     }
 
--- a/src/carawaydoor/policy/peer_evidence.py
+++ b/src/carawaydoor/policy/peer_evidence.py
@@ -4,6 +4,9 @@
 request to it. The path between a peer and the upstream may have failed instead, so such evidence
 only makes others preferred as long as these have room, and an own call that was answered since
 outweighs it.
+
+Only failures to connect count. A call without a response may have met an upstream that is slow under
+load, and peers that leave it for the others make these slow next.
 """
 
 from __future__ import annotations
@@ -76,11 +79,10 @@
 ) -> Failure | None:
     known = upstream_health.get(upstream.id, health.HEALTHY)
     for_s = min(MAX_TRUST_S, known.suspect_until_s + TRIAL_MARGIN_S - now_s)
-    # An upstream that rejects requests for lack of capacity has not failed.
-    other_outcome_s = max(known.answered_s, known.full_until_s - health.ASSUMED_FULL_S)
-    if for_s <= 0.0 or known.failed_s <= other_outcome_s:
+    if for_s <= 0.0 or known.unreachable_s <= known.answered_s:
         return None
-    return Failure(upstream.id, upstream.born_ms, max(0.0, now_s - known.failed_s), for_s)
+    age_s = max(0.0, now_s - known.unreachable_s)
+    return Failure(upstream.id, upstream.born_ms, age_s, for_s)
 
 
 def outweighing(
--- a/tools/emulator/peer_notices.py
+++ b/tools/emulator/peer_notices.py
@@ -1,7 +1,7 @@
 """``python -m tools.emulator.peer_notices``: what peers should do about an upstream that troubles one.
 
 Emulates a fleet before plain upstreams of which one is in trouble for some seconds. Either it has fewer
-slots and turns requests beyond them away with ``Retry-After``, or it does not answer. For each way to
+slots and turns requests beyond them away with ``Retry-After``, or it accepts no connections. For each way to
 treat what peers report, prints what the upstream got and what became of the requests.
 """
 
@@ -29,7 +29,7 @@
 DURATION_S: Final = 20.0
 SLOTS_IN_TROUBLE: Final = 2
 RETRY_AFTER_S: Final = 1.0
-# An attempt at an upstream that does not answer is given up after this time.
+# An attempt to connect is given up after this time.
 ATTEMPT_TIMEOUT_S: Final = 0.5
 FLEET_SIZES: Final = (8, 85, 710)
 REPORT_AGES_S: Final = (0.1, 0.5)
@@ -39,7 +39,7 @@
     """What is wrong with the upstream."""
 
     FULL = "turns away"
-    SILENT = "silent"
+    UNREACHABLE = "unreachable"
 
 
 class Reaction(enum.Enum):
@@ -209,7 +209,7 @@
         def fail() -> None:
             self._add_load(instance, TROUBLED, -1)
             instance.health = health.record_outcome(
-                instance.health, end_s, TROUBLED, health.Outcome.SILENT
+                instance.health, end_s, TROUBLED, health.Outcome.UNREACHABLE
             )
 
         heapq.heappush(self._ends, (end_s, number, fail))
