Prefill a prompt again whose KV cache two engines have rejected

Cause: a rejection of a request that names a KV cache was always taken for a lack of capacity. The cache was gone, so each further engine rejected it too, passed for full for 0.6 s and was kept from other requests.

Change: after two rejections the KV cache is given up, the two engines no longer count as full, and one of the engines without it prefills the prompt. The test (2 and 4 engines, all rejecting expired caches) got a refusal before. generation_handler's description of the load moved to UpstreamSelector, to which the load belongs.

--- a/src/carawaydoor/policy/health.py
+++ b/src/carawaydoor/policy/health.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
 # Weight of the newest outcome in the moving average of failures.
@@ -118,6 +118,14 @@
     }
 
 
+def withdraw_rejections(health: Health, upstreams: Collection[str]) -> Health:
+    """Return the health with upstreams no longer treated as full."""
+    return {
+        key: dataclasses.replace(each, full_until_s=0.0) if key in upstreams else each
+        for key, each in health.items()
+    }
+
+
 def remove(health: Health, upstream: str) -> Health:
     """Return the health without an upstream that is gone."""
     return {key: each for key, each in health.items() if key != upstream}
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -28,6 +28,8 @@
 PREFILL_MARGIN_S: Final = 1.0
 # By then a short stream has usually ended and freed its place.
 BUSY_RETRY_AFTER_S: Final = 1.0
+# Once as many engines have rejected a prefilled prompt, its KV cache has probably expired.
+MAX_REJECTIONS_OF_KV_CACHE: Final = 2
 # Assumed for a request without token counts.
 DEFAULT_PROMPT: Final = entities.Prompt(1000, 100, 100)
 # Fewer than the threads for callers, so that some remain for other requests.
@@ -158,7 +160,7 @@
                     waited_s=round(now_s - exchange.received_s, 3),
                     late_s=round(exchange.received_s - arrival.first_sent_s, 3),
                     reserve_share=terms.reserve_share,
-                    load=self._describe_load(),
+                    load=self._instance.selector.describe_load(),
                 )
                 return None
             self._instance.selector.wait_for_release(
@@ -217,14 +219,9 @@
             expected_read_s=round(placed.chosen.prefill_wait_s, 3),
             waited_s=round(waited_s, 3),
             late_s=round(placed.exchange.received_s - arrival.first_sent_s, 3),
-            load=self._describe_load(),
+            load=self._instance.selector.describe_load(),
         )
 
-    def _describe_load(self) -> dict[str, tuple[int, int]]:
-        current = self._instance.selector.load
-        works = {key: current.at(key) for key in {*current.own_by_id, *current.peers_by_id}}
-        return {key: (work.requests, work.tokens) for key, work in works.items()}
-
     def _prefill(self, placed: _PlacedGeneration) -> str:
         """Have the prompt prefilled and return the location of its KV cache, empty without one.
 
@@ -269,6 +266,7 @@
         """Start the decoding, at another engine if the first one rejects the request."""
         exchange = placed.exchange
         excluded: set[str] = set()
+        rejecting: set[str] = set()
         while True:
             suspended_s = self._instance.crash_guard.suspended_for_s(
                 exchange.fingerprint, exchange.shared_parts
@@ -290,6 +288,11 @@
             except upstream_client.CallError as error:
                 placed.decode_reservation.close()
                 excluded.add(placed.decode.id)
+                if kv_source and error.failure is upstream_client.Failure.REJECTED:
+                    rejecting.add(placed.decode.id)
+                    if len(rejecting) >= MAX_REJECTIONS_OF_KV_CACHE:
+                        self._give_up_kv_cache(placed, kv_source, rejecting)
+                        kv_source, excluded = "", excluded - rejecting
                 refusal = plain_handler.refusal_for(error, placed.decode)
                 if error.failure.did_not_run:
                     refusal = self._no_room_refusal(
@@ -376,6 +379,19 @@
         )
         return self._client.send(exchange, request, connection=placed.connection)
 
+    def _give_up_kv_cache(
+        self, placed: _PlacedGeneration, kv_source: str, rejecting: set[str]
+    ) -> None:
+        """Have the decode engine prefill the prompt; those that rejected it may have room."""
+        self._release_kv_later(placed, kv_source)
+        self._instance.selector.withdraw_rejections(rejecting)
+        eliot.log_message(
+            message_type="kv_cache_given_up",
+            request=placed.exchange.inbound.id,
+            kv_source=kv_source,
+            rejected_by=sorted(rejecting),
+        )
+
     def _release_kv_later(self, placed: _PlacedGeneration, kv_source: str) -> None:
         prefill = placed.chosen.prefill
         if kv_source and prefill is not None:
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -169,6 +169,12 @@
             self.load = load.step(self.load, load.Ended(upstream, work))
             self._request_ended.notify_all()
 
+    def describe_load(self) -> dict[str, tuple[int, int]]:
+        """Return the requests and tokens at each upstream that has work, for logs."""
+        current = self.load
+        works = {key: current.at(key) for key in {*current.own_by_id, *current.peers_by_id}}
+        return {key: (work.requests, work.tokens) for key, work in works.items()}
+
     def wait_for_release(self, timeout_s: float) -> None:
         """Wait until work is released at any upstream.
 
@@ -225,6 +231,11 @@
                 outcome=outcome.value,
             )
 
+    def withdraw_rejections(self, upstreams: Collection[str]) -> None:
+        """Use upstreams again whose rejections were not for lack of capacity."""
+        with self._lock:
+            self.health = health.withdraw_rejections(self.health, upstreams)
+
     def failures_to_report(self) -> tuple[peer_evidence.Failure, ...]:
         """Return the upstreams that have failed requests of this instance, to tell peers."""
         with self._lock:
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -120,6 +120,8 @@
         self.released_handles: list[str] = []
         self.events = events
         self.is_leaving = False
+        # Whether the KV caches that requests name have expired, so that they are rejected.
+        self.kv_caches_have_expired = False
         self.notice_headers: dict[str, str] = {}
         self.rejection_headers: dict[str, str] = {}
         self.connections = 0
@@ -189,6 +191,8 @@
         headers = {name.lower(): value for name, value in self.headers.items()}
         received = ReceivedRequest(self.command, self.path, headers, body)
         behaviour = upstream.behaviours.pop(0) if upstream.behaviours else Behaviour.ANSWER
+        if upstream.kv_caches_have_expired and received.header(names.Header.KV_SOURCE):
+            behaviour = Behaviour.REJECT
         received.behaviour = behaviour
         upstream.received.append(received)
         self._respond(received, behaviour)
--- a/tests/platform_side/test_generation.py
+++ b/tests/platform_side/test_generation.py
@@ -8,10 +8,13 @@
 
 from carawaydoor.operating import clocks
 from carawaydoor.platform import names
-from carawaydoor.policy import entities, load
+from carawaydoor.policy import entities, health, load
 from tests.platform_side import router_harness
 from tests.platform_side.fake_upstream import Behaviour
 
+# By then an instance knows the size of its fleet, and has more than one retry.
+AFTER_START_S = 20.0
+
 PREFILL, DECODE = entities.Stage.PREFILL, entities.Stage.DECODE
 
 
@@ -77,6 +80,34 @@
     assert decodes[1].received[0].header(names.Header.KV_SOURCE)
 
 
+@pytest.mark.parametrize("engines", [2, 4])
+def test_generation_is_served_although_its_kv_cache_has_expired(engines):
+    """Load pattern: KV caches of prefilled prompts expire at once for some seconds.
+
+    Each decode engine rejected the request, since the cache that it named was gone. They passed for full,
+    other requests were kept from them, and the caller was refused with all of them free.
+    """
+    clock = clocks.ManualClock()
+    with router_harness.running(clock) as harness:
+        prefill = harness.add_upstream("p", PREFILL)
+        decodes = [harness.add_upstream(f"d-{number}", DECODE) for number in range(engines)]
+        for each in decodes:
+            each.kv_caches_have_expired = True
+        clock.advance(AFTER_START_S)
+        harness.instance.confirm_revision(1, clock.now_s())
+        assert harness.stream().read().body == events(1, 5)
+        received = [request for each in decodes for request in each.received]
+        assert len(received) == 3
+        assert sum(request.header(names.Header.KV_SOURCE) is None for request in received) == 1
+        assert len(prefill.released_handles) == 1
+        assert not any(is_full(harness, f"d-{number}") for number in range(engines))
+        assert harness.is_idle()
+
+
+def is_full(harness, upstream):
+    return health.is_full(harness.instance.selector.health, harness.clock.now_s(), upstream)
+
+
 def test_prompt_is_not_prefilled_if_the_decode_engine_is_unreachable(harness):
     """Regression: prefills were wasted on decode engines that had gone.
 
