--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -16,7 +16,7 @@
 from typing import Final
 
 from carawaydoor.fleet import report_effects, reports
-from carawaydoor.policy import entities, load, peer_evidence
+from carawaydoor.policy import load
 
 # A peer without reports counts as silent after the minimum timeout or, in a large fleet, after a
 # number of cycles, so that a few lost datagrams have no effect. In each cycle, an instance sends
@@ -287,18 +287,6 @@
     return {key: load.Work(round(requests[key]), round(tokens[key])) for key in requests}
 
 
-def peer_failures(
-    state: Membership, own_domain: str, now_s: float
-) -> dict[entities.Incarnation, float]:
-    """Return when upstreams last failed peers, as far as that counts for an instance."""
-    reported = (
-        (each.report.domain, each.last_report_s, each.report.failures)
-        for each in state.peer_by_instance.values()
-        if each.report is not None and each.report.failures
-    )
-    return peer_evidence.combine(reported, own_domain, now_s)
-
-
 def count_live_and_known(state: Membership, now_s: float) -> tuple[int, int]:
     """Return how many instances are live and how many are known, including this one."""
     peers = [each for each in state.peer_by_instance.values() if each.report is not None]
--- a/src/carawaydoor/serving/peer_failures.py
+++ b/src/carawaydoor/serving/peer_failures.py
@@ -28,7 +28,12 @@
     def update(self, membership: gossip.Membership, now_s: float) -> None:
         """Take over what peers have reported."""
         self._instances = len(membership.peer_by_instance) + 1
-        self._failed_s_by_incarnation = gossip.peer_failures(membership, self._domain, now_s)
+        reported = (
+            (each.report.domain, each.last_report_s, each.report.failures)
+            for each in membership.peer_by_instance.values()
+            if each.report is not None and each.report.failures
+        )
+        self._failed_s_by_incarnation = peer_evidence.combine(reported, self._domain, now_s)
         if self._failed_s_by_incarnation.keys() != self._logged:
             self._log_changes(now_s)
 
