Count a rejection or an error as a sign that an upstream can be reached

Found by reading: an upstream that had been unreachable and then answered 503 or 500 was still told to peers as unreachable, for up to the backoff and 3 s. The test has three kinds of responses; two failed before.

--- a/src/carawaydoor/policy/health.py
+++ b/src/carawaydoor/policy/health.py
@@ -47,6 +47,8 @@
     Outcome.OTHER_INCARNATION: 1.0,
 }
 
+_RESPONSES: Final = frozenset({Outcome.ANSWERED, Outcome.FAILED, Outcome.FULL})
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamHealth:
@@ -56,7 +58,7 @@
     :ivar suspect_until_s: until then the upstream is chosen only if no other is left
     :ivar backoff_s: length of the latest backoff
     :ivar full_until_s: until then the upstream is treated as full
-    :ivar answered_s: when it last answered
+    :ivar responded_s: when it last responded, be it with a rejection or an error
     :ivar unreachable_s: when it could last not be reached
     """
 
@@ -64,7 +66,7 @@
     suspect_until_s: float = 0.0
     backoff_s: float = 0.0
     full_until_s: float = 0.0
-    answered_s: float = float("-inf")
+    responded_s: float = float("-inf")
     unreachable_s: float = float("-inf")
 
 
@@ -112,7 +114,7 @@
         upstream: dataclasses.replace(
             after,
             full_until_s=full_until_s,
-            answered_s=now_s if outcome is Outcome.ANSWERED else before.answered_s,
+            responded_s=now_s if outcome in _RESPONSES else before.responded_s,
             unreachable_s=now_s if is_unreachable else before.unreachable_s,
         ),
     }
--- a/src/carawaydoor/policy/peer_evidence.py
+++ b/src/carawaydoor/policy/peer_evidence.py
@@ -2,7 +2,7 @@
 
 An instance that meets a failed upstream tells its peers, so that not each of them has to lose a
 request to it. The path between a peer and the upstream may have failed instead, so such evidence
-only makes others preferred as long as these have room, and an own call that was answered since
+only makes others preferred as long as these have room, and a response to this instance since
 outweighs it.
 
 Only failures to connect count. A call without a response may have met an upstream that is slow under
@@ -79,7 +79,7 @@
 ) -> Failure | None:
     known = upstream_health.get(upstream.id, health.HEALTHY)
     for_s = min(MAX_TRUST_S, known.suspect_until_s + TRIAL_MARGIN_S - now_s)
-    if for_s <= 0.0 or known.unreachable_s <= known.answered_s:
+    if for_s <= 0.0 or known.unreachable_s <= known.responded_s:
         return None
     age_s = max(0.0, now_s - known.unreachable_s)
     return Failure(upstream.id, upstream.born_ms, age_s, for_s)
@@ -89,14 +89,14 @@
     failed_s_by_incarnation: Mapping[entities.Incarnation, float],
     upstream_health: health.Health,
 ) -> frozenset[str]:
-    """Return the ids of the upstreams that have failed peers since they last answered here.
+    """Return the ids of the upstreams that have failed peers since they last responded here.
 
     :param failed_s_by_incarnation: when an upstream last failed a peer, for evidence that counts
     """
     return frozenset(
         upstream_id
         for (upstream_id, _), failed_s in failed_s_by_incarnation.items()
-        if upstream_health.get(upstream_id, health.HEALTHY).answered_s < failed_s
+        if upstream_health.get(upstream_id, health.HEALTHY).responded_s < failed_s
     )
 
 
--- a/tests/policy/test_peer_evidence.py
+++ b/tests/policy/test_peer_evidence.py
@@ -46,8 +46,9 @@
     assert reported(*[("d1", outcome)] * 4) == ()
 
 
-def test_upstream_that_answers_again_is_not_reported():
-    assert reported(("d1", UNREACHABLE), ("d1", ANSWERED)) == ()
+@pytest.mark.parametrize("response", [ANSWERED, health.Outcome.FULL, health.Outcome.FAILED])
+def test_upstream_that_responds_again_is_not_reported(response):
+    assert reported(("d1", UNREACHABLE), ("d1", response)) == ()
 
 
 @pytest.mark.parametrize(("failing", "count"), [(1, 1), (2, 2), (3, 0), (4, 0)])
