--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -6,7 +6,7 @@
 struct Crash { 1: string engine, 2: string request, 3: list<string> parts, 4: double age_s }
 // Without per_s the upstream names no limit any more.
 struct Limit { 1: string upstream, 2: i64 born_ms, 3: double per_s, 4: double age_s }
-// An upstream that has failed requests of the sender; age_s since the latest failure.
+// An upstream that the sender could not reach; age_s since the latest failure.
 struct Failure { 1: string upstream, 2: i64 born_ms, 3: double age_s, 4: double for_s }
 struct Report {
   1: string instance, 2: string host, 3: string domain, 4: i64 incarnation, 5: i64 sequence,
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -94,7 +94,7 @@
     :ivar turned_away_s_by_upstream: for each upstream that rejects requests of the sender, the seconds
         for which it asked to send none
     :ivar leaving_born_ms_by_upstream: start of the incarnations that have lately begun to leave
-    :ivar failures: upstreams that have failed requests of the sender lately
+    :ivar failures: upstreams that the sender could not reach lately
     """
 
     contact: Contact
--- a/src/carawaydoor/policy/peer_evidence.py
+++ b/src/carawaydoor/policy/peer_evidence.py
@@ -33,7 +33,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
-    """An upstream that has failed requests of the reporting instance.
+    """An upstream that the reporting instance could not reach.
 
     :ivar born_ms: start of the incarnation that failed
     :ivar age_s: seconds between the latest failure and the report
