--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -54,6 +54,7 @@
                 timeout_s=_header_seconds(environ, names.Header.TIME_LEFT_MS),
                 prompt=_decode_prompt(environ),
                 last_event_id=_header_text(environ, names.Header.LAST_EVENT_ID) or "",
+                resumes=_header_text(environ, names.Header.RESUMES) or "",
                 is_gone=environ.get("waitress.client_disconnected", lambda: False),
             )
         except ValueError as error:
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -29,6 +29,8 @@
     PIN = "Carawaydoor-Pin-Milliseconds"
     HOLD = "Carawaydoor-Hold"
     LAST_EVENT_ID = "Last-Event-Id"
+    # Id of the caller's attempt that brought the first event of a stream that it takes up again.
+    RESUMES = "Resumes"
     # Set by every upstream; responses of the router itself lack it.
     STAMP = "Carawaydoor-Server-Stamp"
     NOT_RUN = "Carawaydoor-Not-Run"
--- a/src/carawaydoor/platform/store_documents.py
+++ b/src/carawaydoor/platform/store_documents.py
@@ -24,6 +24,9 @@
 DEFAULT_TIMEOUT_MS: Final = 30_000.0
 DEFAULT_UNCACHED_TOKENS: Final = 1.0
 
+# An entry with a longer one was not written by a server.
+MAX_VERSION_LENGTH: Final = 200
+
 NonNegative = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
 
 
@@ -103,6 +106,8 @@
     state: Literal["ready", "draining"]
     stage: Literal["prefill", "decode"] | None = None
     born: int = 0
+    # Of the software; the versions of the weights are listed with the models.
+    version: Annotated[str, pydantic.Field(max_length=MAX_VERSION_LENGTH)] = ""
 
 
 class DocumentError(Exception):
@@ -162,6 +167,7 @@
         stage,
         entry.state == "draining",
         entry.born,
+        entry.version,
     )
 
 
--- a/src/carawaydoor/policy/entities.py
+++ b/src/carawaydoor/policy/entities.py
@@ -173,6 +173,7 @@
     :ivar id: name of the server, which keeps it over restarts
     :ivar domain: failure domain
     :ivar born_ms: start of this incarnation in milliseconds since the Unix epoch, zero if unknown
+    :ivar version: version of the server's software, empty if unknown; versions have no order
     """
 
     id: str
@@ -184,6 +185,7 @@
     stage: Stage
     is_leaving: bool
     born_ms: int
+    version: str = ""
 
     @property
     def address(self) -> str:
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -21,6 +21,8 @@
     :ivar timeout_s: time in seconds for which the caller waits, None if it did not say
     :ivar last_event_id: id of the last event that the caller received, empty unless it resumes a
         stream
+    :ivar resumes: id of the caller's attempt that brought the first event of that stream, empty if
+        it names none
     :ivar is_gone: returns whether the caller has closed its connection
     """
 
@@ -35,6 +37,7 @@
     prompt: entities.Prompt | None
     last_event_id: str
     is_gone: Callable[[], bool]
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -524,5 +524,6 @@
             address=upstream.address,
             domain=upstream.domain,
             stage=upstream.stage.value,
+            version=upstream.version,
             revision=self.directory.revision,
         )
--- a/tests/policy/builders.py
+++ b/tests/policy/builders.py
@@ -19,11 +19,12 @@
     born_ms: int = 1,
     is_leaving: bool = False,
     slots: int = 6,
+    version: str = "v1",
 ) -> entities.Upstream:
     """Return an upstream; each name has an address of its own unless one is given."""
     host, _, port = (address or f"10.0.0.{sum(name.encode()) % 250}:80").rpartition(":")
     return entities.Upstream(
-        name, service, host, int(port), domain, slots, stage, is_leaving, born_ms
+        name, service, host, int(port), domain, slots, stage, is_leaving, born_ms, version
     )
 
 
