Add failing tests of streams that go on at another software version

Seven cases, all listed: within one answer (broken and stalled, resumable or not), when a caller takes the stream up at the same or another instance, when the version has left, when no instance remembers the stream, and when the caller names no attempt.

--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -21,16 +21,25 @@
         self.random = random.Random(1)
 
     def add_upstream(
-        self, name: str, stage: entities.Stage = entities.Stage.NONE
+        self,
+        name: str,
+        stage: entities.Stage = entities.Stage.NONE,
+        events: int = 5,
+        version: str = "v1",
     ) -> fake_upstream.FakeUpstream:
         """Start a fake upstream and add it to the directories of all instances."""
         first, *others = self.members
-        upstream = first.add_upstream(name, stage)
+        upstream = first.add_upstream(name, stage, events, version)
         entry = first.instance.directory.upstream_by_id[name]
         for each in others:
             each.instance.update_directory(upstream_directory.Changes({name: entry}, 1))
         return upstream
 
+    def remove_upstream(self, name: str) -> None:
+        """Remove an upstream from the directories of all instances."""
+        for each in self.members:
+            each.instance.update_directory(upstream_directory.Changes({name: None}, 2))
+
     def exchange_reports(self) -> None:
         """Have every instance report to every other one, and prove the configuration newest."""
         for sender in self.members:
--- /dev/null
+++ b/tests/platform_side/test_stream_versions.py
@@ -0,0 +1,122 @@
+"""A stream goes on only at the software version of the engine that began it.
+
+Regression: callers got streams that began at one version and went on at another one, within one
+answer and when they took a broken stream up again.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from carawaydoor.operating import clocks
+from carawaydoor.platform import names
+from carawaydoor.policy import entities
+from tests.platform_side import harness_fleet, router_harness
+from tests.platform_side.fake_upstream import Behaviour
+
+PREFILL, DECODE = entities.Stage.PREFILL, entities.Stage.DECODE
+EVENTS = 6
+
+
+@pytest.fixture
+def harness():
+    with router_harness.running() as running:
+        running.add_upstream("p", PREFILL)
+        yield running
+
+
+@pytest.fixture
+def fleet():
+    with harness_fleet.running(3, clocks.SystemClock()) as running:
+        running.add_upstream("p", PREFILL)
+        yield running
+
+
+def add_engine(target, name, version, *behaviours):
+    engine = target.add_upstream(name, DECODE, EVENTS, version)
+    engine.behaviours = list(behaviours)
+    return engine
+
+
+def begin_and_break(member, engine, request_id="first"):
+    """Begin a stream at the only engine and break it off; return the last event that arrived."""
+    engine.behaviours = [Behaviour.BREAK_STREAM]
+    response = member.stream("/resumable/1", headers={names.Header.REQUEST_ID: request_id}).read()
+    assert response.is_truncated
+    return response.body.count(b"id:")
+
+
+def take_up(member, resumes, last_event, request_id="second", **kwargs):
+    headers = {
+        names.Header.REQUEST_ID: request_id,
+        names.Header.LAST_EVENT_ID: str(last_event),
+        **({names.Header.RESUMES: resumes} if resumes else {}),
+    }
+    return member.stream("/resumable/1", headers=headers, **kwargs).read()
+
+
+def continued(engine):
+    """Return the requests that an engine got for the rest of a stream."""
+    return [each for each in engine.received if each.header(names.Header.LAST_EVENT_ID)]
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/resumable/1"])
+@pytest.mark.parametrize("failure", [Behaviour.BREAK_STREAM, Behaviour.HANG_STREAM])
+def test_answer_does_not_go_on_at_another_version(harness, path, failure):
+    add_engine(harness, "d", "v1", failure)
+    # Rejects the request itself, should it be offered there first.
+    other = add_engine(harness, "e", "v2", Behaviour.REJECT)
+    response = harness.stream(path).read()
+    assert response.is_truncated
+    assert continued(other) == []
+
+
+def test_answer_goes_on_at_another_engine_of_its_version(harness):
+    begun = add_engine(harness, "d", "v1", Behaviour.BREAK_STREAM)
+    other = add_engine(harness, "e", "v2", Behaviour.REJECT)
+    same = add_engine(harness, "f", "v1", Behaviour.REJECT)
+    response = harness.stream("/resumable/1").read()
+    assert not response.is_truncated
+    assert continued(other) == []
+    assert len(continued(begun)) + len(continued(same)) == 1
+
+
+@pytest.mark.parametrize("taker", [0, 1], ids=["same instance", "another instance"])
+def test_stream_is_taken_up_at_the_version_that_began_it(fleet, taker):
+    # Engines that are alike are chosen in the order of their names.
+    begun = add_engine(fleet, "z", "v1")
+    last_event = begin_and_break(fleet.members[0], begun)
+    fleet.exchange_reports()
+    others = [add_engine(fleet, f"a-{n}", "v2") for n in range(4)]
+    for each in fleet.members:
+        each.instance.selector.forget_health("z")
+    response = take_up(fleet.members[taker], "first", last_event)
+    assert (response.status, response.is_truncated) == (200, False)
+    assert [continued(each) for each in others] == [[], [], [], []]
+    assert len(continued(begun)) == 1
+
+
+def test_stream_whose_version_has_left_is_refused_at_once(fleet):
+    begun = add_engine(fleet, "d", "v1")
+    last_event = begin_and_break(fleet.members[0], begun)
+    other = add_engine(fleet, "e", "v2")
+    fleet.exchange_reports()
+    fleet.remove_upstream("d")
+    response = take_up(fleet.members[1], "first", last_event)
+    assert response.status == 503
+    assert other.received == []
+
+
+def test_stream_that_no_instance_remembers_is_not_taken_up_among_two_versions(fleet):
+    engines = [add_engine(fleet, "d", "v1"), add_engine(fleet, "e", "v2")]
+    fleet.exchange_reports()
+    response = take_up(fleet.members[1], "never-seen", 3)
+    assert response.status == 503
+    assert [each.received for each in engines] == [[], []]
+
+
+def test_stream_without_the_id_of_its_first_attempt_is_not_taken_up_among_two_versions(fleet):
+    engines = [add_engine(fleet, "d", "v1"), add_engine(fleet, "e", "v2")]
+    fleet.exchange_reports()
+    assert take_up(fleet.members[0], "", 3).status == 503
+    assert [each.received for each in engines] == [[], []]
