Let a stream go on only at the software version that began it

Cause: no part of the router knew versions. An entry's version was dropped, Resumes was not read, so that each way on could cross versions: the continuation without a copy, the copy of the KV cache, and the take-up at any instance.

Now an exchange is bound to the version of the engine whose event the caller gets first. Other instances are told before that event is passed on, and asked at a take-up; if only one version can have begun the stream, nobody is asked; a stream whose version is unknown or gone is refused with a 503. A new version at the same id counts as a new incarnation.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -18,7 +18,7 @@
 from carawaydoor.fleet import report_structs, reports
 from carawaydoor.policy import load, peer_evidence, strikes
 
-AnyReport = reports.Report | reports.WorkReport
+AnyReport = reports.Report | reports.WorkReport | reports.OriginReport
 
 _CHECKSUM: Final = struct.Struct("!I")
 
@@ -34,12 +34,26 @@
             message = report_structs.Datagram(report=_report_struct(report))
         case reports.WorkReport():
             message = report_structs.Datagram(work=_work_report_struct(report))
+        case reports.OriginReport():
+            message = report_structs.Datagram(origins=_origin_report_struct(report))
     transport = cymemory.TCyMemoryBuffer()
     message.write(cybin.TCyBinaryProtocol(transport))
     content = bytes(transport.getvalue())
     return _CHECKSUM.pack(zlib.crc32(content)) + content
 
 
+def _origin_report_struct(report: reports.OriginReport) -> Any:
+    return report_structs.OriginReport(
+        instance=report.instance,
+        origins=[
+            report_structs.Origin(
+                key=each.key, service=each.service, version=each.version, age_s=each.age_s
+            )
+            for each in report.origins
+        ],
+    )
+
+
 def _work_report_struct(report: reports.WorkReport) -> Any:
     return report_structs.WorkReport(
         instance=report.instance,
@@ -137,12 +151,29 @@
         datagram.read(cybin.TCyBinaryProtocol(cymemory.TCyMemoryBuffer(body)))
         if datagram.work is not None:
             return _decode_work_report(datagram.work)
+        if datagram.origins is not None:
+            return _decode_origin_report(datagram.origins)
         return _decode_report(datagram.report)
     except Exception as error:
         # Malformed content makes the library raise exceptions of many types.
         raise CodecError(repr(error)) from error
 
 
+def _decode_origin_report(message: Any) -> reports.OriginReport:
+    return reports.OriginReport(
+        _required_text(message.instance),
+        tuple(
+            reports.SharedOrigin(
+                _required_text(each.key),
+                _required_text(each.service),
+                str(each.version or ""),
+                float(each.age_s),
+            )
+            for each in message.origins or ()
+        ),
+    )
+
+
 def _decode_work_report(message: Any) -> reports.WorkReport:
     return reports.WorkReport(
         _required_text(message.instance),
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -1,4 +1,4 @@
-// Reports between instances. A datagram holds either a report or a work report.
+// Reports between instances. A datagram holds one report of one kind.
 
 struct Work { 1: i32 requests, 2: i32 tokens }
 struct Contact { 1: string instance, 2: string host }
@@ -26,4 +26,7 @@
   7: map<string, double> repeats_by_service,
   8: i64 source_revision, 9: list<Limit> limits, 10: list<Failure> failures
 }
-struct Datagram { 1: Report report, 2: WorkReport work }
+// A stream and the service and software version that began it, age_s before the report.
+struct Origin { 1: string key, 2: string service, 3: string version, 4: double age_s }
+struct OriginReport { 1: string instance, 2: list<Origin> origins }
+struct Datagram { 1: Report report, 2: WorkReport work, 3: OriginReport origins }
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -97,8 +97,17 @@
     (thrift.TType.LIST, "limits", (thrift.TType.STRUCT, Limit)),
     (thrift.TType.LIST, "failures", (thrift.TType.STRUCT, Failure)),
 )
+Origin: Final = _declare(
+    "Origin", (_STRING, "key"), (_STRING, "service"), (_STRING, "version"), (_DOUBLE, "age_s")
+)
+OriginReport: Final = _declare(
+    "OriginReport",
+    (_STRING, "instance"),
+    (thrift.TType.LIST, "origins", (thrift.TType.STRUCT, Origin)),
+)
 Datagram: Final = _declare(
     "Datagram",
     (thrift.TType.STRUCT, "report", Report),
     (thrift.TType.STRUCT, "work", WorkReport),
+    (thrift.TType.STRUCT, "origins", OriginReport),
 )
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -68,6 +68,29 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedOrigin:
+    """Where a stream began.
+
+    :ivar key: name of the stream
+    :ivar version: software version of the upstream that began it, empty if unknown
+    :ivar age_s: seconds between that and the report
+    """
+
+    key: str
+    service: str
+    version: str
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginReport:
+    """Streams that the recipient should remember."""
+
+    instance: str
+    origins: tuple[SharedOrigin, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """Full state that an instance sends to its peers.
--- a/src/carawaydoor/fleet/source_relay.py
+++ b/src/carawaydoor/fleet/source_relay.py
@@ -9,17 +9,15 @@
 import base64
 import binascii
 import dataclasses
-import http.client
 import json
-import urllib.parse
 from typing import Any, Final
 
+from carawaydoor.fleet import peer_http
 from carawaydoor.operating import configuration_source
 
 CHANGES_PATH: Final = "/source/changes"
 # Both instances are in one failure domain, so a longer silence means that the other one has failed.
 TIMEOUT_S: Final = 0.5
-MAX_RESPONSE_BYTES: Final = 16_000_000
 _OK_STATUS: Final = 200
 
 
@@ -84,16 +82,10 @@
 
     :raises RelayError: if it doesn't know them or gives no valid response
     """
-    query = urllib.parse.urlencode({"after": after})
-    connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
     try:
-        connection.request("GET", f"{CHANGES_PATH}?{query}")
-        response = connection.getresponse()
-        content = response.read(MAX_RESPONSE_BYTES)
-    except (OSError, http.client.HTTPException) as error:
-        raise RelayError(repr(error)) from error
-    finally:
-        connection.close()
-    if response.status != _OK_STATUS:
-        raise RelayError(f"status {response.status}")
+        status, content = peer_http.get(host, port, CHANGES_PATH, {"after": after}, TIMEOUT_S)
+    except peer_http.PeerError as error:
+        raise RelayError(str(error)) from error
+    if status != _OK_STATUS:
+        raise RelayError(f"status {status}")
     return decode(content)
--- a/src/carawaydoor/fleet/transport.py
+++ b/src/carawaydoor/fleet/transport.py
@@ -82,6 +82,10 @@
         self._has_source_change = True
         self._has_news.set()
 
+    def send_origins(self, report: reports.OriginReport, hosts: Iterable[str]) -> None:
+        """Tell peers at once where streams began."""
+        self._send(report, hosts)
+
     def send_round(self) -> float:
         """Send a round of reports and return the seconds until the next round."""
         report, hosts, interval_s = self._report_handler.compose_report()
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-from carawaydoor.fleet import source_relay
+from carawaydoor.fleet import origin_query, source_relay
 from carawaydoor.operating import configuration_source
 from carawaydoor.serving import instance_state
 
@@ -42,7 +42,7 @@
 
 
 class RelayApp:
-    """Passes what this instance has read of the source on to the others of its failure domain."""
+    """Answers other instances: what the source holds, and where streams began."""
 
     def __init__(
         self,
@@ -54,9 +54,23 @@
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request."""
-        if environ["PATH_INFO"] != source_relay.CHANGES_PATH:
+        query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+        match environ["PATH_INFO"]:
+            case source_relay.CHANGES_PATH:
+                return self._send_changes(query.get("after", [""])[0], start_response)
+            case origin_query.ORIGIN_PATH:
+                return self._send_origin(query.get("key", [""])[0], start_response)
+            case _:
+                return _respond(start_response, "404 Not Found", TEXT_CONTENT_TYPE, b"")
+
+    def _send_origin(self, key: str, start_response: Any) -> Iterable[bytes]:
+        origin = self._instance.streams.known(key)
+        if origin is None:
             return _respond(start_response, "404 Not Found", TEXT_CONTENT_TYPE, b"")
-        after = urllib.parse.parse_qs(environ.get("QUERY_STRING", "")).get("after", [""])[0]
+        content = origin_query.encode(origin)
+        return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, content)
+
+    def _send_changes(self, after: str, start_response: Any) -> Iterable[bytes]:
         # Taken before the content, which is then at least as new as this proof.
         proof_age_s = self._instance.proof_age_s()
         changes = self._source.changes_after(int(after)) if after.isdecimal() else None
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -70,6 +70,7 @@
         self._instance.selector.on_generations_changed = self._transport.announce_work
         self._instance.selector.on_failure = self._transport.announce_work
         self._instance.upstream_limiter.on_change = self._transport.announce_work
+        self._instance.streams.on_origins = self._transport.send_origins
         self._instance.source.on_changed = self._transport.announce_source_change
         adapter = http_adapter.PlatformHttpAdapter()
         self._caller_server = http_servers.CallerServer(
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
-from carawaydoor.policy import entities, health, load
+from carawaydoor.policy import entities, health, load, stream_versions
 
 # A plain upstream or decode engine of another failure domain is used only if it is less loaded by
 # this fraction of its capacity: traffic between domains is expensive, but less so than lateness.
@@ -50,6 +50,9 @@
 AVOIDANCE_PENALTY_S: Final = 0.1
 # Longer wait that is accepted for a prefill in the failure domain of the decode engine.
 CROSS_DOMAIN_PREFILL_PENALTY_S: Final = 0.02
+# Longer wait that is accepted for a prefill by the software version of the decode engine. Another one
+# may do it, since the KV cache of a prompt holds no event.
+CROSS_VERSION_PREFILL_PENALTY_S: Final = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,10 +101,16 @@
 
 
 def choose_plain(
-    context: PlacementContext, service: str, excluded: Collection[str] = ()
+    context: PlacementContext,
+    service: str,
+    excluded: Collection[str] = (),
+    version: str | None = None,
 ) -> entities.Upstream | None:
-    """Return the upstream of a plain service with the lowest cost, None if it has no upstream."""
-    candidates = _candidates(context, service, entities.Stage.NONE, excluded)
+    """Return the upstream of a plain service with the lowest cost, None if it has no upstream.
+
+    :param version: software version at which a stream has to go on, None for any
+    """
+    candidates = _candidates(context, service, entities.Stage.NONE, excluded, version)
     return _cheapest(context, candidates, lambda each: _plain_cost(context, each))
 
 
@@ -111,6 +120,7 @@
     prompt: entities.Prompt,
     excluded: Collection[str] = (),
     reserve_share: float = 0.0,
+    version: str | None = None,
 ) -> GenerationPlacement | None:
     """Return the engines of a generation, None if no decode engine has room for it.
 
@@ -119,8 +129,9 @@
 
     :param reserve_share: fraction of the decode engine's KV cache that has to stay free beside the
         request
+    :param version: software version at which a stream has to go on, None for any
     """
-    decode = choose_decode(context, service, prompt, excluded, reserve_share)
+    decode = choose_decode(context, service, prompt, excluded, reserve_share, version)
     if decode is None:
         return None
     prefill = _cheapest(
@@ -141,15 +152,17 @@
     prompt: entities.Prompt,
     excluded: Collection[str] = (),
     reserve_share: float = 0.0,
+    version: str | None = None,
 ) -> entities.Upstream | None:
     """Return the decode engine with the emptiest KV cache, None if none has room for the request.
 
     :param reserve_share: fraction of the KV cache that has to stay free beside the request
+    :param version: software version at which a stream has to go on, None for any
     """
     engine_spec = service.engine_spec
     if engine_spec is None:
         return None
-    candidates = _candidates(context, service.name, entities.Stage.DECODE, excluded)
+    candidates = _candidates(context, service.name, entities.Stage.DECODE, excluded, version)
     trusted = [
         each
         for each in candidates
@@ -176,13 +189,16 @@
 ) -> entities.Upstream | None:
     """Return the engine that keeps a copy of a generation's KV cache, None if room is scarce.
 
-    If the decode engine fails, the engine with the copy continues the generation. A copy takes as
-    much room as a generation, so it is made only if enough room is left for new generations.
+    If the decode engine fails, the engine with the copy continues the generation, so it has the same
+    software version. A copy takes as much room as a generation, so it is made only if enough room is
+    left for new generations.
     """
     engine_spec = service.engine_spec
     if engine_spec is None or not engine_spec.keeps_backups:
         return None
-    candidates = _candidates(context, service.name, entities.Stage.DECODE, (decode.id,))
+    candidates = _candidates(
+        context, service.name, entities.Stage.DECODE, (decode.id,), decode.version
+    )
     with_room = [
         each
         for each in candidates
@@ -206,7 +222,11 @@
 
 
 def _candidates(
-    context: PlacementContext, service: str, stage: entities.Stage, excluded: Collection[str]
+    context: PlacementContext,
+    service: str,
+    stage: entities.Stage,
+    excluded: Collection[str],
+    version: str | None = None,
 ) -> list[entities.Upstream]:
     return [
         each
@@ -215,6 +235,7 @@
         and each.stage is stage
         and not each.is_leaving
         and each.id not in excluded
+        and stream_versions.matches(each, version)
     ]
 
 
@@ -259,7 +280,8 @@
     domain_cost_s = 0.0 if prefill.domain == decode.domain else CROSS_DOMAIN_PREFILL_PENALTY_S
     failure_cost_s = FAILURE_RATE_WEIGHT * _failure_rate(context, prefill)
     avoidance_cost_s = AVOIDANCE_PENALTY_S if prefill.id in context.turning_peers_away else 0.0
-    return queued_s + domain_cost_s + failure_cost_s + avoidance_cost_s
+    version_cost_s = 0.0 if prefill.version == decode.version else CROSS_VERSION_PREFILL_PENALTY_S
+    return queued_s + domain_cost_s + failure_cost_s + avoidance_cost_s + version_cost_s
 
 
 def _penalty(context: PlacementContext, upstream: entities.Upstream) -> float:
--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -309,7 +309,11 @@
 def _effects_of(before: entities.Upstream | None, after: entities.Upstream) -> tuple[Effect, ...]:
     if before is None:
         return (Joined(after),)
-    if (before.born_ms, before.address) != (after.born_ms, after.address):
+    if (before.born_ms, before.address, before.version) != (
+        after.born_ms,
+        after.address,
+        after.version,
+    ):
         return (Gone(before), Joined(after))
     if after.is_leaving and not before.is_leaving:
         return (Leaving(after),)
--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -21,6 +21,7 @@
     refusals,
     request_filters,
     response_body,
+    stream_resumption,
     upstream_client,
     upstream_limiter,
 )
@@ -45,6 +46,7 @@
             request_filters.RouteFilter(instance),
             request_filters.DrainFilter(instance),
             request_filters.AuthenticationFilter(instance),
+            stream_resumption.ResumptionFilter(instance),
             request_filters.SuspensionFilter(instance),
             request_filters.AdmissionFilter(instance),
         )
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -138,7 +138,12 @@
         excluded: set[str] = set()
         while True:
             chosen = self._instance.selector.reserve_generation(
-                service, prompt, frozenset(excluded), terms.reserve_share, exchange.permits
+                service,
+                prompt,
+                frozenset(excluded),
+                terms.reserve_share,
+                exchange.permits,
+                exchange.required_version,
             )
             now_s = self._instance.clock.now_s()
             if chosen is not None:
@@ -350,7 +355,11 @@
         tried = set(excluded)
         while True:
             decode = self._instance.selector.reserve_decode(
-                placed.service, placed.prompt, frozenset(tried), placed.exchange.permits
+                placed.service,
+                placed.prompt,
+                frozenset(tried),
+                placed.exchange.permits,
+                placed.exchange.required_version,
             )
             if decode is None:
                 return False
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -55,6 +55,9 @@
     :ivar permits: permits for upstreams that name a limit
     :ivar attempts: number of upstreams to which the request was sent
     :ivar admitted_amount: tokens or requests charged to the usage cap of the workspace
+    :ivar stream_key: name under which instances remember where the stream began
+    :ivar required_version: software version of the upstreams at which the stream may go on, empty
+        if it is unknown, None for a stream without events
     """
 
     inbound: InboundRequest
@@ -69,6 +72,8 @@
     revision: int = 0
     attempts: int = 0
     admitted_amount: float = 0.0
+    stream_key: str = ""
+    required_version: str | None = None
 
     @property
     def workspace_name(self) -> str:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -28,6 +28,7 @@
     connections,
     crash_guard,
     source_state,
+    stream_origins,
     upstream_limiter,
     upstream_selection,
 )
@@ -81,6 +82,7 @@
         # A version that a peer holds of an era before the one of the configuration here.
         self._version_lost_by_source = 0
         self.membership = gossip.Membership(options.instance, {})
+        self.streams: Final = stream_origins.StreamOrigins(options, clock, lambda: self.membership)
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
         self.drain_started_s: float | None = None
@@ -197,6 +199,8 @@
             )
             for effect in effects:
                 self._apply_directory_effect(effect)
+            if self.directory.revision:
+                self.streams.record_listed()
 
     def begin_request(self) -> None:
         """Count a request as active."""
@@ -231,6 +235,10 @@
             else received_s - longest_s + timeout_s
         )
 
+    def longest_timeout_s(self, route: entities.Route) -> float:
+        """Return the longest time for which callers of a route wait, as far as it is known."""
+        return max(route.timeout_s, self._longest_timeout_s_by_route.get(route.name, 0.0))
+
     def admit(
         self, workspace: entities.Workspace, amount: float
     ) -> usage_caps.Admitted | usage_caps.Exceeded:
@@ -374,6 +382,10 @@
     def handle_report(self, report: codec.AnyReport) -> None:
         """Apply the report of a peer."""
         self.metrics.peer_datagrams.add(1, {"direction": "heard"})
+        if isinstance(report, reports.OriginReport):
+            for each in report.origins:
+                self.streams.record_of_peer(each)
+            return
         with self._lock:
             now_s = self.clock.now_s()
             match report:
@@ -476,6 +488,7 @@
                     self.upstream_limiter.record_shared(limited, effect)
             case report_effects.PeerJoined(contact, incarnation):
                 self._forget_earlier_incarnations(contact.instance, incarnation)
+                self.streams.tell_started_peer(contact)
                 eliot.log_message(
                     message_type="peer_joined", peer=contact.instance, incarnation=incarnation
                 )
@@ -507,6 +520,7 @@
                 self.connection_pool.close_idle(upstream)
                 self.selector.forget_health(upstream.id)
                 self.upstream_limiter.remove(upstream)
+                self.streams.record_gone(upstream)
                 change = "upstream_gone"
             case upstream_directory.Leaving():
                 self.connection_pool.close_idle(upstream)
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -52,7 +52,7 @@
             if is_retry and not self._instance.may_retry(exchange.inbound.id, service.name):
                 break
             upstream = self._instance.selector.reserve_plain(
-                service.name, frozenset(excluded), exchange.permits
+                service.name, frozenset(excluded), exchange.permits, exchange.required_version
             )
             if upstream is None:
                 break
@@ -103,6 +103,9 @@
         opened = self._client.send(exchange, request, attempt_deadline_s)
         content = self._client.read_body(exchange, upstream, opened)
         response = opened.response
+        is_begun = route.kind.is_stream and response.status < upstream_client.MIN_FAILURE_STATUS
+        if is_begun and exchange.required_version is None:
+            self._instance.streams.record_begun(exchange.stream_key, upstream)
         return http_exchange.Response(
             response.status,
             response.reason,
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -23,6 +23,7 @@
     TOO_LATE = "too-late"
     INSTANCE_BUSY = "instance-busy"
     INSTANCE_LEAVING = "instance-leaving"
+    STREAM_LOST = "stream-lost"
     UPSTREAM_FULL = "upstream-full"
     TURNED_AWAY = "turned-away"
     LIMITED = "upstream-limited"
@@ -60,6 +61,7 @@
     Reason.TOO_LATE: Status.UNAVAILABLE,
     Reason.INSTANCE_BUSY: Status.UNAVAILABLE,
     Reason.INSTANCE_LEAVING: Status.UNAVAILABLE,
+    Reason.STREAM_LOST: Status.UNAVAILABLE,
     Reason.UPSTREAM_FULL: Status.UNAVAILABLE,
     Reason.TURNED_AWAY: Status.UNAVAILABLE,
     Reason.LIMITED: Status.UNAVAILABLE,
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from carawaydoor.policy import crash_suspects, entities, health, load
+from carawaydoor.policy import crash_suspects, entities, health, load, stream_versions
 from carawaydoor.serving import (
     connections,
     event_splitter,
@@ -133,6 +133,7 @@
         for chunk in response.chunks():
             complete = self._splitter.feed(chunk)
             if complete:
+                self._record_begun(source)
                 self._record_event(source)
                 source.opened.connection.record_progress()
                 yield complete
@@ -149,6 +150,15 @@
         elif source.first_event_s is None:
             raise StreamEndedEarlyError("the connection ended before the first event")
 
+    def _record_begun(self, source: _Source) -> None:
+        """Bind the stream to the version of the engine whose event the caller gets first."""
+        if self._exchange.required_version is not None or not _is_event_stream(
+            source.opened.response
+        ):
+            return
+        self._exchange.required_version = source.engine.version
+        self._instance.streams.record_begun(self._exchange.stream_key, source.engine)
+
     def _record_event(self, source: _Source) -> None:
         now_s = self._instance.clock.now_s()
         if source.first_event_s is None:
@@ -192,7 +202,14 @@
     def _may_rerun(self, route: entities.Route) -> bool:
         """Return whether one more engine may run the request from the last event on."""
         is_resumable = route.kind is entities.RouteKind.RESUMABLE_STREAM
-        return is_resumable and len(self._used_engines) < route.max_attempts
+        if not is_resumable or len(self._used_engines) >= route.max_attempts:
+            return False
+        version, service = self._exchange.required_version, self._exchange.service
+        return (
+            version is None
+            or service is None
+            or self._instance.selector.serves_version(service.name, version, self._used_engines)
+        )
 
     def _stall_limit(self) -> sockets.StreamWaitLimit:
         return sockets.StreamWaitLimit(
@@ -232,6 +249,11 @@
     def _continue_once(self) -> _Source | None:
         """Offer the stream to the engine with the copy of its KV cache, then to another one."""
         backup = self._backup
+        if backup is not None and not stream_versions.matches(
+            backup, self._exchange.required_version
+        ):
+            # Made for an engine that failed before its first event.
+            self._backup = backup = None
         if backup is not None and self._exchange.permits.hold(backup):
             kv_source = self._adapter.backup_kv_source(backup, self._exchange.inbound.id)
             continuation = self._continue_at(backup, kv_source)
@@ -249,7 +271,11 @@
             return None
         excluded = frozenset(self._used_engines)
         engine = self._instance.selector.reserve_decode(
-            service, self._prompt, excluded, self._exchange.permits
+            service,
+            self._prompt,
+            excluded,
+            self._exchange.permits,
+            self._exchange.required_version,
         )
         if engine is None:
             return None
--- /dev/null
+++ b/src/carawaydoor/serving/stream_resumption.py
@@ -0,0 +1,101 @@
+"""The filter that finds out at which software version a caller's stream may go on."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import eliot
+import expression
+
+from carawaydoor.policy import entities, stream_versions
+from carawaydoor.serving import http_exchange, refusals, request_filters
+
+# What callers name that got no event; their stream may begin anywhere.
+_NO_EVENT_IDS: Final = frozenset({"", "0"})
+# By then an instance that has just started knows its peers.
+UNKNOWN_RETRY_AFTER_S: Final = 0.5
+
+
+class ResumptionFilter(request_filters.Filter):
+    """Sets the version, and the service, at which a stream that a caller takes up goes on.
+
+    Events of two versions don't fit together. A stream whose version is unknown is refused: a caller
+    that gets no answer can begin anew, one that got a wrong one doesn't know.
+    """
+
+    def apply(self, exchange: http_exchange.HttpExchange) -> request_filters.FilterResult:
+        """Pass a new stream, and one that can go on at the version that began it."""
+        route, inbound = exchange.route, exchange.inbound
+        if route is None or not route.kind.is_stream:
+            return expression.Ok(exchange)
+        if inbound.last_event_id in _NO_EVENT_IDS:
+            exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.id)
+            return expression.Ok(exchange)
+        exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.resumes)
+        result = self._find_origin(exchange, route)
+        if result.is_error():
+            return expression.Error(result.error)
+        origin = result.ok
+        service = self._instance.configuration.service_by_name.get(origin.service)
+        if service is None or origin.service not in {each.service for each in route.shares}:
+            return _refuse(
+                refusals.Reason.STREAM_LOST, f"the route no longer leads to {origin.service}"
+            )
+        exchange.service, exchange.required_version = service, origin.version
+        if not self._instance.selector.serves_version(service.name, origin.version):
+            return _refuse(
+                refusals.Reason.STREAM_LOST,
+                f"no upstream of {service.name} has version {origin.version!r}",
+            )
+        return expression.Ok(exchange)
+
+    def _find_origin(
+        self, exchange: http_exchange.HttpExchange, route: entities.Route
+    ) -> expression.Result[stream_versions.Origin, refusals.Refusal]:
+        inbound = exchange.inbound
+        origin = self._instance.streams.known(exchange.stream_key) if inbound.resumes else None
+        source = "own"
+        is_complete = True
+        possible = self._possible_origins(exchange, route)
+        if origin is None and possible is not None and len(possible) == 1:
+            origin, source = next(iter(possible)), "only version"
+        elif origin is None and inbound.resumes:
+            answer = self._instance.streams.ask_peers(exchange.stream_key)
+            origin, source, is_complete = answer.origin, "peer", answer.is_complete
+        eliot.log_message(
+            message_type="stream_taken_up",
+            request=inbound.id,
+            resumes=inbound.resumes,
+            after_event=inbound.last_event_id,
+            service=origin.service if origin else "",
+            version=origin.version if origin else "",
+            source=source if origin else "",
+            possible=None if possible is None else sorted(each.version for each in possible),
+        )
+        if origin is None:
+            retry_after_s = None if is_complete else UNKNOWN_RETRY_AFTER_S
+            return expression.Error(
+                refusals.Refusal(
+                    refusals.Reason.STREAM_LOST,
+                    "no instance remembers which version began the stream",
+                    retry_after_s,
+                )
+            )
+        return expression.Ok(origin)
+
+    def _possible_origins(
+        self, exchange: http_exchange.HttpExchange, route: entities.Route
+    ) -> frozenset[stream_versions.Origin] | None:
+        left_s = exchange.deadline_s - exchange.received_s
+        longest_s = self._instance.longest_timeout_s(route)
+        since_s = stream_versions.earliest_begin_s(exchange.received_s, longest_s, left_s)
+        return stream_versions.possible_origins(
+            self._instance.streams.history,
+            self._instance.directory.upstream_by_id.values(),
+            (each.service for each in route.shares),
+            since_s,
+        )
+
+
+def _refuse(reason: refusals.Reason, detail: str) -> request_filters.FilterResult:
+    return expression.Error(refusals.Refusal(reason, detail))
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -19,6 +19,7 @@
     peer_evidence,
     placement,
     stage_balance,
+    stream_versions,
 )
 from carawaydoor.serving import peer_failures, turned_away, upstream_limiter
 
@@ -72,16 +73,21 @@
         self._random = random.Random()
 
     def reserve_plain(
-        self, service: str, excluded: frozenset[str], permits: upstream_limiter.RequestPermits
+        self,
+        service: str,
+        excluded: frozenset[str],
+        permits: upstream_limiter.RequestPermits,
+        version: str | None = None,
     ) -> entities.Upstream | None:
         """Choose an upstream of a plain service and add the request to its load.
 
+        :param version: software version at which a stream has to go on, None for any
         :param permits: holds the permit of the upstream afterwards, if it names a limit
         """
         with self._lock:
             while True:
                 upstream = placement.choose_plain(
-                    self._placement_context(may_try=True), service, excluded
+                    self._placement_context(may_try=True), service, excluded, version
                 )
                 if upstream is None:
                     return None
@@ -97,9 +103,11 @@
         excluded: frozenset[str],
         reserve_share: float,
         permits: upstream_limiter.RequestPermits,
+        version: str | None = None,
     ) -> placement.GenerationPlacement | None:
         """Choose the engines of a generation and add the request to their load.
 
+        :param version: software version at which a stream has to go on, None for any
         :param permits: holds the permits of the engines afterwards, if they name limits
         """
         with self._lock:
@@ -110,6 +118,7 @@
                     prompt,
                     excluded,
                     reserve_share,
+                    version,
                 )
                 if chosen is None:
                     return None
@@ -129,15 +138,21 @@
         prompt: entities.Prompt,
         excluded: frozenset[str],
         permits: upstream_limiter.RequestPermits,
+        version: str | None = None,
     ) -> entities.Upstream | None:
         """Choose a decode engine for a prefilled prompt and add the request to its load.
 
+        :param version: software version at which a stream has to go on, None for any
         :param permits: holds the permit of the engine afterwards, if it names a limit
         """
         with self._lock:
             while True:
                 decode = placement.choose_decode(
-                    self._placement_context(service.name), service, prompt, excluded
+                    self._placement_context(service.name),
+                    service,
+                    prompt,
+                    excluded,
+                    version=version,
                 )
                 if decode is None:
                     return None
@@ -214,6 +229,19 @@
             if each.service == service and each.stage is stage and not each.is_leaving
         )
 
+    def serves_version(
+        self, service: str, version: str, excluded: Collection[str] = frozenset()
+    ) -> bool:
+        """Return whether a stream of a software version can go on at any upstream."""
+        return any(
+            each.service == service
+            and each.stage is not entities.Stage.PREFILL
+            and not each.is_leaving
+            and each.id not in excluded
+            and stream_versions.matches(each, version)
+            for each in self._upstreams()
+        )
+
     def record_outcome(self, upstream: entities.Upstream, outcome: health.Outcome) -> None:
         """Update the health of an upstream with the outcome of a call."""
         with self._lock:
--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -4,9 +4,9 @@
 
 import contextlib
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
-from carawaydoor.fleet import codec
+from carawaydoor.fleet import codec, reports
 from carawaydoor.operating import clocks
 from carawaydoor.policy import entities, upstream_directory
 from tests.platform_side import fake_upstream, router_harness
@@ -19,6 +19,8 @@
         self.clock = clock
         self.members = [router_harness.RouterHarness(clock, f"m-{n}") for n in range(size)]
         self.random = random.Random(1)
+        for each in self.members:
+            each.instance.streams.on_origins = self._deliver_origins
 
     def add_upstream(
         self,
@@ -35,6 +37,11 @@
             each.instance.update_directory(upstream_directory.Changes({name: entry}, 1))
         return upstream
 
+    def _deliver_origins(self, report: reports.OriginReport, _: Iterable[str]) -> None:
+        for each in self.members:
+            if each.instance.options.instance != report.instance:
+                each.instance.handle_report(codec.decode(codec.encode(report)))
+
     def remove_upstream(self, name: str) -> None:
         """Remove an upstream from the directories of all instances."""
         for each in self.members:
