Test take-ups after restarts, and say why the store's history proves no version

Streams are taken up after one instance, another one or all in turn were replaced, since peers tell an instance that starts what to remember; not once all memory is gone, not in another workspace, and not under an id of two streams.

--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -42,6 +42,16 @@
             if each.instance.options.instance != report.instance:
                 each.instance.handle_report(codec.decode(codec.encode(report)))
 
+    def restart(self, number: int) -> None:
+        """Replace an instance by one that knows only the list of upstreams."""
+        killed = self.members[number]
+        started = router_harness.RouterHarness(self.clock, killed.instance.options.instance)
+        started.upstreams = killed.upstreams
+        started.instance.streams.on_origins = self._deliver_origins
+        entries = dict(killed.instance.directory.upstream_by_id)
+        started.instance.update_directory(upstream_directory.Snapshot(entries, 1))
+        self.members[number] = started
+
     def remove_upstream(self, name: str) -> None:
         """Remove an upstream from the directories of all instances."""
         for each in self.members:
--- a/tests/platform_side/test_stream_versions.py
+++ b/tests/platform_side/test_stream_versions.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from carawaydoor.operating import clocks
@@ -16,6 +18,7 @@
 
 PREFILL, DECODE = entities.Stage.PREFILL, entities.Stage.DECODE
 EVENTS = 6
+OTHER = dataclasses.replace(router_harness.WORKSPACE, name="other")
 
 
 @pytest.fixture
@@ -96,6 +99,54 @@
     assert len(continued(begun)) == 1
 
 
+@pytest.mark.parametrize("restarted", [[0], [1], [0, 1, 2]], ids=["began", "other", "in turn"])
+def test_streams_are_taken_up_after_restarts(fleet, restarted):
+    """Instances that start are told by their peers what they should remember."""
+    begun = add_engine(fleet, "z", "v1")
+    fleet.exchange_reports()
+    last_events = {
+        f"first-{number}": begin_and_break(member, begun, f"first-{number}")
+        for number, member in enumerate(fleet.members * 2)
+    }
+    others = [add_engine(fleet, f"a-{n}", "v2") for n in range(4)]
+    for number in restarted:
+        fleet.restart(number)
+        fleet.exchange_reports()
+    for each in fleet.members:
+        each.instance.selector.forget_health("z")
+    for number, (first, last_event) in enumerate(last_events.items()):
+        taker = fleet.members[number % 2]
+        assert take_up(taker, first, last_event, f"second-{number}").status == 200
+    assert len(continued(begun)) == len(last_events)
+    assert [each.received for each in others] == [[], [], [], []]
+
+
+def test_streams_are_not_taken_up_once_no_instance_remembers_them(fleet):
+    begun = add_engine(fleet, "z", "v1")
+    last_event = begin_and_break(fleet.members[0], begun)
+    other = add_engine(fleet, "a", "v2")
+    for number in range(3):
+        fleet.restart(number)
+    fleet.exchange_reports()
+    assert take_up(fleet.members[0], "first", last_event).status == 503
+    assert continued(begun) == other.received == []
+
+
+def test_stream_of_another_workspace_or_with_an_id_used_twice_is_not_taken_up(fleet):
+    begun = add_engine(fleet, "z", "v1")
+    fleet.exchange_reports()
+    last_event = begin_and_break(fleet.members[0], begun)
+    other = add_engine(fleet, "a", "v2")
+    for each in fleet.members:
+        keys = {"key-1": router_harness.WORKSPACE, "key-2": OTHER}
+        each.configure(revision=2, workspace_by_key=keys)
+    assert take_up(fleet.members[0], "first", last_event, key="key-2").status == 503
+    fleet.remove_upstream("z")
+    assert begin_and_break(fleet.members[1], other)
+    assert take_up(fleet.members[1], "first", last_event).status == 503
+    assert continued(other) == []
+
+
 def test_stream_whose_version_has_left_is_refused_at_once(fleet):
     begun = add_engine(fleet, "d", "v1")
     last_event = begin_and_break(fleet.members[0], begun)
--- /dev/null
+++ b/tests/policy/test_stream_versions.py
@@ -0,0 +1,52 @@
+"""Which versions can have begun a stream, and which instances remember it."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawaydoor.policy import stream_versions
+from carawaydoor.policy.stream_versions import Origin, VersionHistory
+from tests.policy import builders
+
+OLD = builders.upstream("old", "planner", version="v1")
+NEW = builders.upstream("new", "planner", version="v2")
+
+
+def possible(history, *present, since_s):
+    return stream_versions.possible_origins(history, present, ["planner"], since_s)
+
+
+def test_versions_that_left_before_the_stream_can_have_begun_do_not_count():
+    history = stream_versions.record_gone(VersionHistory({}, 0.0), 50.0, OLD)
+    both = {Origin("planner", "v1"), Origin("planner", "v2")}
+    assert possible(history, NEW, since_s=40.0) == both
+    assert possible(history, NEW, since_s=51.0) == {Origin("planner", "v2")}
+    assert possible(VersionHistory({}, 45.0), NEW, since_s=40.0) is None
+
+
+def test_id_of_two_streams_of_different_versions_stands_for_neither():
+    merged = stream_versions.merge(Origin("planner", "v1"), Origin("planner", "v2"))
+    assert not stream_versions.matches(OLD, merged.version)
+    assert not stream_versions.matches(NEW, merged.version)
+    assert stream_versions.merge(merged, Origin("planner", "v1")) == merged
+
+
+def test_stream_without_events_may_begin_at_any_version():
+    assert stream_versions.matches(OLD, None)
+    assert not stream_versions.matches(OLD, stream_versions.UNKNOWN_VERSION)
+
+
+@given(st.text(max_size=20), st.integers(1, 60), st.integers(1, 6))
+def test_every_instance_names_the_same_few_homes_in_different_domains(key, size, domains):
+    domain_by_instance = {f"m-{n}": f"d-{n % domains}" for n in range(size)}
+    homes = stream_versions.homes(key, domain_by_instance)
+    reversed_order = dict(reversed(domain_by_instance.items()))
+    assert homes == stream_versions.homes(key, reversed_order)
+    assert len(set(homes)) == len(homes)
+    if size <= stream_versions.MAX_TOLD_PEERS:
+        assert len(homes) == size
+    else:
+        assert len(homes) == stream_versions.HOMES
+        expected = min(domains, stream_versions.HOMES)
+        assert len({domain_by_instance[each] for each in homes}) == expected
