--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -47,7 +47,7 @@
         instance=report.instance,
         origins=[
             report_structs.Origin(
-                key=each.key, service=each.service, version=each.version, age_s=each.age_s
+                key=each.key, service_name=each.service, version=each.version, age_s=each.age_s
             )
             for each in report.origins
         ],
@@ -165,7 +165,7 @@
         tuple(
             reports.SharedOrigin(
                 _required_text(each.key),
-                _required_text(each.service),
+                _required_text(each.service_name),
                 str(each.version or ""),
                 float(each.age_s),
             )
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -27,6 +27,6 @@
   8: i64 source_revision, 9: list<Limit> limits, 10: list<Failure> failures
 }
 // A stream and the service and software version that began it, age_s before the report.
-struct Origin { 1: string key, 2: string service, 3: string version, 4: double age_s }
+struct Origin { 1: string key, 2: string service_name, 3: string version, 4: double age_s }
 struct OriginReport { 1: string instance, 2: list<Origin> origins }
 struct Datagram { 1: Report report, 2: WorkReport work, 3: OriginReport origins }
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -98,7 +98,7 @@
     (thrift.TType.LIST, "failures", (thrift.TType.STRUCT, Failure)),
 )
 Origin: Final = _declare(
-    "Origin", (_STRING, "key"), (_STRING, "service"), (_STRING, "version"), (_DOUBLE, "age_s")
+    "Origin", (_STRING, "key"), (_STRING, "service_name"), (_STRING, "version"), (_DOUBLE, "age_s")
 )
 OriginReport: Final = _declare(
     "OriginReport",
