--- a/tests/policy/test_report_structs.py
+++ b/tests/policy/test_report_structs.py
@@ -19,6 +19,8 @@
     "Failure",
     "Report",
     "WorkReport",
+    "Origin",
+    "OriginReport",
     "Datagram",
 ]
 
