--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -3,22 +3,36 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import random
+import time
 from collections.abc import Iterable, Iterator
 
 from carawaydoor.fleet import codec, reports
 from carawaydoor.operating import clocks
 from carawaydoor.policy import entities, upstream_directory
+from carawaydoor.serving import connections
 from tests.platform_side import fake_upstream, router_harness
 
 
+class Cut(enum.Enum):
+    """How connections of an instance to upstreams fail."""
+
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class HarnessFleet:
-    """Instances with the same upstreams and one clock."""
+    """Instances with the same upstreams and one clock.
+
+    :ivar requests_from_peers: number of requests that instances have served for their peers
+    """
 
     def __init__(self, size: int, clock: clocks.Clock) -> None:
         self.clock = clock
         self.members = [router_harness.RouterHarness(clock, f"m-{n}") for n in range(size)]
         self.random = random.Random(1)
+        self.requests_from_peers = 0
         for each in self.members:
             each.instance.streams.on_origins = self._deliver_origins
 
@@ -42,6 +56,29 @@
             if each.instance.options.instance != report.instance:
                 each.instance.handle_report(codec.decode(codec.encode(report)))
 
+    def serve_peers(self) -> None:
+        """Have every instance accept requests that peers pass on."""
+
+    def cut(self, number: int, how: Cut) -> None:
+        """Have all new connections of an instance to upstreams fail, and close the others."""
+        instance = self.members[number].instance
+        for each in instance.directory.upstream_by_id.values():
+            instance.connection_pool.close_idle(each)
+
+        def fail(
+            *_: object, connect_timeout_s: float = connections.CONNECT_TIMEOUT_S, **__: object
+        ):
+            if how is Cut.REFUSED:
+                raise connections.NoListenerError("refused by the test")
+            time.sleep(connect_timeout_s)
+            raise connections.NotSentError("timed out in the test")
+
+        instance.connection_pool.acquire = fail  # type: ignore[method-assign, assignment]
+
+    def heal(self, number: int) -> None:
+        """Let an instance connect to upstreams again."""
+        del self.members[number].instance.connection_pool.acquire
+
     def restart(self, number: int) -> None:
         """Replace an instance by one that knows only the list of upstreams."""
         killed = self.members[number]
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -9,7 +9,7 @@
 
 from carawaydoor.operating import clocks, platform_metrics, platform_options
 from carawaydoor.platform import http_adapter, names
-from carawaydoor.policy import entities, upstream_directory
+from carawaydoor.policy import entities, upstream_directory, usage_caps
 from carawaydoor.serving import caller_app, instance_state
 from tests.platform_side import fake_upstream
 from tests.policy import builders
@@ -164,6 +164,10 @@
         headers = {names.Header.TOKENS: "5000,2000", **kwargs.pop("headers", {})}
         return self.call(path, method="POST", headers=headers, **kwargs)
 
+    def charged(self) -> float:
+        """Return what this instance has charged to the cap of the workspace."""
+        return usage_caps.own_totals(self.instance.caps).get(WORKSPACE.name, 0.0)
+
     def is_idle(self) -> bool:
         """Return whether no request is active or holds load at an upstream."""
         work = self.instance.selector.load.own_by_id
--- /dev/null
+++ b/tests/platform_side/test_partitioned_instances.py
@@ -0,0 +1,102 @@
+"""An instance that reaches no upstream serves its callers by a peer that does.
+
+Regression: instances that had lost their links to all upstreams refused their callers, or let them
+wait in vain, while their peers served.
+"""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from carawaydoor.operating import clocks
+from carawaydoor.platform import names
+from carawaydoor.policy import entities
+from tests.platform_side import harness_fleet
+
+PREFILL, DECODE = entities.Stage.PREFILL, entities.Stage.DECODE
+CALLS = 12
+MIN_SERVED = CALLS * 2 // 3
+
+
+@pytest.fixture
+def fleet():
+    with harness_fleet.running(3, clocks.SystemClock()) as running:
+        for name in ("a", "b", "c"):
+            running.add_upstream(name)
+        running.add_upstream("p", PREFILL)
+        for name in ("d", "e", "f"):
+            running.add_upstream(name, DECODE)
+        running.serve_peers()
+        running.exchange_reports()
+        for member in running.members:
+            assert call(member, "/safe/x", "warm").status == 200
+            assert call(member, "/stream/x", "warm").status == 200
+        running.exchange_reports()
+        yield running
+
+
+def call(member, path, request_id, **kwargs):
+    headers = {names.Header.REQUEST_ID: request_id}
+    if path.startswith(("/stream", "/resumable")):
+        return member.stream(path, headers=headers, **kwargs).read()
+    method = "POST" if path.startswith("/unsafe") else "GET"
+    return member.call(path, method=method, headers=headers, **kwargs).read()
+
+
+def runs(fleet, request_id):
+    """Return how often a request reached upstreams that run it."""
+    return sum(
+        each.header(names.Header.REQUEST_ID) == request_id
+        for upstream in fleet.members[0].upstreams.values()
+        for each in upstream.received
+        if not each.header(names.Header.STAGE)
+    )
+
+
+@pytest.mark.parametrize("how", harness_fleet.Cut)
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"])
+def test_callers_of_an_instance_without_upstreams_are_served(fleet, path, how):
+    fleet.cut(0, how)
+    call(fleet.members[0], path, "finds-out")
+    fleet.exchange_reports()
+    responses = [call(fleet.members[0], path, f"r-{n}") for n in range(CALLS)]
+    served = [each for each in responses if each.status == 200 and not each.is_truncated]
+    assert len(served) >= MIN_SERVED
+    assert [runs(fleet, f"r-{n}") for n in range(CALLS)] == [1] * CALLS
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x"])
+def test_request_is_refused_at_once_if_all_instances_are_without_upstreams(fleet, path):
+    for number in range(3):
+        fleet.cut(number, harness_fleet.Cut.REFUSED)
+        for attempt in range(2):
+            call(fleet.members[number], path, f"finds-out-{attempt}")
+    fleet.exchange_reports()
+    began_s = time.monotonic()
+    response = call(fleet.members[0], path, "r")
+    assert response.status == 503
+    assert time.monotonic() - began_s < 0.5
+    assert runs(fleet, "r") == 0
+
+
+def test_instance_uses_its_own_links_again_soon_after_they_are_back(fleet):
+    fleet.cut(0, harness_fleet.Cut.REFUSED)
+    for number in range(4):
+        assert call(fleet.members[0], "/safe/x", f"cut-{number}").status == 200
+    fleet.heal(0)
+    time.sleep(1.2)
+    sent_by_peers = fleet.requests_from_peers
+    for number in range(4):
+        assert call(fleet.members[0], "/safe/x", f"healed-{number}").status == 200
+    assert fleet.requests_from_peers == sent_by_peers
+
+
+def test_request_that_goes_by_a_peer_is_charged_once(fleet):
+    fleet.cut(0, harness_fleet.Cut.REFUSED)
+    call(fleet.members[0], "/unsafe/x", "finds-out")
+    before = [each.charged() for each in fleet.members]
+    assert call(fleet.members[0], "/unsafe/x", "r").status == 200
+    after = [each.charged() for each in fleet.members]
+    assert sum(after) - sum(before) == 200.0
