Pass requests on to a peer while no upstream can be reached

Cause: an instance had no way to upstreams but its own. It now finds out by probes that it reaches no upstream of a service, and passes requests that it has sent nowhere on to one peer, which serves them like a caller's. Caps are charged and requests counted once, by the first instance. A broken stream is truncated at once there, so that its caller takes it up by a peer; until now it spent the retry budget in a busy loop (867 lines in a second).

Evidence: the ten listed cases of test_partitioned_instances failed before and pass.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -135,6 +135,7 @@
         turned_away_s_by_upstream=dict(report.turned_away_s_by_upstream),
         leaving_born_ms_by_upstream=dict(report.leaving_born_ms_by_upstream),
         failures=_failure_structs(report.failures),
+        cut_off_services=list(report.cut_off_services),
     )
 
 
@@ -250,6 +251,7 @@
         turned_away_s_by_upstream=message.turned_away_s_by_upstream or {},
         leaving_born_ms_by_upstream=message.leaving_born_ms_by_upstream or {},
         failures=_failures(message.failures),
+        cut_off_services=tuple(message.cut_off_services or ()),
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -345,6 +345,19 @@
     )
 
 
+def peers_reaching(state: Membership, now_s: float, service: str) -> tuple[Peer, ...]:
+    """Return the live peers that stay and do not report to be cut off from a service."""
+    live_since_s = now_s - silence_timeout_s(state)
+    return tuple(
+        each
+        for each in state.peer_by_instance.values()
+        if each.report is not None
+        and not each.report.is_leaving
+        and each.last_report_s >= live_since_s
+        and service not in each.report.cut_off_services
+    )
+
+
 def longest_source_uptime_s(state: Membership, now_s: float) -> float:
     """Return the longest unbroken connection of a live peer to its source, in seconds."""
     live_since_s = now_s - silence_timeout_s(state)
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -18,7 +18,8 @@
   19: i64 source_revision, 20: list<Crash> crashes, 21: map<string, double> sound_age_s_by_part,
   22: i64 configuration_version, 23: list<Limit> limits,
   24: map<string, double> turned_away_s_by_upstream,
-  25: map<string, i64> leaving_born_ms_by_upstream, 26: list<Failure> failures
+  25: map<string, i64> leaving_born_ms_by_upstream, 26: list<Failure> failures,
+  27: list<string> cut_off_services
 }
 struct WorkReport {
   1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream,
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -83,6 +83,7 @@
     _amounts("turned_away_s_by_upstream"),
     _map("leaving_born_ms_by_upstream", (_STRING, _I64)),
     (thrift.TType.LIST, "failures", (thrift.TType.STRUCT, Failure)),
+    (thrift.TType.LIST, "cut_off_services", _STRING),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -118,6 +118,7 @@
         for which it asked to send none
     :ivar leaving_born_ms_by_upstream: start of the incarnations that have lately begun to leave
     :ivar failures: upstreams that the sender could not reach lately
+    :ivar cut_off_services: services of which the sender reaches no upstream
     """
 
     contact: Contact
@@ -145,6 +146,7 @@
     turned_away_s_by_upstream: Mapping[str, float] = dataclasses.field(default_factory=dict)
     leaving_born_ms_by_upstream: Mapping[str, int] = dataclasses.field(default_factory=dict)
     failures: tuple[peer_evidence.Failure, ...] = ()
+    cut_off_services: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -88,6 +88,27 @@
             inbound.method, inbound.target, tuple(headers), inbound.body, inbound.id
         )
 
+    def encode_forwarded(
+        self, exchange: http_exchange.HttpExchange, time_left_s: float, instance: str
+    ) -> protocol_adapter.EncodedRequest:
+        """Encode a caller's request for another instance."""
+        inbound = exchange.inbound
+        headers = [
+            ("Host", inbound.host),
+            *inbound.headers,
+            (names.Header.TIME_LEFT_MS.value, str(max(1, int(time_left_s * _MS_PER_S)))),
+            (names.Header.FORWARDED_BY.value, instance),
+        ]
+        if inbound.key is not None:
+            headers.append((names.Header.KEY.value, inbound.key))
+        return protocol_adapter.EncodedRequest(
+            inbound.method, inbound.target, tuple(headers), inbound.body, inbound.id
+        )
+
+    def is_forwarded(self, environ: Mapping[str, Any]) -> bool:
+        """Return whether another instance has passed a request on."""
+        return _header_text(environ, names.Header.FORWARDED_BY) is not None
+
     def check_response(
         self, exchange: http_exchange.HttpExchange, status: int, headers: Mapping[str, str]
     ) -> protocol_adapter.ResponseCheck:
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -28,6 +28,8 @@
     KV_FETCH = "Kv-Fetch"
     PIN = "Carawaydoor-Pin-Milliseconds"
     HOLD = "Carawaydoor-Hold"
+    # Between instances only: the one that got the request from its caller.
+    FORWARDED_BY = "Carawaydoor-Forwarded-By"
     LAST_EVENT_ID = "Last-Event-Id"
     # Id of the caller's attempt that brought the first event of a stream that it takes up again.
     RESUMES = "Resumes"
@@ -60,6 +62,7 @@
         Header.KV_FETCH,
         Header.PIN,
         Header.HOLD,
+        Header.FORWARDED_BY,
     )
 )
 # What upstreams say of themselves to the router; not forwarded to callers.
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -28,7 +28,7 @@
     stage_balancer,
 )
 from carawaydoor.platform import http_adapter, names, platform_settings, store_source
-from carawaydoor.serving import caller_app, http_servers, instance_state
+from carawaydoor.serving import caller_app, http_servers, instance_state, peer_app
 
 # Port of /metrics and /status; also named in deploy/system.toml.
 METRICS_PORT: Final = 9464
@@ -84,16 +84,19 @@
             probe_app.ProbeApp(self._instance, names.READINESS_PATH),
             (options.ready, metrics_address),
         )
-        self._relay_server = http_servers.OperatorServer(
-            probe_app.RelayApp(self._instance, source),
-            (platform_options.Address(options.peer_host, options.first_port),),
+        self._caller_server.listen_to_peers(
+            peer_app.PeerApp(
+                adapter,
+                caller_app.CallerApp(self._instance, adapter, is_for_peers=True),
+                probe_app.RelayApp(self._instance, source),
+            ),
+            platform_options.Address(options.peer_host, options.first_port),
         )
 
     def start(self) -> None:
         """Start every component."""
         self._caller_server.start()
         self._operator_server.start()
-        self._relay_server.start()
         self._transport.start()
         self._source_watcher.start()
         self._stage_balancer.start()
--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -16,6 +16,7 @@
     generation_handler,
     http_exchange,
     instance_state,
+    peer_forwarding,
     plain_handler,
     protocol_adapter,
     refusals,
@@ -31,24 +32,36 @@
 
 # Applies until the route of the request, which sets the deadline, is known.
 DEFAULT_CALLER_TIMEOUT_S: Final = 30.0
+# By then the links may be back: they are probed twice a second.
+CUT_OFF_RETRY_AFTER_S: Final = 1.0
 
 
 class CallerApp:
-    """Passes each request through the filters to the handler that produces the response."""
+    """Passes each request through the filters to the handler that produces the response.
+
+    :param is_for_peers: whether the requests come from peers, which have counted and charged them
+    """
 
     def __init__(
-        self, instance: instance_state.InstanceState, adapter: protocol_adapter.ProtocolAdapter
+        self,
+        instance: instance_state.InstanceState,
+        adapter: protocol_adapter.ProtocolAdapter,
+        is_for_peers: bool = False,
     ) -> None:
         self._instance = instance
         self._adapter = adapter
+        self._is_for_peers = is_for_peers
+        self._forwarder = peer_forwarding.PeerForwarder(instance, adapter)
         client = upstream_client.UpstreamClient(instance, adapter)
-        self._filters: tuple[request_filters.Filter, ...] = (
+        filters: tuple[request_filters.Filter, ...] = (
             request_filters.RouteFilter(instance),
             request_filters.DrainFilter(instance),
             request_filters.AuthenticationFilter(instance),
             stream_resumption.ResumptionFilter(instance),
             request_filters.SuspensionFilter(instance),
-            request_filters.AdmissionFilter(instance),
+        )
+        self._filters = (
+            filters if is_for_peers else (*filters, request_filters.AdmissionFilter(instance))
         )
         self._plain_handler = plain_handler.PlainHandler(instance, client)
         self._generation_handler = generation_handler.GenerationHandler(instance, client, adapter)
@@ -63,6 +76,7 @@
         exchange = http_exchange.HttpExchange(
             decoded.ok, now_s, now_s + DEFAULT_CALLER_TIMEOUT_S, contextlib.ExitStack(), permits
         )
+        exchange.is_forwarded = self._is_for_peers
         exchange.cleanup.callback(permits.close)
         self._instance.begin_request()
         try:
@@ -88,14 +102,49 @@
         self, exchange: http_exchange.HttpExchange
     ) -> request_filters.HandlerResult:
         for each in self._filters:
-            result = each.apply(exchange)
-            if result.is_error():
-                return expression.Error(result.error)
+            filtered = each.apply(exchange)
+            if filtered.is_error():
+                return expression.Error(filtered.error)
+        if not exchange.is_forwarded and exchange.service is not None:
+            self._instance.record_request(exchange.service.name)
+        if self._is_cut_off(exchange):
+            return self._handle_without_upstreams(exchange)
         route = exchange.route
         handler: request_filters.RequestHandler = self._plain_handler
         if route is not None and _is_generation(route, exchange.service):
             handler = self._generation_handler
-        return handler.handle(exchange)
+        result = handler.handle(exchange)
+        if (
+            result.is_error()
+            and result.error.did_not_run
+            and exchange.attempts == 0
+            and exchange.unreachable > 0
+        ):
+            return self._handle_without_upstreams(exchange, result.error)
+        return result
+
+    def _is_cut_off(self, exchange: http_exchange.HttpExchange) -> bool:
+        service = exchange.service
+        return service is not None and self._instance.reach.is_cut_off(service.name)
+
+    def _handle_without_upstreams(
+        self, exchange: http_exchange.HttpExchange, refusal: refusals.Refusal | None = None
+    ) -> request_filters.HandlerResult:
+        """Have a peer serve a request that was sent to no upstream, or refuse it.
+
+        :param refusal: what is known without the peers, None for a service that can't be reached
+        """
+        if not exchange.is_forwarded:
+            forwarded = self._forwarder.forward(exchange)
+            if forwarded is not None:
+                return forwarded
+        if refusal is None or self._is_cut_off(exchange):
+            refusal = refusals.Refusal(
+                refusals.Reason.CUT_OFF,
+                "no upstream of the service can be reached, and no peer that does",
+                CUT_OFF_RETRY_AFTER_S,
+            )
+        return expression.Error(refusal)
 
     def _refuse(
         self,
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -81,7 +81,6 @@
         exchange.cleanup.callback(self._stream_slots.release)
         service = exchange.service
         assert service is not None
-        self._instance.record_request(service.name)
         prompt = exchange.inbound.prompt or DEFAULT_PROMPT
         arrival = self._describe_arrival(exchange)
         placed = self._place(exchange, service, prompt, arrival)
@@ -152,6 +151,8 @@
                     self._log_placement(placed, arrival)
                     return placed
                 excluded.add(chosen.decode.id)
+                if self._instance.reach.is_cut_off(service.name):
+                    return None
                 continue
             turned_away_s = self._instance.selector.turned_away_retry_s(
                 service.name, entities.Stage.DECODE
@@ -373,6 +374,8 @@
                 decode_reservation.close()
                 placed.exchange.permits.give_back(decode)
                 tried.add(decode.id)
+                if self._instance.reach.is_cut_off(placed.service.name):
+                    return False
                 continue
             placed.decode, placed.decode_reservation = decode, decode_reservation
             return True
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -55,6 +55,8 @@
     :ivar permits: permits for upstreams that name a limit
     :ivar attempts: number of upstreams to which the request was sent
     :ivar admitted_amount: tokens or requests charged to the usage cap of the workspace
+    :ivar is_forwarded: whether another instance has passed the request on
+    :ivar unreachable: number of failed attempts to connect to an upstream
     :ivar stream_key: name under which instances remember where the stream began
     :ivar required_version: software version of the upstreams at which the stream may go on, empty
         if it is unknown, None for a stream without events
@@ -72,6 +74,8 @@
     revision: int = 0
     attempts: int = 0
     admitted_amount: float = 0.0
+    is_forwarded: bool = False
+    unreachable: int = 0
     stream_key: str = ""
     required_version: str | None = None
 
--- a/src/carawaydoor/serving/http_servers.py
+++ b/src/carawaydoor/serving/http_servers.py
@@ -99,13 +99,37 @@
             ident=None,
             clear_untrusted_proxy_headers=False,
         )
-        self._server.channel_class = _Channel
-        self._server.is_draining = is_draining
-        self._server.has_stopped_reading = False
+        self._servers = [self._server]
+        self._is_draining = is_draining
+        self._prepare(self._server)
         self._polls = 0
         self._count_polls()
         self.apply_limits(entities.Limits())
 
+    def listen_to_peers(self, app: WsgiApp, address: platform_options.Address) -> None:
+        """Serve other instances too, with the same threads."""
+        server = waitress.server.create_server(
+            app,
+            map=self._server._map,
+            _dispatcher=self._server.task_dispatcher,
+            host=address.host,
+            port=address.port,
+            backlog=LISTEN_BACKLOG,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
+            outbuf_high_watermark=MAX_BUFFERED_RESPONSE_BYTES,
+            send_bytes=1,
+            ident=None,
+            clear_untrusted_proxy_headers=False,
+        )
+        self._prepare(server)
+        self._servers.append(server)
+
+    def _prepare(self, server: Any) -> None:
+        server.channel_class = _Channel
+        server.is_draining = self._is_draining
+        server.has_stopped_reading = False
+
     def apply_limits(self, limits: entities.Limits) -> None:
         """Apply new limits on the size of requests and on idle time."""
         adjustments = self._server.adj
@@ -127,14 +151,16 @@
 
     def stop_reading(self) -> None:
         """Accept no connection and read no request any more; those that were read are answered."""
-        self._server.has_stopped_reading = True
-        self._server.accepting = False
+        for server in self._servers:
+            server.has_stopped_reading = True
+            server.accepting = False
 
     def has_unanswered(self) -> bool:
         """Return whether a request that was read has no complete response yet."""
         return any(
             each.requests or each.total_outbufs_len
-            for each in tuple(self._server.active_channels.values())
+            for server in self._servers
+            for each in tuple(server.active_channels.values())
         )
 
     def _count_polls(self) -> None:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -27,6 +27,7 @@
 from carawaydoor.serving import (
     connections,
     crash_guard,
+    reachability,
     source_state,
     stream_origins,
     upstream_limiter,
@@ -99,6 +100,9 @@
             lambda: self.membership,
             self.update_directory,
         )
+        self.reach: Final = reachability.Reachability(
+            clock, self.connection_pool, lambda: self.directory.upstream_by_id.values()
+        )
         self.selector = upstream_selection.UpstreamSelector(
             options.domain,
             clock,
@@ -112,6 +116,7 @@
                 self.retry_budget, clock.now_s(), service
             ),
             self.upstream_limiter,
+            self.reach,
         )
 
     @property
@@ -124,7 +129,15 @@
         """Whether the load balancer should send callers to this instance."""
         if self.is_draining or self.configuration.revision == 0 or self.directory.revision == 0:
             return False
-        return self.accepts_keys()
+        return self.accepts_keys() and not self._is_isolated()
+
+    def _is_isolated(self) -> bool:
+        """Return whether neither upstreams nor peers that reach them can serve any request."""
+        cut_off = self.reach.cut_off_services()
+        if not cut_off or not cut_off >= self.configuration.service_by_name.keys():
+            return False
+        now_s = self.clock.now_s()
+        return not any(gossip.peers_reaching(self.membership, now_s, each) for each in cut_off)
 
     def accepts_keys(self) -> bool:
         """Return whether the configuration is proven recent enough to accept keys."""
@@ -342,6 +355,7 @@
                     self.directory, now_s
                 ),
                 failures=self.selector.failures_to_report(),
+                cut_off_services=tuple(self.reach.cut_off_services()),
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
--- /dev/null
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -0,0 +1,164 @@
+"""Passes requests on to a peer while this instance reaches no upstream of their service.
+
+A request goes by one peer only, which serves it like a caller's, apart from what this instance has
+already done: the charge to the usage cap and the count for the retry budget.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import eliot
+import expression
+import pydantic
+
+from carawaydoor.fleet import gossip
+from carawaydoor.policy import entities
+from carawaydoor.serving import (
+    connections,
+    http_exchange,
+    instance_state,
+    plain_handler,
+    protocol_adapter,
+    refusals,
+    request_filters,
+    sockets,
+    upstream_client,
+)
+
+# Peers that are asked one after the other, if they can't be connected to or are cut off as well.
+MAX_PEERS: Final = 3
+# Peers are near, so a longer wait means that this one has failed.
+CONNECT_TIMEOUT_S: Final = 0.2
+
+
+class _Problem(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    type: str
+
+
+class PeerForwarder:
+    """Passes requests on to peers, and their responses back."""
+
+    def __init__(
+        self, instance: instance_state.InstanceState, adapter: protocol_adapter.ProtocolAdapter
+    ) -> None:
+        self._instance = instance
+        self._adapter = adapter
+        self._pool = connections.ConnectionPool(instance.clock)
+        self._random = random.Random()
+
+    def forward(self, exchange: http_exchange.HttpExchange) -> request_filters.HandlerResult | None:
+        """Have a peer serve a request that this instance has sent to no upstream.
+
+        :return: None if no peer took it; then it was sent nowhere
+        """
+        service = exchange.service
+        assert service is not None
+        for peer in self._candidates(service.name):
+            try:
+                result = self._send(exchange, peer)
+            except connections.NotSentError as error:
+                self._log(exchange, peer, repr(error))
+                continue
+            except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
+                # The peer may have sent the request to an upstream.
+                self._log(exchange, peer, repr(error))
+                failure = upstream_client.classify_error(error)
+                call_error = upstream_client.CallError(failure, str(error))
+                return expression.Error(plain_handler.refusal_for(call_error, peer))
+            if result is not None:
+                return expression.Ok(result)
+        return None
+
+    def _candidates(self, service: str) -> list[entities.Upstream]:
+        """Return the peers to ask, those of this failure domain first, else in random order."""
+        peers = gossip.peers_reaching(
+            self._instance.membership, self._instance.clock.now_s(), service
+        )
+        options = self._instance.options
+        hops = [
+            entities.Upstream(
+                each.contact.instance,
+                "",
+                each.contact.host,
+                options.first_port,
+                each.report.domain,
+                1,
+                entities.Stage.NONE,
+                False,
+                each.report.incarnation,
+            )
+            for each in peers
+            if each.report is not None
+        ]
+        self._random.shuffle(hops)
+        hops.sort(key=lambda each: each.domain != options.domain)
+        return hops[:MAX_PEERS]
+
+    def _send(
+        self, exchange: http_exchange.HttpExchange, peer: entities.Upstream
+    ) -> http_exchange.Response | None:
+        """Return the response of a peer, None if it reaches no upstream either.
+
+        :raises NotSentError: if the peer can't be connected to
+        :raises UpstreamConnectionError: if the connection fails after that
+        :raises WaitAbortedError: if the deadline passes or the caller disconnects
+        """
+        connection = self._pool.acquire(peer, new_only=True, connect_timeout_s=CONNECT_TIMEOUT_S)
+        exchange.cleanup.callback(connection.close)
+        clock = self._instance.clock
+        wait_limit = sockets.CallerWaitLimit(clock, exchange.deadline_s, exchange.inbound.is_gone)
+        encoded = self._adapter.encode_forwarded(
+            exchange, exchange.deadline_s - clock.now_s(), self._instance.options.instance
+        )
+        response = connection.send(encoded, wait_limit)
+        check = self._adapter.check_response(exchange, response.status, response.header_by_name)
+        if check.is_of_other_request:
+            raise connections.MalformedResponseError("the response is to another request")
+        is_stream = check.is_genuine and response.framing is not connections.Framing.LENGTH
+        content = b"" if is_stream else response.read()
+        if not check.is_genuine and response.status == refusals.Status.UNAVAILABLE:
+            reason = _reason(content)
+            self._log(exchange, peer, f"refused: {reason}")
+            if reason == refusals.Reason.CUT_OFF.value:
+                return None
+        else:
+            self._log(exchange, peer, f"status {response.status}")
+        is_refused = not check.is_genuine and response.status in (
+            refusals.Status.UNAVAILABLE,
+            refusals.Status.TOO_MANY_REQUESTS,
+        )
+        if is_refused and exchange.admitted_amount > 0.0:
+            self._instance.refund(exchange.workspace_name, exchange.admitted_amount)
+        return http_exchange.Response(
+            response.status,
+            response.reason,
+            response.headers,
+            response.chunks() if is_stream else iter([content]),
+            None if is_stream else len(content),
+            peer.id,
+        )
+
+    def _log(
+        self, exchange: http_exchange.HttpExchange, peer: entities.Upstream, outcome: str
+    ) -> None:
+        eliot.log_message(
+            message_type="request_forwarded",
+            request=exchange.inbound.id,
+            service=exchange.service.name if exchange.service else "",
+            peer=peer.id,
+            outcome=outcome,
+            left_s=round(exchange.deadline_s - self._instance.clock.now_s(), 3),
+        )
+
+
+def _reason(content: bytes) -> str:
+    """Return why a peer refused a request, empty if it does not say."""
+    try:
+        return _Problem.model_validate_json(content).type
+    except pydantic.ValidationError as error:
+        eliot.log_message(message_type="refusal_of_peer_malformed", detail=repr(error))
+        return ""
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -46,7 +46,6 @@
             refusals.Reason.NO_UPSTREAM, f"service {service.name} has no upstream", RETRY_AFTER_S
         )
         last_response: http_exchange.Response | None = None
-        self._instance.record_request(service.name)
         while exchange.attempts < route.max_attempts:
             is_retry = exchange.attempts > 0
             if is_retry and not self._instance.may_retry(exchange.inbound.id, service.name):
@@ -63,6 +62,8 @@
                 refusal = refusal_for(error, upstream)
                 if error.failure.was_not_sent:
                     exchange.permits.give_back(upstream)
+                    if self._instance.reach.is_cut_off(service.name):
+                        break
                 else:
                     exchange.attempts += 1
                 if not self._may_retry(route, error):
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -132,6 +132,20 @@
     ) -> EncodedRequest:
         """Return the HTTP request for one attempt at an upstream."""
 
+    @abc.abstractmethod
+    def encode_forwarded(
+        self, exchange: http_exchange.HttpExchange, time_left_s: float, instance: str
+    ) -> EncodedRequest:
+        """Return a caller's request as it is passed on to another instance.
+
+        :param time_left_s: time in seconds for which the caller still waits
+        :param instance: this instance
+        """
+
+    @abc.abstractmethod
+    def is_forwarded(self, environ: Mapping[str, Any]) -> bool:
+        """Return whether another instance has passed the request in a WSGI environment on."""
+
     @abc.abstractmethod
     def check_response(
         self, exchange: http_exchange.HttpExchange, status: int, headers: Mapping[str, str]
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -19,6 +19,7 @@
     CAP_EXCEEDED = "cap-exceeded"
     SUSPENDED = "suspended"
     NO_UPSTREAM = "no-upstream"
+    CUT_OFF = "cut-off"
     NO_ROOM = "no-room"
     TOO_LATE = "too-late"
     INSTANCE_BUSY = "instance-busy"
@@ -57,6 +58,7 @@
     Reason.CAP_EXCEEDED: Status.TOO_MANY_REQUESTS,
     Reason.SUSPENDED: Status.UNAVAILABLE,
     Reason.NO_UPSTREAM: Status.UNAVAILABLE,
+    Reason.CUT_OFF: Status.UNAVAILABLE,
     Reason.NO_ROOM: Status.UNAVAILABLE,
     Reason.TOO_LATE: Status.UNAVAILABLE,
     Reason.INSTANCE_BUSY: Status.UNAVAILABLE,
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -188,9 +188,12 @@
         )
 
     def _may_continue(self) -> bool:
-        route = self._exchange.route
+        route, service = self._exchange.route, self._exchange.service
         if self._is_suspended():
             return False
+        if service is not None and self._instance.reach.is_cut_off(service.name):
+            # The caller can take the stream up by a peer.
+            return False
         return self._backup is not None or (route is not None and self._may_rerun(route))
 
     def _is_suspended(self) -> bool:
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -144,6 +144,7 @@
         try:
             return self._instance.connection_pool.acquire(upstream)
         except connections.NotSentError as error:
+            exchange.unreachable += 1
             raise self._call_error(exchange, upstream, Failure.NOT_SENT, error) from error
 
     def send(
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -21,7 +21,7 @@
     stage_balance,
     stream_versions,
 )
-from carawaydoor.serving import peer_failures, turned_away, upstream_limiter
+from carawaydoor.serving import peer_failures, reachability, turned_away, upstream_limiter
 
 # An engine that was ordered to change its stage is used again after this time, even if its entry
 # still shows the old stage. The change takes about six seconds once running work has ended.
@@ -51,6 +51,7 @@
         membership: Callable[[], gossip.Membership],
         requests_per_s: Callable[[str], float],
         limiter: upstream_limiter.UpstreamLimiter,
+        reach: reachability.Reachability,
     ) -> None:
         self.load = load.EMPTY
         self.health: health.Health = {}
@@ -66,6 +67,7 @@
         self._membership = membership
         self._requests_per_s = requests_per_s
         self._limiter = limiter
+        self._reach = reach
         self._peer_load_summed_s = float("-inf")
         self._peer_failures = peer_failures.PeerFailures(domain)
         self._balance = stage_balance.Balance()
@@ -249,6 +251,7 @@
             was_suspect = health.is_suspect(self.health, now_s, upstream.id)
             self.health = health.record_outcome(self.health, now_s, upstream.id, outcome)
             is_suspect = health.is_suspect(self.health, now_s, upstream.id)
+        self._reach.record_outcome(upstream, outcome)
         if is_suspect and not was_suspect:
             self.on_failure()
         self._metrics.upstream_calls.add(1, {"service": upstream.service, "outcome": outcome.value})
--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -5,13 +5,16 @@
 import contextlib
 import enum
 import random
+import socket
 import time
 from collections.abc import Iterable, Iterator
+from typing import Any
 
 from carawaydoor.fleet import codec, reports
-from carawaydoor.operating import clocks
+from carawaydoor.operating import clocks, platform_options, probe_app
+from carawaydoor.platform import http_adapter, store_source
 from carawaydoor.policy import entities, upstream_directory
-from carawaydoor.serving import connections
+from carawaydoor.serving import caller_app, connections, http_servers, peer_app
 from tests.platform_side import fake_upstream, router_harness
 
 
@@ -30,7 +33,14 @@
 
     def __init__(self, size: int, clock: clocks.Clock) -> None:
         self.clock = clock
-        self.members = [router_harness.RouterHarness(clock, f"m-{n}") for n in range(size)]
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        self.members = [
+            router_harness.RouterHarness(
+                clock, f"m-{n}", peer_host=f"127.0.0.{n + 1}", first_port=port
+            )
+            for n in range(size)
+        ]
         self.random = random.Random(1)
         self.requests_from_peers = 0
         for each in self.members:
@@ -58,6 +68,25 @@
 
     def serve_peers(self) -> None:
         """Have every instance accept requests that peers pass on."""
+        adapter = http_adapter.PlatformHttpAdapter()
+        for each in self.members:
+            options = each.instance.options
+            server = http_servers.CallerServer(each.app, options, lambda: False)
+            forwarded = caller_app.CallerApp(each.instance, adapter, is_for_peers=True)
+            source = store_source.StoreSource(options.store)
+            own = probe_app.RelayApp(each.instance, source)
+            server.listen_to_peers(
+                peer_app.PeerApp(adapter, self._counted(forwarded), own),
+                platform_options.Address(options.peer_host, options.first_port),
+            )
+            server.start()
+
+    def _counted(self, app: peer_app.WsgiApp) -> peer_app.WsgiApp:
+        def counting_app(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+            self.requests_from_peers += 1
+            return app(environ, start_response)
+
+        return counting_app
 
     def cut(self, number: int, how: Cut) -> None:
         """Have all new connections of an instance to upstreams fail, and close the others."""
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -86,10 +86,14 @@
 class RouterHarness:
     """An instance with its application and its upstreams."""
 
-    def __init__(self, clock: clocks.Clock | None = None, instance: str = "m") -> None:
+    def __init__(
+        self, clock: clocks.Clock | None = None, instance: str = "m", **options: Any
+    ) -> None:
         self.clock = clock or clocks.SystemClock()
         self.instance = instance_state.InstanceState(
-            example_options(instance=instance), self.clock, platform_metrics.Metrics("test")
+            example_options(instance=instance, **options),
+            self.clock,
+            platform_metrics.Metrics("test"),
         )
         self.app = caller_app.CallerApp(self.instance, http_adapter.PlatformHttpAdapter())
         self.upstreams: dict[str, fake_upstream.FakeUpstream] = {}
--- a/tests/platform_side/test_partitioned_instances.py
+++ b/tests/platform_side/test_partitioned_instances.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 
 import pytest
@@ -13,7 +14,7 @@
 from carawaydoor.operating import clocks
 from carawaydoor.platform import names
 from carawaydoor.policy import entities
-from tests.platform_side import harness_fleet
+from tests.platform_side import harness_fleet, router_harness
 
 PREFILL, DECODE = entities.Stage.PREFILL, entities.Stage.DECODE
 CALLS = 12
@@ -61,7 +62,10 @@
     fleet.cut(0, how)
     call(fleet.members[0], path, "finds-out")
     fleet.exchange_reports()
-    responses = [call(fleet.members[0], path, f"r-{n}") for n in range(CALLS)]
+    responses = []
+    for number in range(CALLS):
+        fleet.exchange_reports()
+        responses.append(call(fleet.members[0], path, f"r-{number}"))
     served = [each for each in responses if each.status == 200 and not each.is_truncated]
     assert len(served) >= MIN_SERVED
     assert [runs(fleet, f"r-{n}") for n in range(CALLS)] == [1] * CALLS
@@ -94,6 +98,11 @@
 
 
 def test_request_that_goes_by_a_peer_is_charged_once(fleet):
+    capped = dataclasses.replace(
+        router_harness.WORKSPACE, tokens_per_s=1000.0, burst_tokens=1_000_000.0
+    )
+    for member in fleet.members:
+        member.configure(revision=2, workspace_by_key={router_harness.KEY: capped})
     fleet.cut(0, harness_fleet.Cut.REFUSED)
     call(fleet.members[0], "/unsafe/x", "finds-out")
     before = [each.charged() for each in fleet.members]
