Don't count refused connections as crashes while no upstream can be reached

A crash is now confirmed by a connection to another upstream of the service; the added test failed before (one strike) and passes.

--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -285,6 +285,15 @@
         upstream: entities.Upstream,
         suspect_parts: tuple[str, ...],
     ) -> None:
+        if not self._instance.reach.confirms(upstream):
+            # This instance may have lost its links, and the upstream may live.
+            eliot.log_message(
+                message_type="crash_not_confirmed",
+                request=exchange.inbound.id,
+                upstream=upstream.id,
+                detail="no other upstream of the service can be reached either",
+            )
+            return
         self._instance.crash_guard.record_crash(
             exchange.inbound.id, exchange.fingerprint, upstream, suspect_parts
         )
--- a/tests/platform_side/test_partitioned_instances.py
+++ b/tests/platform_side/test_partitioned_instances.py
@@ -14,7 +14,9 @@
 from carawaydoor.operating import clocks
 from carawaydoor.platform import names
 from carawaydoor.policy import entities
+from carawaydoor.serving import connections
 from tests.platform_side import harness_fleet, router_harness
+from tests.platform_side.fake_upstream import Behaviour
 
 PREFILL, DECODE = entities.Stage.PREFILL, entities.Stage.DECODE
 CALLS = 12
@@ -85,6 +87,26 @@
     assert runs(fleet, "r") == 0
 
 
+def test_request_is_not_suspected_of_crashes_by_an_instance_that_was_cut_off(fleet):
+    """Refused connections look like a crash, but here those to all upstreams were refused."""
+    member = fleet.members[0]
+    for name in ("a", "b", "c"):
+        fleet.members[0].upstreams[name].behaviours = [Behaviour.RESET]
+    pool, connections_made = member.instance.connection_pool, []
+    connect = pool.acquire
+
+    def acquire(upstream, *args, **kwargs):
+        if connections_made:
+            raise connections.NoListenerError("refused by the test")
+        connections_made.append(upstream.id)
+        return connect(upstream, *args, **kwargs)
+
+    pool.acquire = acquire
+    assert call(member, "/unsafe/x", "r").status == 502
+    struck, _, _ = member.instance.crash_guard.share()
+    assert struck == ()
+
+
 def test_instance_uses_its_own_links_again_soon_after_they_are_back(fleet):
     fleet.cut(0, harness_fleet.Cut.REFUSED)
     for number in range(4):
