Believe a refusal only as the answer to its own request

A faulty upstream may write an earlier refusal once more on a kept connection. Callers were then told 'not run, try again' for a request that the upstream was running, or it was sent to a second one.

Cause: a refusal counted by the present request's id, which may have been sent on that connection before, and a 421 without an id counted always. Now a request is not sent on a connection that has carried its id, a 421 without an id counts only on a connection that carried nothing before, and so do notices without an id. Such a copy is now a malformed response, which promises nothing.

--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -113,11 +113,16 @@
         return _header_text(environ, names.Header.FORWARDED_BY) is not None
 
     def check_response(
-        self, exchange: http_exchange.HttpExchange, status: int, headers: Mapping[str, str]
+        self,
+        exchange: http_exchange.HttpExchange,
+        status: int,
+        headers: Mapping[str, str],
+        is_first: bool,
     ) -> protocol_adapter.ResponseCheck:
         """Classify a response of an upstream.
 
         :param headers: headers of the response, with names in lower case
+        :param is_first: whether the connection carried no earlier request
         """
         misdirected = status == _MISDIRECTED_STATUS
         says_not_run = names.Header.NOT_RUN.lower() in headers and status in _NOT_RUN_STATUSES
@@ -125,8 +130,9 @@
         matches_request = echoed_id == exchange.inbound.id
         has_stamp = names.Header.STAMP.lower() in headers
         # Only a 421 may lack the request's id, since it may come from another server that now has
-        # the address. Any other response without it may be a late one to an earlier request.
-        did_not_run = (misdirected and echoed_id is None) or (
+        # the address. Any other response without it, and a 421 on a connection that was used before,
+        # may be a late or repeated one to an earlier request.
+        did_not_run = (misdirected and echoed_id is None and is_first) or (
             matches_request and (misdirected or says_not_run)
         )
         return protocol_adapter.ResponseCheck(
@@ -137,14 +143,16 @@
         )
 
     def decode_notice(
-        self, status: int, headers: Mapping[str, str], request_id: str
+        self, status: int, headers: Mapping[str, str], request_id: str, is_first: bool
     ) -> protocol_adapter.UpstreamNotice | None:
         """Decode what an upstream says about further requests.
 
         :param headers: headers of the response, with names in lower case
         :param request_id: id of the request that was sent, empty for one without an id
+        :param is_first: whether the connection carried no earlier request
         """
-        echoed_id = headers.get(names.Header.REQUEST_ID.lower(), request_id)
+        assumed_id = request_id if is_first else ""
+        echoed_id = headers.get(names.Header.REQUEST_ID.lower(), assumed_id)
         if status == _MISDIRECTED_STATUS or echoed_id != request_id:
             # Sent by another server that now has the address, or in response to an earlier request.
             return None
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -31,6 +31,8 @@
 MAX_HEAD_BYTES: Final = 262_144
 # Bounds the body as it is transferred, with chunk sizes and trailers.
 MAX_TRANSFERRED_BODY_BYTES: Final = 64_000_000
+# Ids that a connection remembers; a request is only repeated within seconds.
+MAX_KNOWN_IDS: Final = 64
 
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d{1,6})(?!\d)")
 
@@ -88,6 +90,8 @@
         self.upstream: Final = upstream
         self._pool: Final = pool
         self.origin = Origin.NEW
+        self._has_carried_any = False
+        self._carried_ids: collections.deque[str] = collections.deque(maxlen=MAX_KNOWN_IDS)
         self._socket = connected
         self._http = http.client.HTTPConnection(upstream.host, upstream.port)
         self._http.sock = connected
@@ -106,6 +110,8 @@
         self._socket.readable_bytes = MAX_HEAD_BYTES
         wait_limit.next_wait_s()
         sent_s = self._pool.clock.now_s()
+        is_first, self._has_carried_any = not self._has_carried_any, True
+        self._carried_ids.append(request.request_id)
         self._pool.on_request(self.upstream)
         try:
             self._write(request)
@@ -115,7 +121,7 @@
         except (http.client.HTTPException, ValueError) as error:
             raise MalformedResponseError(repr(error)) from error
         self._socket.readable_bytes = MAX_TRANSFERRED_BODY_BYTES
-        opened = UpstreamResponse(self, response, request.request_id, sent_s)
+        opened = UpstreamResponse(self, response, request.request_id, sent_s, is_first)
         self._pool.on_response(self.upstream, opened)
         return opened
 
@@ -127,6 +133,10 @@
         """Tell the wait limit that a part of the response arrived."""
         self._socket.wait_limit.record_progress()
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent, whose response may be repeated."""
+        return request_id in self._carried_ids
+
     def is_reusable(self) -> bool:
         """Return whether another request may be sent."""
         return self._http.sock is not None and self._socket.is_idle()
@@ -151,6 +161,7 @@
 
     :ivar request_id: id of the request, empty for one without an id
     :ivar requested_s: when the request was sent, by this instance's clock
+    :ivar is_first: whether the connection carried no earlier request, to which this could respond
     """
 
     def __init__(
@@ -159,8 +170,10 @@
         response: http.client.HTTPResponse,
         request_id: str,
         requested_s: float,
+        is_first: bool,
     ) -> None:
         self._connection = connection
+        self.is_first: Final = is_first
         self.request_id: Final = request_id
         self.requested_s: Final = requested_s
         self._response = response
@@ -243,14 +256,16 @@
         upstream: entities.Upstream,
         new_only: bool = False,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        request_id: str = "",
     ) -> Connection:
         """Return an idle or a new connection to an upstream.
 
         :param new_only: whether an idle connection must not be reused
         :param connect_timeout_s: timeout in seconds for a new connection
+        :param request_id: id that the connection must not have carried, empty for any
         :raises NotSentError: if no connection can be established
         """
-        reused = None if new_only else self._acquire_idle(upstream)
+        reused = None if new_only else self._acquire_idle(upstream, request_id)
         if reused is not None:
             reused.origin = Origin.REUSED
             return reused
@@ -295,14 +310,16 @@
         for each in expired:
             each.connection.close()
 
-    def _acquire_idle(self, upstream: entities.Upstream) -> Connection | None:
+    def _acquire_idle(self, upstream: entities.Upstream, request_id: str) -> Connection | None:
         while True:
             with self._lock:
                 idle = self._idle_by_upstream.get(_pool_key(upstream))
                 newest = idle.pop() if idle else None
             if newest is None:
                 return None
-            if newest.expires_s > self.clock.now_s() and newest.connection.is_reusable():
+            is_repeat = bool(request_id) and newest.connection.has_carried(request_id)
+            is_expired = newest.expires_s <= self.clock.now_s()
+            if not is_repeat and not is_expired and newest.connection.is_reusable():
                 return newest.connection
             newest.connection.close()
 
--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -115,7 +115,9 @@
             exchange, exchange.deadline_s - clock.now_s(), self._instance.options.instance
         )
         response = connection.send(encoded, wait_limit)
-        check = self._adapter.check_response(exchange, response.status, response.header_by_name)
+        check = self._adapter.check_response(
+            exchange, response.status, response.header_by_name, response.is_first
+        )
         if check.is_of_other_request:
             raise connections.MalformedResponseError("the response is to another request")
         is_stream = check.is_genuine and response.framing is not connections.Framing.LENGTH
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -148,17 +148,25 @@
 
     @abc.abstractmethod
     def check_response(
-        self, exchange: http_exchange.HttpExchange, status: int, headers: Mapping[str, str]
+        self,
+        exchange: http_exchange.HttpExchange,
+        status: int,
+        headers: Mapping[str, str],
+        is_first: bool,
     ) -> ResponseCheck:
-        """Return what an upstream's response means; header names are in lower case."""
+        """Return what an upstream's response means; header names are in lower case.
+
+        :param is_first: whether the connection carried no earlier request, to which this could respond
+        """
 
     @abc.abstractmethod
     def decode_notice(
-        self, status: int, headers: Mapping[str, str], request_id: str
+        self, status: int, headers: Mapping[str, str], request_id: str, is_first: bool
     ) -> UpstreamNotice | None:
         """Return what an upstream says about further requests; header names are in lower case.
 
         :param request_id: id of the request that was sent, empty for one without an id
+        :param is_first: whether the connection carried no earlier request
         :return: None if the response is another server's, or a late one to an earlier request
         """
 
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -93,7 +93,7 @@
         self, upstream: entities.Upstream, response: connections.UpstreamResponse
     ) -> None:
         notice = self._adapter.decode_notice(
-            response.status, response.header_by_name, response.request_id
+            response.status, response.header_by_name, response.request_id, response.is_first
         )
         if notice is None:
             return
@@ -142,7 +142,7 @@
             detail = "it wants no requests for a while"
             raise self._call_error(exchange, upstream, Failure.TURNED_AWAY, detail)
         try:
-            return self._instance.connection_pool.acquire(upstream)
+            return self._instance.connection_pool.acquire(upstream, request_id=exchange.inbound.id)
         except connections.NotSentError as error:
             exchange.unreachable += 1
             raise self._call_error(exchange, upstream, Failure.NOT_SENT, error) from error
@@ -193,7 +193,9 @@
             raise self._call_error(
                 exchange, request.upstream, classify_error(error), error, suspect_parts
             ) from error
-        check = self._adapter.check_response(exchange, response.status, response.header_by_name)
+        check = self._adapter.check_response(
+            exchange, response.status, response.header_by_name, response.is_first
+        )
         if check.did_not_run:
             self._discard_body(connection, response)
             is_misdirected = check.is_other_incarnation
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -54,8 +54,17 @@
     ENDLESS_TRAILERS = "endless_trailers"
     ENDLESS_EVENT = "endless_event"
     BEYOND_LENGTH = "beyond_length"
+    # The response is written once more on the connection, before that to the next request.
+    REJECT_TWICE = "reject_twice"
+    MISDIRECT_TWICE = "misdirect_twice"
+    REJECT_WITHOUT_REQUEST_ID_TWICE = "unnamed_reject_twice"
 
 
+_ONCE_BY_REPEATED = {
+    Behaviour.REJECT_TWICE: Behaviour.REJECT,
+    Behaviour.MISDIRECT_TWICE: Behaviour.MISDIRECT,
+    Behaviour.REJECT_WITHOUT_REQUEST_ID_TWICE: Behaviour.REJECT_WITHOUT_REQUEST_ID,
+}
 _UNFRAMED_STREAMS = frozenset(
     {
         Behaviour.UNFRAMED_STREAM,
@@ -166,6 +175,8 @@
     def log_message(self, *_: object) -> None:
         """Do not log requests."""
 
+    _repeated: tuple[ReceivedRequest, Behaviour] | None = None
+
     def end_headers(self) -> None:
         if self.server.upstream.is_leaving:
             self.send_header("Server-Leaving", "1")
@@ -195,6 +206,12 @@
             behaviour = Behaviour.REJECT
         received.behaviour = behaviour
         upstream.received.append(received)
+        if self._repeated is not None:
+            of_earlier_request, self._repeated = self._repeated, None
+            self._respond(*of_earlier_request)
+        if behaviour in _ONCE_BY_REPEATED:
+            behaviour = _ONCE_BY_REPEATED[behaviour]
+            self._repeated = received, behaviour
         self._respond(received, behaviour)
 
     do_GET = do_POST = do_DELETE = _handle  # noqa: N815
