Have the soak mix versions, take streams up, and cut instances off from all upstreams

It now has engines of two versions, callers that lose their connection inside a stream and go on at any instance, and instances whose new connections to upstreams are refused or hang while open ones live on. Checked from outside: no stream over all its attempts has events of two versions, and a cut instance serves at least two thirds of what the others do.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,7 +13,7 @@
 
 import cyclopts
 
-from tools.soak import callers, checks, faults, limits, soak_environment
+from tools.soak import callers, checks, faults, limits, soak_environment, streams
 
 DEFAULT_FAULT_DURATION_S: Final = 20.0
 CALLER_COUNT: Final = 12
@@ -56,6 +56,7 @@
         environment.stop()
     complete = sum(each.status == 200 and each.is_complete for each in outcomes)
     print(f"seed {seed}: {len(outcomes)} requests, {complete} answered, {len(violations)} broken")
+    print(f"  {streams.describe(outcomes)}; {len(environment.partitions)} partitions")
     if violations:
         print(f"  logs in {directory.name}; faults: {'; '.join(injector.applied)}")
         for each in violations[:MAX_LISTED_VIOLATIONS]:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -10,7 +10,7 @@
 
 from carawaydoor.platform import names
 from tests.platform_side import fake_upstream
-from tools.soak import callers, soak_environment
+from tools.soak import callers, partitions, soak_environment, streams
 
 READY_TIMEOUT_S: Final = 15.0
 # Allowed for a request that was sent before a bound and arrives after it.
@@ -28,17 +28,15 @@
 LIMIT_SLACK_REQUESTS: Final = 5
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 _NO_RUN_BEHAVIOURS: Final = frozenset(
-    {fake_upstream.Behaviour.REJECT, fake_upstream.Behaviour.MISDIRECT}
+    {
+        fake_upstream.Behaviour.REJECT,
+        fake_upstream.Behaviour.REJECT_TWICE,
+        fake_upstream.Behaviour.MISDIRECT,
+        fake_upstream.Behaviour.MISDIRECT_TWICE,
+    }
 )
 
 
-def expected_stream() -> bytes:
-    """Return the complete event stream that an engine sends for one request."""
-    return b"".join(
-        b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, soak_environment.EVENTS_PER_STREAM + 1)
-    )
-
-
 def find_violations(
     environment: soak_environment.SoakEnvironment, outcomes: list[callers.Outcome]
 ) -> Iterator[str]:
@@ -54,7 +52,7 @@
     sent = {each.id for each in outcomes}
     for each in outcomes:
         run_count = runs[each.id]
-        is_stream = each.path.startswith("/stream")
+        is_stream = each.is_stream
         if not each.path.startswith("/safe") and run_count > (2 if is_stream else 1):
             yield f"{each.id} {each.path} ran {run_count} times"
         if (
@@ -67,8 +65,8 @@
         if each.is_complete and each.status == 200:
             # An upstream with a behaviour other than ANSWER may answer a generation with the
             # complete body of a plain request, under the right request id.
-            expected = (expected_stream(), b"answer") if is_stream else (b"answer",)
-            if each.body not in expected or each.echoed_id != each.id:
+            is_right = each.body == b"answer" or (is_stream and streams.is_whole(each))
+            if not is_right or each.echoed_id != each.id:
                 yield f"{each.id} {each.path} received a wrong answer: {each.body[:60]!r}"
         withdrawn_s = environment.withdrawn_s_by_key.get(each.key)
         if (
@@ -82,6 +80,8 @@
     yield from _find_requests_to_drained_upstreams(environment, outcomes)
     yield from _find_requests_beyond_limits(environment, outcomes)
     yield from _find_requests_after_rejections(environment, outcomes)
+    yield from partitions.find_badly_served(environment, outcomes)
+    yield from streams.find_joined(outcomes)
     for upstream in environment.upstream_by_name.values():
         for request in upstream.received:
             if request.header(names.Header.KEY) is not None:
@@ -102,6 +102,7 @@
         stopped_s = environment.fault_history.last_stop_s(each.instance, each.ended_s)
         if (
             each.is_complete
+            or each.is_abandoned
             or stopped_s is None
             or each.sent_s > stopped_s + soak_environment.SHUTDOWN_GRACE_S
         ):
--- a/tools/soak/fault_history.py
+++ b/tools/soak/fault_history.py
@@ -40,6 +40,15 @@
             if each.target in targets or each.target == ALL_TARGETS
         )
 
+    def was_running(self, instance: str, from_s: float, until_s: float) -> bool:
+        """Return whether an instance was not paused, killed or told to stop in a time span."""
+        stops = self.stopped_s_by_instance.get(instance, ())
+        return not any(from_s <= each <= until_s for each in stops) and not any(
+            each.started_s <= until_s and each.ended_s >= from_s
+            for each in self.disturbances
+            if each.target == instance
+        )
+
     def last_stop_s(self, instance: str, before_s: float) -> float | None:
         """Return the time of the last shutdown signal to an instance before ``before_s``."""
         earlier = [each for each in self.stopped_s_by_instance.get(instance, ()) if each < before_s]
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -10,10 +10,12 @@
 from typing import Final
 
 from tests.platform_side import fake_store, fake_upstream
-from tools.soak import fault_history, fault_proxy, soak_environment
+from tools.soak import fault_history, fault_proxy, partition, soak_environment
 
 MAX_FAULT_DURATION_S: Final = 4.0
 MEAN_FAULT_GAP_S: Final = 0.8
+# Added to the duration of a partition.
+MIN_PARTITION_S: Final = 4.0
 # Every third seed runs planned operations only.
 SEEDS_PER_PLANNED_RUN: Final = 3
 # Time until the operator and the upstreams have written to a restored store again.
@@ -56,6 +58,8 @@
             self._inject_store_fault,
             self._restore_store,
             self._turn_requests_away,
+            self._cut_off,
+            self._cut_off,
             self._queue_bad_answers,
             self._withdraw_key,
             self._drain_upstream,
@@ -87,6 +91,19 @@
         self._schedule(duration_s, lambda: instance.send_signal(signal.SIGCONT))
         return f"pause {instance.name} {duration_s:.1f}"
 
+    def _cut_off(self, duration_s: float) -> str:
+        """Cut an instance off from all upstreams, for longer than it takes to find out."""
+        instance = self._random.choice(self._environment.instances)
+        is_silent = self._random.random() < 0.5
+        began_s, for_s = time.monotonic(), MIN_PARTITION_S + duration_s
+        ports = [each.port for each in self._environment.proxy_by_name.values()]
+        instance.cut_off(ports, is_silent)
+        self._environment.partitions.append(
+            partition.Partition(instance.name, began_s, began_s + for_s)
+        )
+        self._schedule(for_s, instance.reconnect)
+        return f"cut off {instance.name} {'silent' if is_silent else 'refused'} {for_s:.1f}"
+
     def _kill(self, duration_s: float) -> str:
         count = self._random.choice((1, 1, 1, len(self._environment.instances)))
         chosen = self._random.sample(self._environment.instances, count)
--- a/tools/soak/soak_environment.py
+++ b/tools/soak/soak_environment.py
@@ -16,7 +16,7 @@
 
 from carawaydoor.platform import names
 from tests.platform_side import fake_store, fake_upstream
-from tools.soak import fault_history, fault_proxy
+from tools.soak import fault_history, fault_proxy, partition
 
 FRONTEND_PORT: Final = 18221
 READINESS_PORT: Final = 18224
@@ -27,6 +27,12 @@
 SHUTDOWN_GRACE_S: Final = 8
 KEY_WITHDRAWAL_BOUND_S: Final = 5.0
 DRAIN_BOUND_S: Final = 2.0
+# Imported by the instances at their start.
+HOOKS_PATH: Final = str(pathlib.Path(__file__).with_name("process_hooks"))
+CUT_FILE_VARIABLE: Final = "SOAK_CUT_FILE"
+# Of the engines; upstreams that are not named have the first version.
+VERSION_BY_NAME: Final = {"d2": "v2", "p2": "v2"}
+FIRST_VERSION: Final = "v1"
 EVENTS_PER_STREAM: Final = 6
 
 _SETTINGS_TEMPLATE: Final = """
@@ -73,6 +79,7 @@
         self.name = f"i{number}"
         self.host = instance_host(number)
         self.log_path = directory / f"{self.name}.log"
+        self._cut_path = directory / f"{self.name}.cut"
         self._settings_path = directory / f"{self.name}.toml"
         self._settings_path.write_text(
             _SETTINGS_TEMPLATE.format(
@@ -96,7 +103,8 @@
         process_environment = {
             **os.environ,
             names.SETTINGS_VARIABLE: str(self._settings_path),
-            "PYTHONPATH": os.pathsep.join(("src", ".")),
+            "PYTHONPATH": os.pathsep.join(("src", ".", HOOKS_PATH)),
+            CUT_FILE_VARIABLE: str(self._cut_path),
         }
         self.is_exit_expected = False
         with self.log_path.open("ab") as log:
@@ -107,6 +115,17 @@
                 stderr=log,
             )
 
+    def cut_off(self, ports: list[int], is_silent: bool) -> None:
+        """Have all new connections of the process to some ports fail; open ones live on.
+
+        :param is_silent: whether they hang until their timeout instead of being refused
+        """
+        self._cut_path.write_text(json.dumps({"ports": ports, "is_silent": is_silent}))
+
+    def reconnect(self) -> None:
+        """Let the process connect to all ports again."""
+        self._cut_path.unlink(missing_ok=True)
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
@@ -149,6 +168,7 @@
     :ivar draining_since_s_by_name: monotonic time at which an upstream began to drain
     :ivar limit_by_name: limits that upstreams name, and since when in monotonic seconds
     :ivar withdrawn_s_by_key: monotonic time at which an API key was withdrawn
+    :ivar partitions: when instances were cut off from all upstreams
     """
 
     def __init__(self, instance_count: int, directory: pathlib.Path) -> None:
@@ -161,6 +181,7 @@
         self.draining_since_s_by_name: dict[str, float] = {}
         self.limit_by_name: dict[str, Limit] = {}
         self.withdrawn_s_by_key: dict[str, float] = {}
+        self.partitions: list[partition.Partition] = []
         self.fault_history = fault_history.FaultHistory()
         self._configuration_version = 1
         self._entry_by_name: dict[str, dict[str, object]] = {}
@@ -186,6 +207,7 @@
     def add_upstream(self, name: str, stage: str | None) -> None:
         """Start an upstream and its proxy, and publish it as ready."""
         upstream = fake_upstream.FakeUpstream(EVENTS_PER_STREAM)
+        upstream.version = VERSION_BY_NAME.get(name, FIRST_VERSION)
         self.upstream_by_name[name] = upstream
         self.proxy_by_name[name] = fault_proxy.FaultProxy(("127.0.0.1", upstream.port))
         self.publish_upstream(name, stage, "ready")
@@ -199,6 +221,7 @@
             "slots": 16,
             "state": state,
             "born": 1,
+            "version": self.upstream_by_name[name].version,
         }
         if stage:
             entry["stage"] = stage
@@ -230,6 +253,8 @@
                 | {"maxAttempts": 2},
                 {**common, "pathPrefix": "/stream/", "kind": "streaming", "service": "planner"}
                 | {"targetGapMs": 300},
+                {**common, "pathPrefix": "/resumable/", "kind": "streaming", "service": "planner"}
+                | {"targetGapMs": 300, "allowResume": True, "maxAttempts": 2},
             ],
             "services": [{"name": "planner", "engine": engine}, {"name": "bookings"}],
             "tenants": [{"name": f"w-{key}", "apiKeys": [key]} for key in keys],
