Test the soak's new checks, and measure what remembering streams costs

The checks are shown joined streams and badly served partitions, and sound ones. make capacity has rows for the datagram about a stream's origin and for choosing who remembers it.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -8,7 +8,15 @@
 
 from carawaydoor.platform import names
 from tests.platform_side import fake_upstream
-from tools.soak import callers, checks, fault_history, soak_environment
+from tools.soak import (
+    callers,
+    checks,
+    fault_history,
+    partition,
+    partitions,
+    soak_environment,
+    streams,
+)
 
 
 def outcome(**changes):
@@ -44,9 +52,42 @@
         draining_since_s_by_name={"s1": 50.0},
         withdrawn_s_by_key={"key-b": 10.0},
         limit_by_name={},
+        partitions=[],
     )
 
 
+def stream_body(first, last, version):
+    return b"".join(b"id: %d\ndata: %d %s\n\n" % (n, n, version) for n in range(first, last + 1))
+
+
+def test_stream_of_two_versions_is_reported_over_all_attempts():
+    begun = outcome(path="/resumable/x", status=200, body=stream_body(1, 3, b"v1"))
+    rest = {"path": "/resumable/x", "status": 200, "resumes": "r1", "after_event": 3}
+    joined = outcome(**rest, id="r2", body=stream_body(4, 6, b"v2"))
+    assert list(streams.find_joined([begun, joined])) == ["r1 has events of the versions v1, v2"]
+    same = outcome(**rest, id="r2", body=stream_body(4, 6, b"v1"))
+    assert list(streams.find_joined([begun, same])) == []
+    assert streams.is_whole(same)
+
+
+@pytest.mark.parametrize("served_here", [0, 14, 30])
+def test_badly_served_partition_is_reported(environment, served_here):
+    environment.partitions = [partition.Partition("i1", 200.0, 210.0)]
+    outcomes = [
+        outcome(
+            id=f"{instance}-{n}",
+            instance=instance,
+            sent_s=204.0,
+            ended_s=205.0,
+            status=200 if n < served else 503,
+        )
+        for instance, served in (("i1", served_here), ("i2", 30))
+        for n in range(30)
+    ]
+    violations = list(partitions.find_badly_served(environment, outcomes))
+    assert len(violations) == (served_here < 20)
+
+
 def test_aborted_request_after_a_shutdown_signal_is_reported(environment):
     (violation,) = checks.find_violations(environment, [outcome()])
     assert "was aborted at i0" in violation
--- a/tools/platform_capacity.py
+++ b/tools/platform_capacity.py
@@ -12,7 +12,14 @@
 from typing import Final
 
 from carawaydoor.fleet import codec, gossip, reports
-from carawaydoor.policy import entities, load, placement, sliding_window, usage_caps
+from carawaydoor.policy import (
+    entities,
+    load,
+    placement,
+    sliding_window,
+    stream_versions,
+    usage_caps,
+)
 
 INSTANCE_COUNTS: Final = (8, 85, 710)
 UPSTREAM_COUNTS: Final = (10, 74, 1000, 12_000)
@@ -90,6 +97,26 @@
         print_time(
             "sum the peers' work", count, functools.partial(gossip.peer_work, membership, 1.0)
         )
+    shared = reports.SharedOrigin("0123456789abcdef", "service", "v1.2", 0.0)
+    begun = reports.OriginReport("instance-0001", (shared,))
+    begun_content = codec.encode(begun)
+    print_time("encode where a stream began", 1, functools.partial(codec.encode, begun))
+    print_time(
+        "decode where a stream began",
+        1,
+        functools.partial(codec.decode, begun_content),
+        len(begun_content),
+    )
+    for count in INSTANCE_COUNTS:
+        domain_by_instance = {f"instance-{n:04}": f"d{n % 6}" for n in range(count)}
+        keys = iter(f"stream-{n}" for n in range(REPEATS))
+        print_time(
+            "choose the homes of a stream, by instances",
+            count,
+            lambda each=domain_by_instance, keys=keys: stream_versions.homes(  # type: ignore[misc]
+                next(keys), each
+            ),
+        )
     for count in UPSTREAM_COUNTS:
         upstreams = tuple(
             entities.Upstream(
