--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -104,8 +104,11 @@
         opened = self._client.send(exchange, request, attempt_deadline_s)
         content = self._client.read_body(exchange, upstream, opened)
         response = opened.response
-        is_begun = route.kind.is_stream and response.status < upstream_client.MIN_FAILURE_STATUS
-        if is_begun and exchange.required_version is None:
+        may_be_taken_up = (
+            route.kind is entities.RouteKind.RESUMABLE_STREAM
+            and response.status < upstream_client.MIN_FAILURE_STATUS
+        )
+        if may_be_taken_up and exchange.required_version is None:
             self._instance.streams.record_begun(exchange.stream_key, upstream)
         return http_exchange.Response(
             response.status,
--- a/src/carawaydoor/serving/stream_origins.py
+++ b/src/carawaydoor/serving/stream_origins.py
@@ -69,7 +69,7 @@
         origin = stream_versions.Origin(upstream.service, upstream.version)
         self._record(key, origin, self._clock.now_s())
         shared = reports.SharedOrigin(key, origin.service, origin.version, 0.0)
-        hosts = [each.host for each in self._home_contacts(key)]
+        hosts = [each.host for each in self._holder_contacts(key)]
         if hosts:
             self.on_origins(reports.OriginReport(self._options.instance, (shared,)), hosts)
 
@@ -88,7 +88,7 @@
 
     def ask_peers(self, key: str) -> Answer:
         """Ask the other instances that should remember a stream; return the first that does."""
-        contacts = self._home_contacts(key)
+        contacts = self._holder_contacts(key)
         if not contacts:
             return Answer(None, False)
         answers = [
@@ -118,7 +118,7 @@
         shared = [
             reports.SharedOrigin(key, origin.service, origin.version, now_s - began_s)
             for key, (origin, began_s) in recorded
-            if began_s >= now_s - MAX_AGE_S and contact.instance in self._homes(key)
+            if began_s >= now_s - MAX_AGE_S and contact.instance in self._holders(key)
         ]
         for first in range(0, len(shared), MAX_ORIGINS_PER_REPORT):
             part = tuple(shared[first : first + MAX_ORIGINS_PER_REPORT])
@@ -147,17 +147,17 @@
                     break
                 del self._recorded_by_key[first]
 
-    def _homes(self, key: str) -> tuple[str, ...]:
+    def _holders(self, key: str) -> tuple[str, ...]:
         peers = self._membership().peer_by_instance
         domain_by_instance = {
             name: each.report.domain for name, each in peers.items() if each.report is not None
         }
         domain_by_instance[self._options.instance] = self._options.domain
-        return stream_versions.homes(key, domain_by_instance)
+        return stream_versions.holders(key, domain_by_instance)
 
-    def _home_contacts(self, key: str) -> tuple[reports.Contact, ...]:
+    def _holder_contacts(self, key: str) -> tuple[reports.Contact, ...]:
         peers = self._membership().peer_by_instance
-        return tuple(peers[each].contact for each in self._homes(key) if each in peers)
+        return tuple(peers[each].contact for each in self._holders(key) if each in peers)
 
     def _query_threads(self) -> concurrent.futures.ThreadPoolExecutor:
         with self._lock:
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -157,7 +157,9 @@
         ):
             return
         self._exchange.required_version = source.engine.version
-        self._instance.streams.record_begun(self._exchange.stream_key, source.engine)
+        route = self._exchange.route
+        if route is not None and route.kind is entities.RouteKind.RESUMABLE_STREAM:
+            self._instance.streams.record_begun(self._exchange.stream_key, source.engine)
 
     def _record_event(self, source: _Source) -> None:
         now_s = self._instance.clock.now_s()
--- a/tests/policy/test_stream_versions.py
+++ b/tests/policy/test_stream_versions.py
@@ -41,13 +41,13 @@
 @given(st.text(max_size=20), st.integers(1, 60), st.integers(1, 6))
 def test_every_instance_names_the_same_few_homes_in_different_domains(key, size, domains):
     domain_by_instance = {f"m-{n}": f"d-{n % domains}" for n in range(size)}
-    homes = stream_versions.homes(key, domain_by_instance)
+    holders = stream_versions.holders(key, domain_by_instance)
     reversed_order = dict(reversed(domain_by_instance.items()))
-    assert homes == stream_versions.homes(key, reversed_order)
-    assert len(set(homes)) == len(homes)
+    assert holders == stream_versions.holders(key, reversed_order)
+    assert len(set(holders)) == len(holders)
     if size <= stream_versions.MAX_TOLD_PEERS:
-        assert len(homes) == size
+        assert len(holders) == size
     else:
-        assert len(homes) == stream_versions.HOMES
-        expected = min(domains, stream_versions.HOMES)
-        assert len({domain_by_instance[each] for each in homes}) == expected
+        assert len(holders) == stream_versions.HOLDERS
+        expected = min(domains, stream_versions.HOLDERS)
+        assert len({domain_by_instance[each] for each in holders}) == expected
--- a/tools/platform_capacity.py
+++ b/tools/platform_capacity.py
@@ -111,9 +111,9 @@
         domain_by_instance = {f"instance-{n:04}": f"d{n % 6}" for n in range(count)}
         keys = iter(f"stream-{n}" for n in range(REPEATS))
         print_time(
-            "choose the homes of a stream, by instances",
+            "choose the holders of a stream, by instances",
             count,
-            lambda each=domain_by_instance, keys=keys: stream_versions.homes(  # type: ignore[misc]
+            lambda each=domain_by_instance, keys=keys: stream_versions.holders(  # type: ignore[misc]
                 next(keys), each
             ),
         )
