Test readiness without any way to upstreams, and a hop that breaks

An instance that reaches no upstream is ready while a peer does, and not once none does; a booking whose hop breaks after it was sent is answered 502, which promises nothing. Both pass on the code before; a constant and a comment say more plainly what they hold.

--- a/src/carawaydoor/policy/stream_versions.py
+++ b/src/carawaydoor/policy/stream_versions.py
@@ -18,7 +18,7 @@
 # In a fleet of up to this many peers, all of them remember each stream.
 MAX_TOLD_PEERS: Final = 12
 # In a larger fleet, a stream is remembered by these many, in different failure domains if possible.
-HOLDERS: Final = 4
+HOLDERS_PER_STREAM: Final = 4
 # Beyond the longest time for which callers of a route wait, since their timeouts differ.
 AGE_MARGIN_SHARE: Final = 0.25
 _KEY_BYTES: Final = 8
@@ -85,9 +85,12 @@
     first_by_domain: dict[str, str] = {}
     for each in ranked:
         first_by_domain.setdefault(domain_by_instance[each], each)
-    spread = tuple(first_by_domain.values())[:HOLDERS]
+    spread = tuple(first_by_domain.values())[:HOLDERS_PER_STREAM]
     rest = (each for each in ranked if each not in spread)
-    return (*spread, *(each for each, _ in zip(rest, range(HOLDERS - len(spread)), strict=False)))
+    return (
+        *spread,
+        *(each for each, _ in zip(rest, range(HOLDERS_PER_STREAM - len(spread)), strict=False)),
+    )
 
 
 def record_gone(
--- a/src/carawaydoor/serving/reachability.py
+++ b/src/carawaydoor/serving/reachability.py
@@ -24,7 +24,7 @@
 # Some round trips, and the retransmission of one lost packet.
 PROBE_TIMEOUT_S: Final = 0.4
 PROBE_INTERVAL_S: Final = 0.5
-# Beyond an interval of reports, so that a service is not probed by each failed call.
+# Calls that fail soon after each other share a round.
 MIN_ROUND_GAP_S: Final = 0.25
 
 _SUSPICIOUS: Final = frozenset(
--- a/tests/platform_side/test_partitioned_instances.py
+++ b/tests/platform_side/test_partitioned_instances.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import dataclasses
+import socket
+import threading
 import time
 
 import pytest
 
+from carawaydoor.fleet import gossip, reports
 from carawaydoor.operating import clocks
 from carawaydoor.platform import names
 from carawaydoor.policy import entities
@@ -48,6 +51,14 @@
     return member.call(path, method=method, headers=headers, **kwargs).read()
 
 
+def wait_until(condition):
+    """Return whether a condition holds within some rounds of probes."""
+    deadline_s = time.monotonic() + 3.0
+    while not condition() and time.monotonic() < deadline_s:
+        time.sleep(0.02)
+    return bool(condition())
+
+
 def runs(fleet, request_id):
     """Return how often a request reached upstreams that run it."""
     return sum(
@@ -107,6 +118,44 @@
     assert struck == ()
 
 
+def find_out(member):
+    """Have an instance notice that it is cut off from both services."""
+    for path in ("/safe/x", "/stream/x"):
+        call(member, path, "finds-out")
+    assert wait_until(lambda: len(member.instance.reach.cut_off_services()) == 2)
+
+
+def test_instance_is_not_ready_while_neither_it_nor_a_peer_reaches_upstreams(fleet):
+    first, *others = fleet.members
+    fleet.cut(0, harness_fleet.Cut.REFUSED)
+    find_out(first)
+    fleet.exchange_reports()
+    assert first.instance.is_ready
+    for number, member in enumerate(others, start=1):
+        fleet.cut(number, harness_fleet.Cut.REFUSED)
+        find_out(member)
+    fleet.exchange_reports()
+    assert not first.instance.is_ready
+    fleet.heal(0)
+    assert wait_until(lambda: first.instance.is_ready)
+
+
+def test_request_is_not_called_not_run_after_its_hop_has_broken(fleet):
+    """The peer may have sent it to an upstream before its connection broke."""
+    fleet.cut(0, harness_fleet.Cut.REFUSED)
+    assert call(fleet.members[0], "/unsafe/x", "finds-out").status == 200
+    instance = fleet.members[0].instance
+    with socket.create_server(("127.0.0.9", instance.options.first_port)) as server:
+        threading.Thread(target=lambda: server.accept()[0].close(), daemon=True).start()
+        peer = instance.membership.peer_by_instance["m-1"]
+        broken = dataclasses.replace(peer, contact=reports.Contact("m-1", "127.0.0.9"))
+        broken = dataclasses.replace(
+            broken, report=dataclasses.replace(peer.report, contact=broken.contact)
+        )
+        instance.membership = gossip.Membership("m-0", {"m-1": broken})
+        assert call(fleet.members[0], "/unsafe/x", "r").status == 502
+
+
 def test_instance_uses_its_own_links_again_soon_after_they_are_back(fleet):
     fleet.cut(0, harness_fleet.Cut.REFUSED)
     for number in range(4):
--- a/tests/policy/test_stream_versions.py
+++ b/tests/policy/test_stream_versions.py
@@ -48,6 +48,6 @@
     if size <= stream_versions.MAX_TOLD_PEERS:
         assert len(holders) == size
     else:
-        assert len(holders) == stream_versions.HOLDERS
-        expected = min(domains, stream_versions.HOLDERS)
+        assert len(holders) == stream_versions.HOLDERS_PER_STREAM
+        expected = min(domains, stream_versions.HOLDERS_PER_STREAM)
         assert len({domain_by_instance[each] for each in holders}) == expected
