Pick ports for a local cluster that outgoing connections are not given

Traced in its output: 'Address already in use'. Ports were taken from the range of outgoing connections and let go before the processes bound them, so that on a busy machine another connection got one. They now lie below that range.

--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +26,8 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+# Below the ports that the system gives to outgoing connections.
+PORT_RANGE = range(20_000, 32_000)
 LOOPBACK = "127.0.0.1"
 
 
@@ -381,10 +384,20 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
+    """Return ports that nothing listens on, and that no outgoing connection is given meanwhile."""
+    sockets: list[socket.socket] = []
     try:
-        for each in sockets:
-            each.bind((LOOPBACK, 0))
+        for port in random.sample(PORT_RANGE, len(PORT_RANGE)):
+            candidate = socket.socket()
+            try:
+                candidate.bind((LOOPBACK, port))
+            except OSError:
+                # Something else listens there.
+                candidate.close()
+                continue
+            sockets.append(candidate)
+            if len(sockets) == count:
+                break
         return [each.getsockname()[1] for each in sockets]
     finally:
         for each in sockets:
