--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -5,7 +5,6 @@
 import contextlib
 import enum
 import random
-import socket
 import time
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -16,6 +15,7 @@
 from carawaydoor.policy import entities, upstream_directory
 from carawaydoor.serving import caller_app, connections, http_servers, peer_app
 from tests.platform_side import fake_upstream, router_harness
+from tools import local_cluster
 
 
 class Cut(enum.Enum):
@@ -33,8 +33,7 @@
 
     def __init__(self, size: int, clock: clocks.Clock) -> None:
         self.clock = clock
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            port = probe.getsockname()[1]
+        (port,) = local_cluster.free_ports(1)
         self.members = [
             router_harness.RouterHarness(
                 clock, f"m-{n}", peer_host=f"127.0.0.{n + 1}", first_port=port
--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -63,7 +63,7 @@
         self._relay_port_by_target_port: dict[int, int] = {}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="carawaydoor-"))
         self._platform_lag_s = platform_lag_s
-        self._free_ports = _free_ports(
+        self._free_ports = free_ports(
             6 * len(deployment.instances) + 2 * len(deployment.upstreams) + 40
         )
         self.platform_port = self._free_ports.pop()
@@ -383,7 +383,7 @@
     new_path.replace(path)
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on, and that no outgoing connection is given meanwhile."""
     sockets: list[socket.socket] = []
     try:
