--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,129 +1,148 @@
-"""Two servers crash, one after the other; a status read must be served again afterwards."""
+"""All machines are killed at once; clients take their streams up, and most of these must go on."""
 
 from __future__ import annotations
 
 import pathlib
-import random
+import re
+import signal
 import sys
 import threading
 import time
 
+import engines
+
 import standins
 
-SERVERS = 4
-CLIENTS_PER_MACHINE = 8
-WORK_S = 0.09
-# One server in four, for the shortest time of the deployment's standard days, twice.
-DOWN_S = 2.0
-CRASHES = 2
-INTERVAL_S = 8.0
-# Pause of a client that was refused.
-REFUSED_PAUSE_S = 0.3
-# The rule's bound, and how long requests are counted.
-RECOVERY_S = 12.0
-COUNTED_S = 15.0
-
-
-class App(standins.Server):
-    """A server of a plain service, whose process may crash."""
-
-    def __init__(self, name: str, zone: str, record: standins.Record) -> None:
-        super().__init__(name, "stewardapp", zone)
-        self._record = record
-        self.lifetime = 0
-
-    def crash(self) -> None:
-        self.lifetime += 1
-        super().crash()
-        self._record.write(f"server  {self.name} crashes")
-
-    def handle(self, request: standins.Request, connection: standins.Connection) -> bool:
-        lifetime = self.lifetime
-        self._record.write(f"server  {request.id} runs at {self.name}")
-        time.sleep(WORK_S)
-        if lifetime != self.lifetime:
-            self._record.write(f"server  {request.id} ended by the crash of {self.name}")
-            return False
-        body = f"{self.name} {request.id}".encode()
-        headers = [
-            *self.stamp(request),
-            ("Content-Type", "text/plain"),
-            ("Keep-Alive", "timeout=5"),
-        ]
-        connection.send(standins.head(200, headers, len(body)) + body)
-        return True
+MACHINES = 3
+# Two servers of each software version.
+VERSIONS = ("1.0", "1.0", "1.1", "1.1")
+STREAMS = 24
+PIECES = 72
+STEP_S = 0.12
+DOWN_S = 1.0
+TIME_LIMIT_S = 14.0
+# A machine is in touch once its processes have run for the stable window.
+STABLE_WINDOW_S = 3.0
+# Times after the break at which a client takes its stream up again, while that fails.
+TRIES_AFTER_S = (0.5, 3.0, 6.5, 8.0)
+NEW_STREAMS = 12
+
+_EVENT = re.compile(rb"id: (\d+)\ndata: [^\n]*\n\n")
+
+
+class Engine(engines.Engine):
+    """A model server whose streams last for some seconds."""
+
+    def pause_s(self, run: engines.Run, number: int) -> float:
+        return STEP_S
+
+
+def last_event(body: bytes) -> int:
+    numbers = _EVENT.findall(body)
+    return int(numbers[-1]) if numbers else 0
 
 
 def play(folder: pathlib.Path, record: standins.Record, is_troubled: bool) -> list[str]:
-    deployment = standins.Deployment(2, folder, record)
-    apps = [App(f"app-{n}", f"zone-{'ab'[n % 2]}", record) for n in range(SERVERS)]
-    for each in apps:
+    deployment = standins.Deployment(MACHINES, folder, record)
+    decoders = []
+    for number, version in enumerate(VERSIONS):
+        engine = Engine(f"decode-{number}", f"zone-{'ab'[number % 2]}", "decode", record, PIECES)
+        engine.version = version
+        decoders.append(engine)
+    prefill = engines.Engine("prefill-0", "zone-a", "prefill", record)
+    for each in (*decoders, prefill):
         deployment.store.put(f"servers/{each.name}", each.entry())
-    routes = [
-        {
-            "name": "status",
-            "pathPrefix": "/status/",
-            "kind": "safe",
-            "service": "stewardapp",
-            "timeoutMs": 1500,
-            "targetLatencyMs": 400,
-            "maxAttempts": 2,
-        }
-    ]
-    services = [{"name": "stewardapp", "healthCheckPath": "/health", "connectionLimit": 110}]
-    deployment.store.put("op/config", standins.configuration(1, routes, services))
-    answers: list[standins.Answer] = []
-    is_over = threading.Event()
-
-    def send_requests(machine: standins.Machine) -> None:
-        client = standins.Client(machine, record)
-        while not is_over.is_set():
-            answer = client.send("GET", "/status/bookcase-17")
-            answers.append(answer)
-            time.sleep(random.uniform(0.0, 0.1) if answer.status == 200 else REFUSED_PAUSE_S)
+    routes = [engines.stream_route("advice", resumable=True)]
+    deployment.store.put("op/config", standins.configuration(1, routes, [engines.engine_service()]))
+    is_cut = threading.Event()
+    # Since when all machines are in touch.
+    in_touch_s = [float("inf")]
+    taken_up: dict[str, bool] = {}
+    new: list[bool] = []
+
+    def send(machine: standins.Machine, limit_s: float, **headers: str) -> standins.Answer:
+        client = standins.Client(machine, record, read_timeout_s=3.6)
+        # Without the disruption, the clients lose their own channels at that time.
+        answer = client.send(
+            "POST",
+            "/advice/1",
+            {**engines.stream_headers(1200), **headers},
+            b"x" * 1000,
+            timeout_s=limit_s,
+            give_up=lambda _: is_cut.is_set() and not headers and not is_troubled,
+        )
         client.close()
+        return answer
+
+    def stream_and_take_up(number: int) -> None:
+        sent_s = record.now_s()
+        first = send(deployment.machines[number % MACHINES], TIME_LIMIT_S)
+        last = last_event(first.body)
+        if first.status != 200 or first.is_whole or last in (0, PIECES):
+            return
+        broken_s = record.now_s()
+        for turn, after_s in enumerate(TRIES_AFTER_S):
+            time.sleep(max(0.0, broken_s + after_s - record.now_s()))
+            left_s = sent_s + TIME_LIMIT_S - record.now_s()
+            is_counted = record.now_s() >= in_touch_s[0]
+            resumption = {"Last-Event-Id": str(last), "Resumes": first.id}
+            machine = deployment.machines[(number + turn + 1) % MACHINES]
+            answer = send(machine, left_s, **resumption)
+            went_on = answer.status == 200 and last_event(answer.body) > last
+            if is_counted or went_on:
+                taken_up[first.id] = taken_up.get(first.id, False) or went_on
+            if went_on:
+                return
+
+    def begin_new(number: int) -> None:
+        answer = send(deployment.machines[number % MACHINES], TIME_LIMIT_S, Accept="*/*")
+        new.append(answer.status == 200 and last_event(answer.body) > 0)
 
     try:
         deployment.start()
+        time.sleep(STABLE_WINDOW_S)
         threads = [
-            threading.Thread(target=send_requests, args=(machine,), daemon=True)
-            for machine in deployment.machines
-            for _ in range(CLIENTS_PER_MACHINE)
+            threading.Thread(target=stream_and_take_up, args=(number,), daemon=True)
+            for number in range(STREAMS)
         ]
         for each in threads:
             each.start()
-        time.sleep(3.0)
-        first_crash_s = record.now_s()
-        for number in range(CRASHES):
-            app = apps[number % SERVERS]
-            if is_troubled:
-                app.crash()
+        time.sleep(2.5)
+        is_cut.set()
+        if is_troubled:
+            record.write("all machines are killed")
+            for machine in deployment.machines:
+                machine.signal(signal.SIGKILL)
             time.sleep(DOWN_S)
-            if is_troubled:
-                app.listen_again()
-                deployment.store.put(f"servers/{app.name}", app.entry())
-                record.write(f"server  {app.name} is back")
-            time.sleep(INTERVAL_S - DOWN_S)
-        back_s = record.now_s() - INTERVAL_S + DOWN_S
-        time.sleep(max(0.0, back_s + RECOVERY_S - record.now_s()) + COUNTED_S)
-        is_over.set()
-        for each in threads:
+            for machine in deployment.machines:
+                machine.stop()
+                machine.start()
+            record.write("all machines start again")
+            in_touch_s[0] = record.now_s() + STABLE_WINDOW_S
+            deployment.wait_until_ready()
+        else:
+            in_touch_s[0] = record.now_s()
+        time.sleep(max(0.0, in_touch_s[0] - record.now_s()))
+        later = [
+            threading.Thread(target=begin_new, args=(number,), daemon=True)
+            for number in range(NEW_STREAMS)
+        ]
+        for each in later:
+            each.start()
+        for each in (*threads, *later):
             each.join()
     finally:
-        is_over.set()
+        is_cut.set()
         deployment.stop()
-    before = served_share(answers, 0.0, first_crash_s)
-    after = served_share(answers, back_s + RECOVERY_S, float("inf"))
-    text = f"served {before:.3f} of the requests before, {after:.3f} after the recovery time"
+    went_on, begun = sum(taken_up.values()), sum(new)
+    text = (
+        f"{went_on} of {len(taken_up)} streams that were taken up went on, "
+        f"{begun} of {len(new)} new streams began"
+    )
     record.write(text)
-    if before < 0.25:
+    if len(taken_up) < 12 or begun < len(new) / 2:
         raise standins.NotRunError(text)
-    return [text] if after < 0.25 else []
-
-
-def served_share(answers: list[standins.Answer], from_s: float, to_s: float) -> float:
-    asked = [each for each in answers if from_s <= each.sent_s < to_s]
-    return sum(each.status == 200 and each.is_whole for each in asked) / max(1, len(asked))
+    return [text] if went_on / len(taken_up) < begun / len(new) / 2 else []
 
 
 if __name__ == "__main__":
