--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,15 +7,17 @@
 import threading
 import time
 
+import engines
+
 import standins
 
 SERVERS = 4
-CLIENTS_PER_MACHINE = 3
+CLIENTS_PER_MACHINE = 6
 PIECES = 20
 STEP_S = 0.02
 # One server in four crashes, for the shortest time of the deployment's standard days.
 DOWN_S = 2.0
-CRASHES = 4
+CRASHES = 8
 INTERVAL_S = 5.0
 
 
@@ -60,14 +62,22 @@
 def play(folder: pathlib.Path, record: standins.Record, is_troubled: bool) -> list[str]:
     deployment = standins.Deployment(2, folder, record)
     apps = [App(f"app-{n}", f"zone-{'ab'[n % 2]}", record) for n in range(SERVERS)]
-    for each in apps:
+    models = [
+        engines.Engine(f"{stage}-{n}", f"zone-{'ab'[n % 2]}", stage, record, PIECES)
+        for stage in ("prefill", "decode")
+        for n in range(2)
+    ]
+    for each in (*apps, *models):
         deployment.store.put(f"servers/{each.name}", each.entry())
     routes = [
         {
             "name": "report",
             "pathPrefix": "/report/",
             "kind": "streaming",
-            "service": "stewardapp",
+            "trafficSplit": [
+                {"service": engines.SERVICE, "weight": 50},
+                {"service": "stewardapp", "weight": 50},
+            ],
             "timeoutMs": 14000,
             "targetLatencyMs": 900,
             "targetGapMs": 300,
@@ -75,7 +85,10 @@
             "allowResume": False,
         }
     ]
-    services = [{"name": "stewardapp", "healthCheckPath": "/health", "connectionLimit": 110}]
+    services = [
+        engines.engine_service(),
+        {"name": "stewardapp", "healthCheckPath": "/health", "connectionLimit": 110},
+    ]
     deployment.store.put("op/config", standins.configuration(1, routes, services))
     answers: list[standins.Answer] = []
     is_over = threading.Event()
@@ -83,7 +96,8 @@
     def send_requests(machine: standins.Machine) -> None:
         client = standins.Client(machine, record, read_timeout_s=3.6)
         while not is_over.is_set():
-            answers.append(client.send("POST", "/report/1", body=b"x" * 600, timeout_s=14.0))
+            headers = engines.stream_headers(1200)
+            answers.append(client.send("POST", "/report/1", headers, b"x" * 600, timeout_s=14.0))
             time.sleep(0.1)
         client.close()
 
@@ -118,6 +132,7 @@
     if len(complete) < len(answers) // 2:
         raise standins.NotRunError(f"{len(complete)} of {len(answers)} streams were complete")
     app_by_name = {each.name: each for each in apps}
+    complete = [each for each in complete if each.stamp.partition(".")[0] in app_by_name]
     broken = []
     for each in complete:
         whole = app_by_name[each.stamp.partition(".")[0]].body(each.id)
