--- a/review/5/case.py
+++ b/review/5/case.py
@@ -55,7 +55,7 @@
     routes = [engines.stream_route("advice", resumable=True)]
     deployment.store.put("op/config", standins.configuration(1, routes, [engines.engine_service()]))
     is_cut = threading.Event()
-    # Since when all machines are in touch.
+    # Since when all machines are in touch and ready.
     in_touch_s = [float("inf")]
     taken_up: dict[str, bool] = {}
     new: list[bool] = []
@@ -118,8 +118,9 @@
                 machine.stop()
                 machine.start()
             record.write("all machines start again")
-            in_touch_s[0] = record.now_s() + STABLE_WINDOW_S
+            started_s = record.now_s()
             deployment.wait_until_ready()
+            in_touch_s[0] = max(started_s + STABLE_WINDOW_S, record.now_s())
         else:
             in_touch_s[0] = record.now_s()
         time.sleep(max(0.0, in_touch_s[0] - record.now_s()))
