Require the whole head and framing of a response

Cause: http.client takes the end of a connection for the end of a head and of a trailer. The head that had arrived lacked a Content-Length, so the body counted as framed by the end of the connection, and as complete.

One reader of heads, chunk sizes and trailers now serves the connections to upstreams and peers, the store, queries between instances and the project's own interface. A connection that ends there is lost; a line that violates HTTP, a malformed or contradictory length and an unknown transfer encoding are a malformed response. A peer's response that is shorter than its length is an error too.

--- a/src/carawaydoor/fleet/peer_http.py
+++ b/src/carawaydoor/fleet/peer_http.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 from typing import Final
 
+from carawaydoor.operating import http_responses
+
 MAX_RESPONSE_BYTES: Final = 16_000_000
 
 
@@ -22,11 +24,17 @@
     :param timeout_s: longest wait in seconds for each part of the exchange
     :raises PeerError: if there is no whole response
     """
-    connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
+    connection = http_responses.use_whole_responses(
+        http.client.HTTPConnection(host, port, timeout=timeout_s)
+    )
     try:
         connection.request("GET", f"{path}?{urllib.parse.urlencode(query)}")
         response = connection.getresponse()
-        return response.status, response.read(MAX_RESPONSE_BYTES)
+        content = response.read(MAX_RESPONSE_BYTES)
+        if response.length:
+            # http.client raises no error for a part of a body if a size was given.
+            raise PeerError(f"{response.length} bytes of the body are missing")
+        return response.status, content
     except (OSError, http.client.HTTPException) as error:
         raise PeerError(repr(error)) from error
     finally:
--- a/src/carawaydoor/interface/upstream_call.py
+++ b/src/carawaydoor/interface/upstream_call.py
@@ -12,6 +12,7 @@
 
 from carawaydoor.coordination import cluster_view
 from carawaydoor.interface import errors
+from carawaydoor.operating import http_responses
 
 CONNECT_TIMEOUT_S: Final = 0.5
 MAX_RESPONSE_BYTES: Final = 8_000_000
@@ -57,6 +58,7 @@
         self._connection = http.client.HTTPConnection(
             target.host, target.port, timeout=CONNECT_TIMEOUT_S
         )
+        http_responses.use_whole_responses(self._connection)
         self._socket: socket.socket | None = None
         self._response: http.client.HTTPResponse | None = None
         self._lock = threading.Lock()
--- a/src/carawaydoor/platform/store_client.py
+++ b/src/carawaydoor/platform/store_client.py
@@ -11,7 +11,7 @@
 import urllib.parse
 from typing import Any, Final
 
-from carawaydoor.operating import configuration_source, platform_options
+from carawaydoor.operating import configuration_source, http_responses, platform_options
 from carawaydoor.platform import names
 from carawaydoor.policy import source_position
 
@@ -162,6 +162,7 @@
             connection = http.client.HTTPConnection(
                 self._address.host, self._address.port, timeout=min(timeout_s, CONNECT_TIMEOUT_S)
             )
+            http_responses.use_whole_responses(connection)
             connection.connect()
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._connection = connection
--- a/src/carawaydoor/publishing/platform_client.py
+++ b/src/carawaydoor/publishing/platform_client.py
@@ -6,7 +6,7 @@
 import http.client
 from typing import Final
 
-from carawaydoor.operating import clocks
+from carawaydoor.operating import clocks, http_responses
 
 RESPONSE_TIMEOUT_S: Final = 2.0
 NOT_MODIFIED_STATUS: Final = 304
@@ -67,8 +67,8 @@
 
     def _read(self, path: str, wait_s: float) -> PlatformResponse:
         requested_s = self._clock.now_s()
-        connection = http.client.HTTPConnection(
-            self._host, self._port, timeout=wait_s + RESPONSE_TIMEOUT_S
+        connection = http_responses.use_whole_responses(
+            http.client.HTTPConnection(self._host, self._port, timeout=wait_s + RESPONSE_TIMEOUT_S)
         )
         try:
             connection.request("GET", path)
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
-from carawaydoor.operating import clocks
+from carawaydoor.operating import clocks, http_responses
 from carawaydoor.policy import entities
 from carawaydoor.serving import http_exchange, protocol_adapter, sockets
 
@@ -94,6 +94,7 @@
         self._carried_ids: collections.deque[str] = collections.deque(maxlen=MAX_KNOWN_IDS)
         self._socket = connected
         self._http = http.client.HTTPConnection(upstream.host, upstream.port)
+        http_responses.use_whole_responses(self._http)
         self._http.sock = connected
         self._http.auto_open = 0
 
@@ -116,7 +117,7 @@
         try:
             self._write(request)
             response = self._http.getresponse()
-        except (http.client.RemoteDisconnected, OSError) as error:
+        except OSError as error:
             raise ConnectionLostError(repr(error)) from error
         except (http.client.HTTPException, ValueError) as error:
             raise MalformedResponseError(repr(error)) from error
--- /dev/null
+++ b/tests/platform_side/scripted_upstream.py
@@ -0,0 +1,88 @@
+"""An upstream that answers each connection's only request with given bytes and closes in order."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+
+REQUEST_ID_HEADER = b"carawaydoor-request-id:"
+# Stands in a script for the id of the request.
+REQUEST_ID = b"<request-id>"
+
+
+class ScriptedUpstream:
+    """A server on its own port.
+
+    :ivar scripts: bytes to answer with, one for each request; the last one is used again
+    :ivar requests: requests that arrived
+    """
+
+    def __init__(self, *scripts: bytes) -> None:
+        self.scripts = list(scripts)
+        self.requests: list[bytes] = []
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port: int = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._answer, args=(accepted,), daemon=True).start()
+
+    def _answer(self, accepted: socket.socket) -> None:
+        with accepted, contextlib.suppress(OSError):
+            accepted.settimeout(5.0)
+            request = _read_request(accepted)
+            if not request:
+                return
+            self.requests.append(request)
+            script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+            accepted.sendall(script.replace(REQUEST_ID, _request_id(request)))
+            accepted.shutdown(socket.SHUT_WR)
+            # Closing with unread bytes would reset the connection.
+            while accepted.recv(65_536):
+                pass
+
+
+def _read_request(accepted: socket.socket) -> bytes:
+    request = b""
+    while b"\r\n\r\n" not in request:
+        content = accepted.recv(65_536)
+        if not content:
+            return b""
+        request += content
+    head, _, body = request.partition(b"\r\n\r\n")
+    lengths = [each for each in head.lower().split(b"\r\n") if each.startswith(b"content-length:")]
+    missing = int(lengths[0].partition(b":")[2]) - len(body) if lengths else 0
+    while missing > 0:
+        content = accepted.recv(65_536)
+        request, missing = request + content, missing - len(content)
+    return request
+
+
+def _request_id(request: bytes) -> bytes:
+    for line in request.split(b"\r\n"):
+        if line.lower().startswith(REQUEST_ID_HEADER):
+            return line.partition(b":")[2].strip()
+    return b""
+
+
+@contextlib.contextmanager
+def running(*scripts: bytes) -> Iterator[ScriptedUpstream]:
+    """Provide a scripted upstream and stop it at the end."""
+    upstream = ScriptedUpstream(*scripts)
+    try:
+        yield upstream
+    finally:
+        upstream.stop()
