Relay the streams of plain services like those of engines

Cause: the handler followed from the kind of the service. PlainHandler read the response of any route as a whole, and a body that the end of its connection frames was complete. The check of events, the relay as they arrive, continuation, versions and the bound on streams existed on the path for engines only.

StreamRelay now serves both. The upstream at which a stream goes on is chosen by ContinuationTargets, for engines or for plain upstreams. One bound counts all streams of an instance. A stream of events on another route is still read as a whole, and is broken off if it ends inside an event.

--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -63,7 +63,7 @@
         self._filters = (
             filters if is_for_peers else (*filters, request_filters.AdmissionFilter(instance))
         )
-        self._plain_handler = plain_handler.PlainHandler(instance, client)
+        self._plain_handler = plain_handler.PlainHandler(instance, client, adapter)
         self._generation_handler = generation_handler.GenerationHandler(instance, client, adapter)
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
--- a/src/carawaydoor/serving/event_splitter.py
+++ b/src/carawaydoor/serving/event_splitter.py
@@ -1,4 +1,4 @@
-"""Splits a stream of server-sent events, so that it can be resumed after a complete event."""
+"""Recognizes streams of server-sent events, and splits them so that they can be resumed."""
 
 from __future__ import annotations
 
@@ -7,12 +7,34 @@
 
 from carawaydoor.serving import connections
 
+EVENT_STREAM_TYPE: Final = "text/event-stream"
+MIN_UNSUCCESSFUL_STATUS: Final = 300
+
 _END_OF_EVENT: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID: Final = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 # The engines send far smaller events; a longer one means that the stream is malformed.
 MAX_EVENT_BYTES: Final = 1_000_000
 
 
+def is_event_stream(response: connections.UpstreamResponse) -> bool:
+    """Return whether a response on a streaming route is a successful stream of events."""
+    if "content-type" in response.header_by_name:
+        return is_declared_event_stream(response)
+    return response.status < MIN_UNSUCCESSFUL_STATUS
+
+
+def is_declared_event_stream(response: connections.UpstreamResponse) -> bool:
+    """Return whether a successful response says that it is a stream of events."""
+    content_type = response.header_by_name.get("content-type", "").strip().lower()
+    return response.status < MIN_UNSUCCESSFUL_STATUS and content_type.startswith(EVENT_STREAM_TYPE)
+
+
+def ends_inside_event(content: bytes) -> bool:
+    """Return whether a stream of events ends before the end of its last event."""
+    end = max((each.end() for each in _END_OF_EVENT.finditer(content)), default=0)
+    return end < len(content)
+
+
 class EventTooLongError(connections.MalformedResponseError):
     """An event exceeds the size limit."""
 
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import dataclasses
-import threading
 from typing import Final
 
 import eliot
@@ -13,6 +12,7 @@
 from carawaydoor.policy import capacity_wait, entities, load, placement
 from carawaydoor.serving import (
     connections,
+    continuation_targets,
     http_exchange,
     instance_state,
     plain_handler,
@@ -26,14 +26,10 @@
 
 # Time beyond the expected queueing and prefill after which the attempt is abandoned.
 PREFILL_MARGIN_S: Final = 1.0
-# By then a short stream has usually ended and freed its place.
-BUSY_RETRY_AFTER_S: Final = 1.0
 # Once as many engines have rejected a prefilled prompt, its KV cache has probably expired.
 MAX_REJECTIONS_OF_KV_CACHE: Final = 2
 # Assumed for a request without token counts.
 DEFAULT_PROMPT: Final = entities.Prompt(1000, 100, 100)
-# Fewer than the threads for callers, so that some remain for other requests.
-MAX_CONCURRENT_GENERATIONS: Final = 56
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,19 +62,12 @@
         super().__init__(instance)
         self._client = client
         self._adapter = adapter
-        self._stream_slots = threading.BoundedSemaphore(MAX_CONCURRENT_GENERATIONS)
 
     def handle(self, exchange: http_exchange.HttpExchange) -> request_filters.HandlerResult:
         """Return the response as a stream."""
-        if not self._stream_slots.acquire(blocking=False):
-            return expression.Error(
-                refusals.Refusal(
-                    refusals.Reason.INSTANCE_BUSY,
-                    "this instance relays its maximum of streams",
-                    BUSY_RETRY_AFTER_S,
-                )
-            )
-        exchange.cleanup.callback(self._stream_slots.release)
+        busy = self._instance.stream_slots.reserve(exchange)
+        if busy is not None:
+            return expression.Error(busy)
         service = exchange.service
         assert service is not None
         prompt = exchange.inbound.prompt or DEFAULT_PROMPT
@@ -315,8 +304,11 @@
                     return expression.Error(refusal)
                 continue
             response = opened.response
+            targets = continuation_targets.DecodeTargets(
+                self._instance.selector, placed.service, placed.prompt
+            )
             relay = stream_relay.StreamRelay(
-                self._instance, self._client, self._adapter, exchange, placed.prompt
+                self._instance, self._client, self._adapter, exchange, targets
             )
             try:
                 chunks = relay.relay(placed.decode, opened, backup)
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -30,6 +30,7 @@
     reachability,
     source_state,
     stream_origins,
+    stream_slots,
     upstream_limiter,
     upstream_selection,
 )
@@ -84,6 +85,7 @@
         self._version_lost_by_source = 0
         self.membership = gossip.Membership(options.instance, {})
         self.streams: Final = stream_origins.StreamOrigins(options, clock, lambda: self.membership)
+        self.stream_slots: Final = stream_slots.StreamSlots()
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
         self.drain_started_s: float | None = None
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import Final
 
 import expression
 
-from carawaydoor.policy import entities, load
+from carawaydoor.policy import entities
 from carawaydoor.serving import (
+    continuation_targets,
+    event_splitter,
     http_exchange,
     instance_state,
     protocol_adapter,
     refusals,
     request_filters,
+    stream_relay,
     upstream_client,
 )
 
@@ -22,17 +26,19 @@
 # Several service times, after which a full upstream has usually freed capacity.
 RETRY_AFTER_S: Final = 0.25
 
-_ONE_REQUEST: Final = load.Work(1)
-
 
 class PlainHandler(request_filters.RequestHandler):
     """Forwards a request to an upstream of a plain service."""
 
     def __init__(
-        self, instance: instance_state.InstanceState, client: upstream_client.UpstreamClient
+        self,
+        instance: instance_state.InstanceState,
+        client: upstream_client.UpstreamClient,
+        adapter: protocol_adapter.ProtocolAdapter,
     ) -> None:
         super().__init__(instance)
         self._client = client
+        self._adapter = adapter
 
     def handle(self, exchange: http_exchange.HttpExchange) -> request_filters.HandlerResult:
         """Return the response of the first upstream that gives an acceptable one.
@@ -41,6 +47,10 @@
         """
         route, service = exchange.route, exchange.service
         assert route is not None and service is not None
+        if route.kind.is_stream:
+            busy = self._instance.stream_slots.reserve(exchange)
+            if busy is not None:
+                return expression.Error(busy)
         excluded: set[str] = set()
         refusal = refusals.Refusal(
             refusals.Reason.NO_UPSTREAM, f"service {service.name} has no upstream", RETRY_AFTER_S
@@ -57,7 +67,7 @@
                 break
             excluded.add(upstream.id)
             try:
-                response = self._attempt(exchange, route, upstream)
+                response = self._attempt(exchange, route, service, upstream)
             except upstream_client.CallError as error:
                 refusal = refusal_for(error, upstream)
                 if error.failure.was_not_sent:
@@ -69,8 +79,6 @@
                 if not self._may_retry(route, error):
                     break
                 continue
-            finally:
-                self._instance.selector.release(upstream.id, _ONE_REQUEST)
             exchange.attempts += 1
             last_response = response
             if response.status < upstream_client.MIN_FAILURE_STATUS or route.kind.forbids_rerun:
@@ -93,23 +101,46 @@
         self,
         exchange: http_exchange.HttpExchange,
         route: entities.Route,
+        service: entities.Service,
         upstream: entities.Upstream,
     ) -> http_exchange.Response:
+        """Return the response of an upstream to which the request was added as load.
+
+        :raises CallError: if it gives none that is whole, or a stream without any event
+        """
+        with contextlib.ExitStack() as reservation:
+            reservation.callback(
+                self._instance.selector.release, upstream.id, continuation_targets.ONE_REQUEST
+            )
+            opened = self._send(exchange, route, upstream)
+            if not (route.kind.is_stream and event_splitter.is_event_stream(opened.response)):
+                return self._read(exchange, upstream, opened)
+            response = self._relay(exchange, service, upstream, opened)
+            exchange.cleanup.push(reservation.pop_all())
+            return response
+
+    def _send(
+        self,
+        exchange: http_exchange.HttpExchange,
+        route: entities.Route,
+        upstream: entities.Upstream,
+    ) -> upstream_client.OpenResponse:
         now_s = self._instance.clock.now_s()
         left_s = exchange.deadline_s - now_s
         attempt_deadline_s = None
         if not route.kind.forbids_rerun and exchange.attempts + 1 < route.max_attempts:
             attempt_deadline_s = now_s + left_s * ATTEMPT_TIMEOUT_SHARE
         request = protocol_adapter.UpstreamRequest(upstream, left_s)
-        opened = self._client.send(exchange, request, attempt_deadline_s)
+        return self._client.send(exchange, request, attempt_deadline_s)
+
+    def _read(
+        self,
+        exchange: http_exchange.HttpExchange,
+        upstream: entities.Upstream,
+        opened: upstream_client.OpenResponse,
+    ) -> http_exchange.Response:
         content = self._client.read_body(exchange, upstream, opened)
         response = opened.response
-        may_be_taken_up = (
-            route.kind is entities.RouteKind.RESUMABLE_STREAM
-            and response.status < upstream_client.MIN_FAILURE_STATUS
-        )
-        if may_be_taken_up and exchange.required_version is None:
-            self._instance.streams.record_begun(exchange.stream_key, upstream)
         return http_exchange.Response(
             response.status,
             response.reason,
@@ -119,6 +150,23 @@
             upstream.id,
         )
 
+    def _relay(
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        upstream: entities.Upstream,
+        opened: upstream_client.OpenResponse,
+    ) -> http_exchange.Response:
+        targets = continuation_targets.PlainTargets(self._instance.selector, service)
+        relay = stream_relay.StreamRelay(
+            self._instance, self._client, self._adapter, exchange, targets
+        )
+        chunks = relay.relay(upstream, opened)
+        response = opened.response
+        return http_exchange.Response(
+            response.status, response.reason, response.headers, chunks, None, upstream.id
+        )
+
     def _may_retry(self, route: entities.Route, error: upstream_client.CallError) -> bool:
         if error.failure is upstream_client.Failure.CALLER_GONE:
             return False
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -1,4 +1,4 @@
-"""Relays a stream to its caller and continues it at another engine if the first one fails."""
+"""Relays a stream to its caller and continues it at another upstream if the first one fails."""
 
 from __future__ import annotations
 
@@ -9,9 +9,10 @@
 
 import eliot
 
-from carawaydoor.policy import crash_suspects, entities, health, load, stream_versions
+from carawaydoor.policy import crash_suspects, entities, health, stream_versions
 from carawaydoor.serving import (
     connections,
+    continuation_targets,
     event_splitter,
     http_exchange,
     instance_state,
@@ -20,12 +21,10 @@
     upstream_client,
 )
 
-EVENT_STREAM_TYPE: Final = "text/event-stream"
-MIN_UNSUCCESSFUL_STATUS: Final = 300
 # Longer than any pause of a stream that meets its targets, and well below the time after which
 # callers abandon a stream.
 STREAM_STALL_TIMEOUT_S: Final = 1.2
-# Interval between attempts to continue a broken stream while every engine rejects it.
+# Interval between attempts to continue a broken stream while every upstream rejects it.
 CONTINUATION_RETRY_INTERVAL_S: Final = 0.15
 # Callers abandon a stream after a pause of two seconds.
 MAX_CONTINUATION_TIME_S: Final = 1.5
@@ -37,21 +36,21 @@
 
 @dataclasses.dataclass(slots=True)
 class _Source:
-    """The engine that a stream comes from, with its response.
+    """The upstream that a stream comes from, with its response.
 
-    :ivar has_failed: whether the engine broke the stream off
-    :ivar first_event_s: time in seconds of the engine's first event, None before it
-    :ivar is_sound: whether the engine has gone on for so long that the prompt is not what ends it
+    :ivar has_failed: whether the upstream broke the stream off
+    :ivar first_event_s: time in seconds of the upstream's first event, None before it
+    :ivar is_sound: whether the upstream has gone on for so long that the prompt is not what ends it
     """
 
-    engine: entities.Upstream
+    upstream: entities.Upstream
     opened: upstream_client.OpenResponse
     has_failed: bool = False
     first_event_s: float | None = None
     is_sound: bool = False
 
     def running_s(self, now_s: float) -> float:
-        """Return for how many seconds the engine has been writing the stream."""
+        """Return for how many seconds the upstream has been writing the stream."""
         return 0.0 if self.first_event_s is None else now_s - self.first_event_s
 
 
@@ -64,23 +63,23 @@
         client: upstream_client.UpstreamClient,
         adapter: protocol_adapter.ProtocolAdapter,
         exchange: http_exchange.HttpExchange,
-        prompt: entities.Prompt,
+        targets: continuation_targets.ContinuationTargets,
     ) -> None:
         self._instance = instance
         self._client = client
         self._adapter = adapter
         self._exchange = exchange
-        self._prompt = prompt
+        self._targets = targets
         self._splitter = event_splitter.EventSplitter(exchange.inbound.last_event_id)
         self._backup: entities.Upstream | None = None
-        self._used_engines: set[str] = set()
+        self._used: set[str] = set()
         self._continuation: _Source | None = None
 
     def relay(
         self,
-        decode: entities.Upstream,
+        upstream: entities.Upstream,
         opened: upstream_client.OpenResponse,
-        backup: entities.Upstream | None,
+        backup: entities.Upstream | None = None,
     ) -> Iterator[bytes]:
         """Return the chunks of a stream; after an error the caller sees a truncated response.
 
@@ -90,7 +89,7 @@
         :raises CallError: if the stream breaks off before its first event and does not go on
         """
         self._backup = backup
-        chunks = self._chunks(self._register(decode, opened))
+        chunks = self._chunks(self._register(upstream, opened))
         try:
             first = next(chunks, b"")
         except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
@@ -98,9 +97,11 @@
             raise upstream_client.CallError(failure, str(error)) from error
         return _with_first(first, chunks)
 
-    def _register(self, engine: entities.Upstream, opened: upstream_client.OpenResponse) -> _Source:
-        self._used_engines.add(engine.id)
-        source = _Source(engine, opened)
+    def _register(
+        self, upstream: entities.Upstream, opened: upstream_client.OpenResponse
+    ) -> _Source:
+        self._used.add(upstream.id)
+        source = _Source(upstream, opened)
         self._exchange.cleanup.callback(self._close, source)
         return source
 
@@ -113,7 +114,7 @@
             except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
                 source.has_failed = True
                 self._record_break(source, error)
-                # Two engines must not work on the stream at the same time.
+                # Two upstreams must not work on the stream at the same time.
                 source.opened.connection.close()
                 continuation = self._continuation or self._continue_broken(error)
                 if continuation is None:
@@ -139,7 +140,7 @@
                 yield complete
         remainder = self._splitter.take_remainder()
         self._log_end(source, len(remainder))
-        if not _is_event_stream(response):
+        if not event_splitter.is_event_stream(response):
             if remainder:
                 yield remainder
             return
@@ -151,15 +152,15 @@
             raise StreamEndedEarlyError("the connection ended before the first event")
 
     def _record_begun(self, source: _Source) -> None:
-        """Bind the stream to the version of the engine whose event the caller gets first."""
-        if self._exchange.required_version is not None or not _is_event_stream(
+        """Bind the stream to the version of the upstream whose event the caller gets first."""
+        if self._exchange.required_version is not None or not event_splitter.is_event_stream(
             source.opened.response
         ):
             return
-        self._exchange.required_version = source.engine.version
+        self._exchange.required_version = source.upstream.version
         route = self._exchange.route
         if route is not None and route.kind is entities.RouteKind.RESUMABLE_STREAM:
-            self._instance.streams.record_begun(self._exchange.stream_key, source.engine)
+            self._instance.streams.record_begun(self._exchange.stream_key, source.upstream)
 
     def _record_event(self, source: _Source) -> None:
         now_s = self._instance.clock.now_s()
@@ -182,7 +183,7 @@
         eliot.log_message(
             message_type="stream_ended",
             request=self._exchange.inbound.id,
-            upstream=source.engine.id,
+            upstream=source.upstream.id,
             status=source.opened.response.status,
             framing=framing,
             last_event=self._splitter.last_id,
@@ -205,15 +206,15 @@
         return suspended_s > 0.0
 
     def _may_rerun(self, route: entities.Route) -> bool:
-        """Return whether one more engine may run the request from the last event on."""
+        """Return whether one more upstream may run the request from the last event on."""
         is_resumable = route.kind is entities.RouteKind.RESUMABLE_STREAM
-        if not is_resumable or len(self._used_engines) >= route.max_attempts:
+        if not is_resumable or len(self._used) >= route.max_attempts:
             return False
         version, service = self._exchange.required_version, self._exchange.service
         return (
             version is None
             or service is None
-            or self._instance.selector.serves_version(service.name, version, self._used_engines)
+            or self._instance.selector.serves_version(service.name, version, self._used)
         )
 
     def _stall_limit(self) -> sockets.StreamWaitLimit:
@@ -226,16 +227,16 @@
         )
 
     def _replace_stalled(self) -> bool:
-        """Continue a stalled stream elsewhere; return False to go on waiting for its engine.
+        """Continue a stalled stream elsewhere; return False to go on waiting for its upstream.
 
-        The engine may only have preempted the request, so its stream is kept until another engine
-        has accepted the continuation.
+        An engine may only have preempted the request, so its stream is kept until another one has
+        accepted the continuation.
         """
         self._continuation = self._continue_once()
         return self._continuation is not None
 
     def _continue_broken(self, error: Exception) -> _Source | None:
-        """Continue a stream whose engine has failed; None if no engine accepts it in time."""
+        """Continue a stream whose upstream has failed; None if none accepts it in time."""
         match upstream_client.classify_error(error):
             case upstream_client.Failure.CALLER_GONE | upstream_client.Failure.SILENT:
                 # The caller's deadline has passed in the second case.
@@ -270,40 +271,32 @@
         return self._continue_without_copy()
 
     def _continue_without_copy(self) -> _Source | None:
-        """Have another engine prefill the prompt again and go on after the last event."""
+        """Have another upstream run the request again and go on after the last event."""
         route, service = self._exchange.route, self._exchange.service
         if route is None or service is None or not self._may_rerun(route):
             return None
-        excluded = frozenset(self._used_engines)
-        engine = self._instance.selector.reserve_decode(
-            service,
-            self._prompt,
-            excluded,
-            self._exchange.permits,
-            self._exchange.required_version,
-        )
-        if engine is None:
+        target = self._targets.reserve(self._exchange, frozenset(self._used))
+        if target is None:
             return None
         reservation = contextlib.ExitStack()
-        work = load.Work(1, self._prompt.mean_kv_tokens)
-        reservation.callback(self._instance.selector.release, engine.id, work)
-        continuation = self._continue_at(engine, "")
+        reservation.callback(self._instance.selector.release, target.upstream.id, target.work)
+        continuation = self._continue_at(target.upstream, "")
         if continuation is None:
             reservation.close()
-            self._exchange.permits.give_back(engine)
+            self._exchange.permits.give_back(target.upstream)
             return None
         self._exchange.cleanup.push(reservation)
         return continuation
 
-    def _continue_at(self, engine: entities.Upstream, kv_source: str) -> _Source | None:
-        """Continue the stream at an engine after the last complete event; None if that fails."""
+    def _continue_at(self, upstream: entities.Upstream, kv_source: str) -> _Source | None:
+        """Continue the stream at an upstream after the last complete event; None if that fails."""
         service, request_id = self._exchange.service, self._exchange.inbound.id
         if service is None or not self._instance.may_retry(request_id, service.name):
             return None
         left_s = self._exchange.deadline_s - self._instance.clock.now_s()
         last_id = self._splitter.last_id
         request = protocol_adapter.UpstreamRequest(
-            engine, left_s, kv_source=kv_source, last_event_id=last_id
+            upstream, left_s, kv_source=kv_source, last_event_id=last_id
         )
         outcome = "continued"
         opened = None
@@ -312,16 +305,16 @@
         except upstream_client.CallError as error:
             outcome = error.failure.value
             if not error.failure.did_not_run:
-                self._exclude(engine)
+                self._exclude(upstream)
         if opened is not None and opened.response.status >= upstream_client.MIN_FAILURE_STATUS:
             opened.connection.close()
             outcome, opened = f"status {opened.response.status}", None
-            self._exclude(engine)
+            self._exclude(upstream)
         eliot.log_message(
             message_type="stream_moved",
             request=request_id,
-            upstream=engine.id,
-            version=engine.version,
+            upstream=upstream.id,
+            version=upstream.version,
             has_copy=bool(kv_source),
             after_event=last_id,
             left_s=round(left_s, 3),
@@ -330,30 +323,30 @@
         if opened is None:
             return None
         self._splitter.discard_incomplete()
-        return self._register(engine, opened)
+        return self._register(upstream, opened)
 
-    def _exclude(self, engine: entities.Upstream) -> None:
-        """Don't send the stream to an engine again that may have begun to work on it."""
-        self._used_engines.add(engine.id)
-        if self._backup is not None and self._backup.id == engine.id:
+    def _exclude(self, upstream: entities.Upstream) -> None:
+        """Don't send the stream to an upstream again that may have begun to work on it."""
+        self._used.add(upstream.id)
+        if self._backup is not None and self._backup.id == upstream.id:
             self._backup = None
 
     def _record_break(self, source: _Source, error: Exception) -> None:
-        decode, framing = source.engine, source.opened.response.framing.value
+        upstream, framing = source.upstream, source.opened.response.framing.value
         failure = upstream_client.classify_error(error)
         if failure is upstream_client.Failure.SILENT:
-            self._instance.selector.record_outcome(decode, health.Outcome.SILENT)
+            self._instance.selector.record_outcome(upstream, health.Outcome.SILENT)
         elif failure is not upstream_client.Failure.CALLER_GONE:
-            self._instance.selector.record_outcome(decode, health.Outcome.BROKEN)
+            self._instance.selector.record_outcome(upstream, health.Outcome.BROKEN)
             if source.running_s(self._instance.clock.now_s()) < crash_suspects.CRASH_ONSET_S:
-                self._client.check_for_crash_at_onset(self._exchange, decode)
+                self._client.check_for_crash_at_onset(self._exchange, upstream)
             else:
-                self._client.check_for_crash(self._exchange, decode)
+                self._client.check_for_crash(self._exchange, upstream)
         eliot.log_message(
             message_type="stream_broken",
             request=self._exchange.inbound.id,
-            upstream=decode.id,
-            version=decode.version,
+            upstream=upstream.id,
+            version=upstream.version,
             failure=failure.value,
             after_event=self._splitter.last_id,
             framing=framing,
@@ -365,7 +358,7 @@
         opened = source.opened
         if opened.response.is_complete and not source.has_failed:
             self._instance.connection_pool.release(opened.connection, opened.response)
-            self._instance.selector.record_outcome(source.engine, health.Outcome.ANSWERED)
+            self._instance.selector.record_outcome(source.upstream, health.Outcome.ANSWERED)
         else:
             opened.connection.close()
 
@@ -375,8 +368,3 @@
         if first:
             yield first
         yield from chunks
-
-
-def _is_event_stream(response: connections.UpstreamResponse) -> bool:
-    content_type = response.header_by_name.get("content-type", EVENT_STREAM_TYPE).lower()
-    return response.status < MIN_UNSUCCESSFUL_STATUS and content_type.startswith(EVENT_STREAM_TYPE)
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -10,6 +10,7 @@
 from carawaydoor.policy import entities, health, upstream_directory
 from carawaydoor.serving import (
     connections,
+    event_splitter,
     http_exchange,
     instance_state,
     protocol_adapter,
@@ -224,6 +225,11 @@
         except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
             opened.connection.close()
             raise self._call_error(exchange, upstream, classify_error(error), error) from error
+        is_stream = event_splitter.is_declared_event_stream(opened.response)
+        if is_stream and event_splitter.ends_inside_event(content):
+            opened.connection.close()
+            detail = "the stream ended inside an event"
+            raise self._call_error(exchange, upstream, Failure.BROKEN, detail)
         self._instance.connection_pool.release(opened.connection, opened.response)
         failed = opened.response.status >= MIN_FAILURE_STATUS
         self._instance.selector.record_outcome(
