Take strikes back when a request runs without a crash

Cause: each crash counted against every request at work there, and nothing counted for a request. One that crashes upstreams crashes each one that runs it, so any run without a crash proves it sound.

A sound run now takes back the strikes before it; peers are told with reports (a new optional field, skipped by older builds). Crashes within half a second count as one for what was sound before, as a pool may fail at once for another reason. The end of a connection that frames a response proves nothing, so the upstream is checked where there is a suspicion. The checks moved from upstream_client.py to crash_checks.py.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -136,6 +136,7 @@
         leaving_born_ms_by_upstream=dict(report.leaving_born_ms_by_upstream),
         failures=_failure_structs(report.failures),
         cut_off_services=list(report.cut_off_services),
+        sound_age_s_by_request=dict(report.sound_age_s_by_request),
     )
 
 
@@ -252,6 +253,7 @@
         leaving_born_ms_by_upstream=message.leaving_born_ms_by_upstream or {},
         failures=_failures(message.failures),
         cut_off_services=tuple(message.cut_off_services or ()),
+        sound_age_s_by_request=message.sound_age_s_by_request or {},
     )
 
 
--- a/src/carawaydoor/fleet/report_effects.py
+++ b/src/carawaydoor/fleet/report_effects.py
@@ -80,6 +80,7 @@
     | reports.SharedStrike
     | reports.SharedCrash
     | reports.SoundPart
+    | reports.SoundRequest
     | reports.SharedLimit
     | UpstreamPaused
     | PeerTurnedAway
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -84,6 +84,7 @@
     _map("leaving_born_ms_by_upstream", (_STRING, _I64)),
     (thrift.TType.LIST, "failures", (thrift.TType.STRUCT, Failure)),
     (thrift.TType.LIST, "cut_off_services", _STRING),
+    _amounts("sound_age_s_by_request"),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -53,6 +53,17 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoundRequest:
+    """A request that a peer has seen to run without crashing its upstream.
+
+    :ivar age_s: seconds between that and the report
+    """
+
+    fingerprint: str
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedLimit:
     """The limit of an upstream, as a response to a peer stated it.
@@ -119,6 +130,8 @@
     :ivar leaving_born_ms_by_upstream: start of the incarnations that have lately begun to leave
     :ivar failures: upstreams that the sender could not reach lately
     :ivar cut_off_services: services of which the sender reaches no upstream
+    :ivar sound_age_s_by_request: for requests with strikes, the seconds since one last ran without
+        crashing its upstream
     """
 
     contact: Contact
@@ -147,6 +160,7 @@
     leaving_born_ms_by_upstream: Mapping[str, int] = dataclasses.field(default_factory=dict)
     failures: tuple[peer_evidence.Failure, ...] = ()
     cut_off_services: tuple[str, ...] = ()
+    sound_age_s_by_request: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/policy/crash_suspects.py
+++ b/src/carawaydoor/policy/crash_suspects.py
@@ -3,7 +3,8 @@
 Each crash leaves several suspects: a prompt has sound parts beside the one that crashes, and an engine
 takes sound generations with it. A part is cleared by any generation that has it and goes on. A prompt is
 suspended only if it has every remaining suspect of several crashes, so that sound prompts, which share
-some parts with it, still run and clear those.
+some parts with it, still run and clear those. Where all its suspects were sound before, crashes count as
+one if they happened together, since a whole pool may fail for another reason.
 """
 
 from __future__ import annotations
@@ -13,6 +14,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from carawaydoor.policy import strikes
+
 # One more than for a whole request, since sound generations are caught in crashes as well.
 MIN_CRASHES: Final = 3
 SUSPENSION_S: Final = 300.0
@@ -96,15 +99,28 @@
     """Return how much longer a prompt with these shared parts is suspended, zero if it is not."""
     own_parts = frozenset(parts)
     crashed_s_by_engine: dict[str, float] = {}
+    was_sound = True
     for suspects, engines in evidence.engines_by_suspects.items():
         if suspects <= own_parts:
             crashed_s_by_engine.update(engines)
+            was_sound = was_sound and suspects <= evidence.sound_s_by_part.keys()
     newest_first = sorted(crashed_s_by_engine.values(), reverse=True)
     if len(newest_first) < MIN_CRASHES:
         return 0.0
+    if was_sound and strikes.count_separate(newest_first) < MIN_CRASHES:
+        return 0.0
     return max(0.0, newest_first[MIN_CRASHES - 1] + SUSPENSION_S - now_s)
 
 
+def is_suspect(evidence: Evidence, parts: Iterable[str]) -> bool:
+    """Return whether a crash leaves any of these parts as a suspect."""
+    own_parts = frozenset(parts)
+    return any(
+        _candidates(each, evidence.sound_s_by_part) & own_parts
+        for each in evidence.crash_by_id.values()
+    )
+
+
 def relevant_sound_parts(evidence: Evidence) -> dict[str, float]:
     """Return the sound parts that occur in crashes, with the time in seconds of the proof."""
     in_crashes = {part for each in evidence.crash_by_id.values() for part in each.parts}
--- a/src/carawaydoor/policy/strikes.py
+++ b/src/carawaydoor/policy/strikes.py
@@ -1,14 +1,24 @@
-"""Suspends a request after upstreams failed while they ran it; each failure is a strike."""
+"""Suspends a request after upstreams failed while they ran it; each failure is a strike.
+
+A request that crashes upstreams crashes each one that runs it. A sound run therefore takes back the
+strikes before it, and upstreams that failed together may have failed for another reason.
+"""
 
 from __future__ import annotations
 
 import dataclasses
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import Final
 
-MAX_STRIKES = 2
-SUSPENSION_S = 300.0
-MAX_FINGERPRINTS = 4096
+# For a request that was never seen to run without crashing its upstream.
+MAX_STRIKES: Final = 2
+# For any other one, whose strikes count by separate times.
+MAX_STRIKES_OF_SOUND: Final = 3
+# Failures within this time of each other count as one where a request is known to be sound.
+MAX_COMMON_FAILURE_S: Final = 0.5
+SUSPENSION_S: Final = 300.0
+MAX_FINGERPRINTS: Final = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,15 +65,41 @@
     return Strikes(after)
 
 
-def suspended_for_s(state: Strikes, now_s: float, request: str) -> float:
+def suspended_for_s(
+    state: Strikes, now_s: float, request: str, sound_s: float | None = None
+) -> float:
     """Return how much longer a request is suspended, zero if it is not.
 
     :param request: fingerprint of the request
+    :param sound_s: time in seconds of its last sound run, None if none is known
     """
     current = _current(state, now_s, request)
-    if len(current) < MAX_STRIKES:
-        return 0.0
-    return current[-1].at_s + SUSPENSION_S - now_s
+    if sound_s is not None:
+        counted = [each.at_s for each in current if each.at_s > sound_s]
+        needed = MAX_STRIKES_OF_SOUND
+        count = count_separate(counted)
+    else:
+        counted, needed = [each.at_s for each in current], MAX_STRIKES
+        count = len(counted)
+    return max(counted) + SUSPENSION_S - now_s if count >= needed else 0.0
+
+
+def count_separate(times_s: Iterable[float]) -> int:
+    """Return the number of failures, counting those that follow each other closely as one."""
+    count, last_s = 0, float("-inf")
+    for each in sorted(times_s):
+        if each - last_s > MAX_COMMON_FAILURE_S:
+            count += 1
+        last_s = each
+    return count
+
+
+def has_any(state: Strikes, now_s: float, request: str) -> bool:
+    """Return whether there are strikes against a request.
+
+    :param request: its fingerprint
+    """
+    return bool(_current(state, now_s, request))
 
 
 def _current(state: Strikes, now_s: float, request: str) -> tuple[Strike, ...]:
--- a/src/carawaydoor/serving/crash_guard.py
+++ b/src/carawaydoor/serving/crash_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import threading
 from collections.abc import Sequence
@@ -10,7 +11,21 @@
 
 from carawaydoor.fleet import report_selection, reports
 from carawaydoor.operating import clocks
-from carawaydoor.policy import crash_suspects, entities, strikes
+from carawaydoor.policy import crash_suspects, entities, sound_requests, strikes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedEvidence:
+    """What an instance tells its peers of crashes.
+
+    :ivar sound_age_s_by_part: seconds since a generation with a part of prompts was seen to go on
+    :ivar sound_age_s_by_request: seconds since the last sound run, for requests with strikes
+    """
+
+    strikes: tuple[reports.SharedStrike, ...]
+    crashes: tuple[reports.SharedCrash, ...]
+    sound_age_s_by_part: dict[str, float]
+    sound_age_s_by_request: dict[str, float]
 
 
 class CrashGuard:
@@ -21,6 +36,7 @@
         self._lock = threading.Lock()
         self._strikes = strikes.EMPTY
         self._evidence = crash_suspects.EMPTY
+        self._sound = sound_requests.SoundRequests()
         self._rounds = itertools.count()
 
     def record_crash(
@@ -51,28 +67,38 @@
             parts_suspended_s=round(suspended_s, 3),
         )
 
-    def record_sound(self, shared_parts: Sequence[str]) -> None:
-        """Record that a generation with these parts goes on or has ended well."""
+    def record_sound(self, fingerprint: str, shared_parts: Sequence[str] = ()) -> None:
+        """Record that an upstream has not crashed while it ran a request.
+
+        :param shared_parts: parts of its prompt, if it is a generation that goes on or has ended well
+        """
+        now_s = self._clock.now_s()
+        with self._lock:
+            self._sound.record(fingerprint, now_s)
+            self._evidence = crash_suspects.record_sound(self._evidence, now_s, shared_parts)
+
+    def is_suspect(self, fingerprint: str, shared_parts: Sequence[str]) -> bool:
+        """Return whether a sound run of a request would tell more about earlier crashes."""
         with self._lock:
-            self._evidence = crash_suspects.record_sound(
-                self._evidence, self._clock.now_s(), shared_parts
-            )
+            return strikes.has_any(
+                self._strikes, self._clock.now_s(), fingerprint
+            ) or crash_suspects.is_suspect(self._evidence, shared_parts)
 
     def suspended_for_s(self, fingerprint: str, shared_parts: Sequence[str]) -> float:
         """Return for how many more seconds a request is suspended, zero if it is not."""
         now_s = self._clock.now_s()
+        sound_s = self._sound.last_s(fingerprint)
         return max(
-            strikes.suspended_for_s(self._strikes, now_s, fingerprint),
+            strikes.suspended_for_s(self._strikes, now_s, fingerprint, sound_s),
             crash_suspects.suspended_for_s(self._evidence, now_s, shared_parts),
         )
 
-    def share(
-        self,
-    ) -> tuple[tuple[reports.SharedStrike, ...], tuple[reports.SharedCrash, ...], dict[str, float]]:
-        """Return strikes, crashes and the ages of proofs of sound parts for the next report."""
+    def share(self) -> SharedEvidence:
+        """Return what belongs into the next report."""
         now_s = self._clock.now_s()
         with self._lock:
             known_strikes, evidence = self._strikes, self._evidence
+            sound_s_by_request = self._sound.known(known_strikes.strikes_by_fingerprint)
             turn = next(self._rounds)
         struck = [
             reports.SharedStrike(fingerprint, strikes.Strike(each.id, now_s - each.at_s))
@@ -89,10 +115,12 @@
             (part, now_s - at_s)
             for part, at_s in crash_suspects.relevant_sound_parts(evidence).items()
         ]
-        return (
+        sound_requests_ages = [(key, now_s - at_s) for key, at_s in sound_s_by_request.items()]
+        return SharedEvidence(
             report_selection.select(struck, [each.strike.at_s for each in struck], turn),
             report_selection.select(crashed, [each.age_s for each in crashed], turn),
-            dict(report_selection.select(sound, [age_s for _, age_s in sound], turn)),
+            _select_ages(sound, turn),
+            _select_ages(sound_requests_ages, turn),
         )
 
     def apply_strike(self, shared: reports.SharedStrike) -> None:
@@ -110,8 +138,17 @@
         with self._lock:
             self._evidence = crash_suspects.record_crash(self._evidence, now_s, crash)
 
+    def apply_sound_request(self, fingerprint: str, age_s: float) -> None:
+        """Record that a peer has seen a request run without a crash."""
+        with self._lock:
+            self._sound.record(fingerprint, self._clock.now_s() - age_s)
+
     def apply_sound_part(self, part: str, age_s: float) -> None:
         """Record that a peer has seen a part to be sound."""
         at_s = self._clock.now_s() - age_s
         with self._lock:
             self._evidence = crash_suspects.record_sound(self._evidence, at_s, (part,))
+
+
+def _select_ages(ages: Sequence[tuple[str, float]], turn: int) -> dict[str, float]:
+    return dict(report_selection.select(ages, [age_s for _, age_s in ages], turn))
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -328,7 +328,7 @@
             now_s = self.clock.now_s()
             self.membership, contacts = gossip.next_recipients(self.membership)
             self._sequence += 1
-            shared_strikes, shared_crashes, sound_parts = self.crash_guard.share()
+            crash_evidence = self.crash_guard.share()
             report = reports.Report(
                 contact=reports.Contact(self.options.instance, self.options.peer_host),
                 domain=self.options.domain,
@@ -342,15 +342,16 @@
                 used_by_workspace=usage_caps.own_totals(self.caps),
                 echo_by_instance=gossip.clock_echoes(self.membership, contacts),
                 contacts=gossip.contacts_to_share(self.membership),
-                strikes=shared_strikes,
+                strikes=crash_evidence.strikes,
                 source_steady_s=self.source.steady_s(),
                 requests_by_service=self.retry_budget.requests.own_totals_by_name,
                 repeats_by_service=self.retry_budget.retries.own_totals_by_name,
                 source_revision=self.source.revision,
                 set_aside_s_by_upstream=self.selector.paused_s_by_upstream(),
                 configuration_version=self.configuration.version,
-                crashes=shared_crashes,
-                sound_age_s_by_part=sound_parts,
+                crashes=crash_evidence.crashes,
+                sound_age_s_by_part=crash_evidence.sound_age_s_by_part,
+                sound_age_s_by_request=crash_evidence.sound_age_s_by_request,
                 limits=self.upstream_limiter.share(),
                 turned_away_s_by_upstream=self.selector.turned_away.share(),
                 leaving_born_ms_by_upstream=upstream_directory.lately_leaving(
@@ -498,6 +499,8 @@
                 self.crash_guard.apply_crash(effect)
             case reports.SoundPart(part, age_s):
                 self.crash_guard.apply_sound_part(part, age_s)
+            case reports.SoundRequest(fingerprint, age_s):
+                self.crash_guard.apply_sound_request(fingerprint, age_s)
             case reports.SharedLimit():
                 limited = self.directory.upstream_by_id.get(effect.upstream)
                 if limited is not None and limited.born_ms == effect.born_ms:
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -9,6 +9,7 @@
 
 from carawaydoor.policy import entities
 from carawaydoor.serving import (
+    connections,
     continuation_targets,
     event_splitter,
     http_exchange,
@@ -141,6 +142,10 @@
     ) -> http_exchange.Response:
         content = self._client.read_body(exchange, upstream, opened)
         response = opened.response
+        if response.framing is connections.Framing.CONNECTION_END:
+            self._client.crash_checks.check_survival_later(exchange, upstream)
+        else:
+            self._instance.crash_guard.record_sound(exchange.fingerprint)
         return http_exchange.Response(
             response.status,
             response.reason,
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -148,8 +148,13 @@
             raise StreamEndedEarlyError(f"{len(remainder)} bytes after the last event")
         if response.framing is not connections.Framing.CONNECTION_END:
             self._record_sound(source)
-        elif source.first_event_s is None:
+            return
+        if source.first_event_s is None:
             raise StreamEndedEarlyError("the connection ended before the first event")
+        if not source.is_sound:
+            self._client.crash_checks.check_survival_later(
+                self._exchange, source.upstream, self._exchange.shared_parts
+            )
 
     def _record_begun(self, source: _Source) -> None:
         """Bind the stream to the version of the upstream whose event the caller gets first."""
@@ -172,7 +177,8 @@
     def _record_sound(self, source: _Source) -> None:
         if not source.is_sound and source.first_event_s is not None:
             source.is_sound = True
-            self._instance.crash_guard.record_sound(self._exchange.shared_parts)
+            exchange = self._exchange
+            self._instance.crash_guard.record_sound(exchange.fingerprint, exchange.shared_parts)
 
     def _log_end(self, source: _Source, incomplete_bytes: int) -> None:
         framing = source.opened.response.framing.value
@@ -339,9 +345,9 @@
         elif failure is not upstream_client.Failure.CALLER_GONE:
             self._instance.selector.record_outcome(upstream, health.Outcome.BROKEN)
             if source.running_s(self._instance.clock.now_s()) < crash_suspects.CRASH_ONSET_S:
-                self._client.check_for_crash_at_onset(self._exchange, upstream)
+                self._client.crash_checks.check_at_onset(self._exchange, upstream)
             else:
-                self._client.check_for_crash(self._exchange, upstream)
+                self._client.crash_checks.check_later(self._exchange, upstream)
         eliot.log_message(
             message_type="stream_broken",
             request=self._exchange.inbound.id,
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -4,12 +4,14 @@
 
 import dataclasses
 import enum
+from typing import Final
 
 import eliot
 
 from carawaydoor.policy import entities, health, upstream_directory
 from carawaydoor.serving import (
     connections,
+    crash_checks,
     event_splitter,
     http_exchange,
     instance_state,
@@ -21,8 +23,6 @@
 MIN_FAILURE_STATUS = 500
 # An engine drops an unused KV cache by itself at about this age.
 KV_RELEASE_TIMEOUT_S = 0.5
-# A crashed upstream refuses a connection within a round trip.
-QUICK_CRASH_CHECK_TIMEOUT_S = 0.05
 MAX_LOGGED_UNKNOWN_HEADERS = 16
 
 
@@ -85,6 +85,7 @@
     ) -> None:
         self._instance = instance
         self._adapter = adapter
+        self.crash_checks: Final = crash_checks.CrashChecker(instance)
         # Covers reports and stage orders as well.
         instance.connection_pool.on_request = instance.upstream_limiter.record_sent
         instance.connection_pool.on_response = self._apply_notice
@@ -237,75 +238,6 @@
         )
         return content
 
-    def check_for_crash(
-        self,
-        exchange: http_exchange.HttpExchange,
-        upstream: entities.Upstream,
-        suspect_parts: tuple[str, ...] = (),
-    ) -> None:
-        """Check whether the upstream crashed on the request, once the caller has its response.
-
-        :param suspect_parts: parts of the prompt that may have caused a crash
-        """
-        exchange.cleanup.callback(self._finish_crash_check, exchange, upstream, suspect_parts)
-
-    def check_for_crash_at_onset(
-        self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
-    ) -> None:
-        """Check whether the upstream crashed when it began to write the response.
-
-        The check is quick, so that its result counts before the request is sent elsewhere. Where it
-        has none, it is repeated once the caller has its response.
-        """
-        try:
-            self._instance.connection_pool.acquire(
-                upstream, new_only=True, connect_timeout_s=QUICK_CRASH_CHECK_TIMEOUT_S
-            ).close()
-        except connections.NoListenerError:
-            self._record_crash(exchange, upstream, exchange.shared_parts)
-        except connections.NotSentError:
-            # Logged by the second check if that has no result either.
-            self.check_for_crash(exchange, upstream, exchange.shared_parts)
-
-    def _finish_crash_check(
-        self,
-        exchange: http_exchange.HttpExchange,
-        upstream: entities.Upstream,
-        suspect_parts: tuple[str, ...],
-    ) -> None:
-        try:
-            self._instance.connection_pool.acquire(upstream, new_only=True).close()
-        except connections.NoListenerError:
-            self._record_crash(exchange, upstream, suspect_parts)
-        except connections.NotSentError as error:
-            # Without a refused connection, a crash looks like a network partition, so the request
-            # gets no strike.
-            eliot.log_message(
-                message_type="crash_not_confirmed",
-                request=exchange.inbound.id,
-                upstream=upstream.id,
-                detail=str(error),
-            )
-
-    def _record_crash(
-        self,
-        exchange: http_exchange.HttpExchange,
-        upstream: entities.Upstream,
-        suspect_parts: tuple[str, ...],
-    ) -> None:
-        if not self._instance.reach.confirms(upstream):
-            # This instance may have lost its links, and the upstream may live.
-            eliot.log_message(
-                message_type="crash_not_confirmed",
-                request=exchange.inbound.id,
-                upstream=upstream.id,
-                detail="no other upstream of the service can be reached either",
-            )
-            return
-        self._instance.crash_guard.record_crash(
-            exchange.inbound.id, exchange.fingerprint, upstream, suspect_parts
-        )
-
     def release_kv(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream, kv_source: str
     ) -> None:
@@ -368,7 +300,7 @@
         if outcome is not None:
             self._instance.selector.record_outcome(upstream, outcome)
         if failure is Failure.BROKEN:
-            self.check_for_crash(exchange, upstream, suspect_parts)
+            self.crash_checks.check_later(exchange, upstream, suspect_parts)
         eliot.log_message(
             message_type="upstream_call_failed",
             request=exchange.inbound.id,
--- a/tests/platform_side/test_crash_guard.py
+++ b/tests/platform_side/test_crash_guard.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from carawaydoor.fleet import report_selection
 from carawaydoor.operating import clocks
 from carawaydoor.policy import crash_suspects
@@ -16,13 +18,15 @@
     for number in range(count):
         engine = builders.decode(f"d{number}")
         guard.record_crash(f"r{number}", f"fingerprint-{number}", engine, [f"p{number}", "x"])
-        guard.record_sound([f"p{number}"])
+        guard.record_sound(f"sound-{number}", [f"p{number}"])
     return guard
 
 
 def test_reports_are_bounded_however_many_crashes_there_were():
     guard = guard_after_crashes(clocks.ManualClock(), 3 * MAX_PER_REPORT)
-    assert all(len(each) <= MAX_PER_REPORT for each in guard.share())
+    shared = guard.share()
+    for each in dataclasses.fields(shared):
+        assert len(getattr(shared, each.name)) <= MAX_PER_REPORT, each.name
 
 
 def test_all_that_counts_is_told_again_in_turn():
@@ -31,21 +35,21 @@
     clock.advance(60.0)
     later = crash_guard.CrashGuard(clock)
     for _ in range(40 // report_selection.MAX_REPEATED_PER_REPORT + 1):
-        strikes, crashes, sound = guard.share()
-        for each in strikes:
+        shared = guard.share()
+        for each in shared.strikes:
             later.apply_strike(each)
-        for each in crashes:
+        for each in shared.crashes:
             later.apply_crash(each)
-        for part, age_s in sound.items():
+        for part, age_s in shared.sound_age_s_by_part.items():
             later.apply_sound_part(part, age_s)
     assert later.suspended_for_s("other", ["x"]) > 0.0
     assert later.suspended_for_s("other", ["p1"]) == 0.0
-    assert len(later.share()[1]) == report_selection.MAX_REPEATED_PER_REPORT
+    assert len(later.share().crashes) == report_selection.MAX_REPEATED_PER_REPORT
 
 
 def test_nothing_is_told_after_the_suspension_has_ended():
     clock = clocks.ManualClock()
     guard = guard_after_crashes(clock, 4)
     clock.advance(crash_suspects.SUSPENSION_S + 1.0)
-    strikes, crashes, _ = guard.share()
-    assert (strikes, crashes) == ((), ())
+    shared = guard.share()
+    assert (shared.strikes, shared.crashes) == ((), ())
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -81,6 +81,23 @@
     assert is_suspended(evidence, "f", NOW_S + 3.0)
 
 
+def test_pool_that_fails_at_once_does_not_suspend_prompts_that_were_sound():
+    """All decode engines crashed together; the streams that shared a part were refused from then on."""
+    together = [crash(engine, "f", NOW_S + 0.1 * engine) for engine in range(4)]
+    evidence = after(*together, sound=[(NOW_S - 5.0, "f")])
+    assert not is_suspended(evidence, "f")
+    assert not is_suspended(evidence, "fa")
+    unknown = after(*(crash(engine, "fx") for engine in range(4)), sound=[(NOW_S - 5.0, "f")])
+    assert is_suspended(unknown, "fx"), "the part that was never seen sound"
+    assert not is_suspended(unknown, "f")
+
+
+def test_sound_part_is_suspended_after_a_common_failure_and_two_more():
+    crashes = [crash(engine, "f", NOW_S) for engine in range(3)]
+    crashes += [crash(engine, "f", NOW_S + engine) for engine in (3, 5)]
+    assert is_suspended(after(*crashes, sound=[(NOW_S - 5.0, "f")]), "f", NOW_S + 6.0)
+
+
 def test_suspension_ends():
     evidence = after(*(crash(engine, "fx") for engine in range(3)))
     assert is_suspended(evidence, "fx", NOW_S + crash_suspects.SUSPENSION_S - 1.0)
