Begin resumable streams at the version of their rank

Cause: the version of a stream was remembered by instances alone, so after the loss of all memory it was unknown; and the versions that can have begun a stream were taken from a list whose age nobody checked, before peers were asked.

While several versions serve, the id of a resumable stream now ranks the upstreams of its service, and it begins at the version of the first one, so that any instance can compute it again. An instance infers a version only if all upstreams that may have ranked first at the time agree, by a list that is read after the request arrived, its own log of changes and what the store's history still shows. Memory, also that of peers, goes first.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -137,6 +137,7 @@
         failures=_failure_structs(report.failures),
         cut_off_services=list(report.cut_off_services),
         sound_age_s_by_request=dict(report.sound_age_s_by_request),
+        ranks_streams=report.ranks_streams,
     )
 
 
@@ -254,6 +255,7 @@
         failures=_failures(message.failures),
         cut_off_services=tuple(message.cut_off_services or ()),
         sound_age_s_by_request=message.sound_age_s_by_request or {},
+        ranks_streams=bool(message.ranks_streams),
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -346,6 +346,14 @@
     )
 
 
+def all_rank_streams(state: Membership) -> bool:
+    """Return whether all peers have reported that streams begin at the version of their rank."""
+    return all(
+        each.report is not None and each.report.ranks_streams
+        for each in state.peer_by_instance.values()
+    )
+
+
 def peers_reaching(state: Membership, now_s: float, service: str) -> tuple[Peer, ...]:
     """Return the live peers that stay and do not report to be cut off from a service."""
     live_since_s = now_s - silence_timeout_s(state)
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -19,7 +19,8 @@
   22: i64 configuration_version, 23: list<Limit> limits,
   24: map<string, double> turned_away_s_by_upstream,
   25: map<string, i64> leaving_born_ms_by_upstream, 26: list<Failure> failures,
-  27: list<string> cut_off_services, 28: map<string, double> sound_age_s_by_request
+  27: list<string> cut_off_services, 28: map<string, double> sound_age_s_by_request,
+  29: bool ranks_streams
 }
 struct WorkReport {
   1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream,
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -85,6 +85,7 @@
     (thrift.TType.LIST, "failures", (thrift.TType.STRUCT, Failure)),
     (thrift.TType.LIST, "cut_off_services", _STRING),
     _amounts("sound_age_s_by_request"),
+    (_BOOL, "ranks_streams"),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -132,6 +132,8 @@
     :ivar cut_off_services: services of which the sender reaches no upstream
     :ivar sound_age_s_by_request: for requests with strikes, the seconds since one last ran without
         crashing its upstream
+    :ivar ranks_streams: whether resumable streams begin at the version of their rank at the sender;
+        earlier releases don't say
     """
 
     contact: Contact
@@ -161,6 +163,7 @@
     failures: tuple[peer_evidence.Failure, ...] = ()
     cut_off_services: tuple[str, ...] = ()
     sound_age_s_by_request: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    ranks_streams: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/operating/configuration_source.py
+++ b/src/carawaydoor/operating/configuration_source.py
@@ -6,7 +6,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from carawaydoor.policy import entities
+from carawaydoor.policy import entities, stream_ranking
 
 
 class SourceError(Exception):
@@ -39,11 +39,13 @@
     """An item of the source as it was read, for instances that don't read it themselves.
 
     :ivar value: None if the item was removed
+    :ivar created: revision at which its key was written for the first time, zero if unknown
     """
 
     key: str
     value: bytes | None
     revision: int
+    created: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,3 +92,36 @@
         :raises HistoryGoneError: if the source no longer has the changes since the revision
         :raises SourceError: if the source gave no valid response
         """
+
+
+class UpstreamLists(abc.ABC):
+    """Reads lists of upstreams beside the thread that watches the source."""
+
+    @abc.abstractmethod
+    def read_list(self, timeout_s: float) -> stream_ranking.UpstreamList:
+        """Return what the source lists now.
+
+        :param timeout_s: timeout in seconds of each request
+        :raises SourceError: if the source gave no valid response
+        """
+
+    @abc.abstractmethod
+    def read_past(self, now_s: float, timeout_s: float) -> stream_ranking.PastChanges:
+        """Return the oldest changes that the source still knows, up to now.
+
+        :param now_s: this instance's clock in seconds
+        :param timeout_s: timeout in seconds of each request
+        :raises SourceError: if the source gave no valid response
+        """
+
+
+class NoLists(UpstreamLists):
+    """Stands for a source that can't be read."""
+
+    def read_list(self, timeout_s: float) -> stream_ranking.UpstreamList:
+        """Raise an error."""
+        raise SourceError("there is no source of lists")
+
+    def read_past(self, now_s: float, timeout_s: float) -> stream_ranking.PastChanges:
+        """Raise an error."""
+        raise SourceError("there is no source of lists")
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -66,6 +66,7 @@
 
 class _Platform(_Model):
     address: AddressText
+    historyS: NonNegative = 0.0  # noqa: N815
 
 
 class _Settings(_Model):
@@ -127,6 +128,7 @@
             drain_s=bounds.drainMs / _MS_PER_S,
         ),
         max_descriptors=settings.limits.fileDescriptors,
+        store_history_s=settings.platform.historyS,
     )
 
 
--- a/src/carawaydoor/platform/store_client.py
+++ b/src/carawaydoor/platform/store_client.py
@@ -185,10 +185,20 @@
         value = None if document.get("deleted") else base64.b64decode(document["value"])
     except (KeyError, TypeError, ValueError) as error:
         raise StoreError(StoreFailure.MALFORMED, f"item: {error!r}") from error
-    is_revision = isinstance(revision, int) and source_position.is_revision(revision)
-    if not isinstance(key, str) or not is_revision:
+    if not isinstance(key, str) or not _is_revision(revision):
         raise StoreError(StoreFailure.MALFORMED, "item without a valid key and revision")
-    return configuration_source.SourceItem(key, value, source_position.create(era, revision))
+    created = document.get("created")
+    return configuration_source.SourceItem(
+        key,
+        value,
+        source_position.create(era, revision),
+        source_position.create(era, created) if _is_revision(created) and created else 0,
+    )
+
+
+def _is_revision(value: Any) -> bool:
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and source_position.is_revision(value)
 
 
 def _parse_position(response: _StoreResponse) -> int:
--- a/src/carawaydoor/platform/store_source.py
+++ b/src/carawaydoor/platform/store_source.py
@@ -53,6 +53,12 @@
         self._keep_changes(batch)
         return _decode_update(batch)
 
+    def configuration_created(self) -> int:
+        """Return the position at which the first configuration was written, zero if unknown."""
+        with self._lock:
+            item = self._item_by_key.get(names.CONFIGURATION_KEY)
+        return 0 if item is None else item.created
+
     def _keep_snapshot(self, batch: store_client.ItemBatch) -> None:
         with self._lock:
             self._item_by_key = {each.key: each for each in batch.items}
@@ -128,13 +134,14 @@
         if not item.key.startswith(names.SERVERS_PREFIX):
             continue
         server_id = item.key.removeprefix(names.SERVERS_PREFIX)
-        upstream_by_id[server_id] = _decode_upstream(server_id, item)
+        upstream_by_id[server_id] = decode_upstream(server_id, item)
     return upstream_by_id
 
 
-def _decode_upstream(
+def decode_upstream(
     server_id: str, item: configuration_source.SourceItem
 ) -> entities.Upstream | None:
+    """Return the server that an item describes, None if it was removed or is malformed."""
     if item.value is None:
         return None
     try:
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -27,7 +27,7 @@
     source_watcher,
     stage_balancer,
 )
-from carawaydoor.platform import http_adapter, names, platform_settings, store_source
+from carawaydoor.platform import http_adapter, names, platform_settings, store_lists, store_source
 from carawaydoor.serving import caller_app, http_servers, instance_state, peer_app
 
 # Port of /metrics and /status; also named in deploy/system.toml.
@@ -61,6 +61,9 @@
             options, clock, platform_metrics.Metrics(options.instance)
         )
         source = store_source.StoreSource(options.store)
+        self._instance.lists.source = store_lists.StoreLists(
+            options.store, options.store_history_s, source.configuration_created
+        )
         self._source_watcher = source_watcher.SourceWatcher(self._instance, source, clock)
         self._transport = transport.UdpTransport(
             platform_options.Address(options.peer_host, options.first_port),
--- a/src/carawaydoor/policy/entities.py
+++ b/src/carawaydoor/policy/entities.py
@@ -163,6 +163,11 @@
     has_workspaces: bool
 
 
+def stage_of_streams(service: Service | None) -> Stage:
+    """Return the stage of the upstreams of a service at which streams begin."""
+    return Stage.NONE if service is None or service.engine_spec is None else Stage.DECODE
+
+
 EMPTY_CONFIGURATION: Final = Configuration(0, 0, {}, {}, {}, Limits(), False)
 
 
--- a/src/carawaydoor/policy/stream_versions.py
+++ b/src/carawaydoor/policy/stream_versions.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import hashlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Final
 
 from carawaydoor.policy import entities, rendezvous
@@ -35,20 +35,6 @@
     version: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class VersionHistory:
-    """The versions that have served, beside those in the directory.
-
-    :ivar gone_s_by_service_version: when the last upstream of a service and version was removed
-    :ivar known_since_s: since when the removals are known, infinite before the first list
-    """
-
-    gone_s_by_service_version: Mapping[tuple[str, str], float] = dataclasses.field(
-        default_factory=dict
-    )
-    known_since_s: float = float("inf")
-
-
 def stream_key(workspace: str, request_id: str) -> str:
     """Return the name under which instances remember a stream.
 
@@ -93,51 +79,6 @@
     )
 
 
-def record_gone(
-    history: VersionHistory, now_s: float, upstream: entities.Upstream
-) -> VersionHistory:
-    """Return the history after an upstream was removed from the list."""
-    key = upstream.service, upstream.version
-    gone = {**history.gone_s_by_service_version, key: now_s}
-    return dataclasses.replace(history, gone_s_by_service_version=gone)
-
-
-def forget_before(history: VersionHistory, since_s: float) -> VersionHistory:
-    """Return the history without the versions that were removed before a time."""
-    gone = {
-        key: gone_s
-        for key, gone_s in history.gone_s_by_service_version.items()
-        if gone_s >= since_s
-    }
-    if len(gone) == len(history.gone_s_by_service_version):
-        return history
-    known_since_s = max(history.known_since_s, since_s)
-    return VersionHistory(gone, known_since_s)
-
-
-def possible_origins(
-    history: VersionHistory,
-    upstreams: Iterable[entities.Upstream],
-    services: Iterable[str],
-    since_s: float,
-) -> frozenset[Origin] | None:
-    """Return where a stream may have begun that is not older than ``since_s``.
-
-    :param services: services at which the stream may have begun
-    :return: None if the versions that served then are not known
-    """
-    if history.known_since_s > since_s:
-        return None
-    wanted = frozenset(services)
-    present = {Origin(each.service, each.version) for each in upstreams if each.service in wanted}
-    gone = {
-        Origin(*key)
-        for key, gone_s in history.gone_s_by_service_version.items()
-        if key[0] in wanted and gone_s >= since_s
-    }
-    return frozenset(present | gone)
-
-
 def earliest_begin_s(now_s: float, longest_timeout_s: float, left_s: float) -> float:
     """Return since when a stream that a caller takes up now may have run.
 
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -131,7 +131,7 @@
                 frozenset(excluded),
                 terms.reserve_share,
                 exchange.permits,
-                exchange.required_version,
+                exchange.placement_version,
             )
             now_s = self._instance.clock.now_s()
             if chosen is not None:
@@ -148,7 +148,12 @@
             )
             permit_s = self._instance.selector.next_permit_s(service.name, entities.Stage.DECODE)
             none_in_time = now_s + max(permit_s, turned_away_s or 0.0) >= terms.until_s
-            if now_s >= terms.until_s or none_in_time or exchange.inbound.is_gone():
+            if (
+                now_s >= terms.until_s
+                or none_in_time
+                or exchange.inbound.is_gone()
+                or self._is_version_unreachable(exchange, service, excluded)
+            ):
                 eliot.log_message(
                     message_type="generation_not_placed",
                     request=exchange.inbound.id,
@@ -162,6 +167,20 @@
                 min(terms.until_s - now_s, sockets.CALLER_POLL_INTERVAL_S)
             )
 
+    def _is_version_unreachable(
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        unreachable: set[str],
+    ) -> bool:
+        """Return whether all engines of the version at which a stream has to begin have failed."""
+        version = exchange.placement_version
+        return (
+            bool(unreachable)
+            and version is not None
+            and not self._instance.selector.serves_version(service.name, version, unreachable)
+        )
+
     def _connect(
         self,
         exchange: http_exchange.HttpExchange,
@@ -352,7 +371,7 @@
                 placed.prompt,
                 frozenset(tried),
                 placed.exchange.permits,
-                placed.exchange.required_version,
+                placed.exchange.placement_version,
             )
             if decode is None:
                 return False
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -57,7 +57,10 @@
     :ivar admitted_amount: tokens or requests charged to the usage cap of the workspace
     :ivar is_forwarded: whether another instance has passed the request on
     :ivar unreachable: number of failed attempts to connect to an upstream
+    :ivar ended_upstreams: ids of upstreams whose hosts refused a connection
     :ivar stream_key: name under which instances remember where the stream began
+    :ivar begin_version: software version of the upstreams at which the stream has to begin, None
+        if it may begin at any
     :ivar required_version: software version of the upstreams at which the stream may go on, empty
         if it is unknown, None for a stream without events
     """
@@ -76,9 +79,16 @@
     admitted_amount: float = 0.0
     is_forwarded: bool = False
     unreachable: int = 0
+    ended_upstreams: set[str] = dataclasses.field(default_factory=set)
     stream_key: str = ""
+    begin_version: str | None = None
     required_version: str | None = None
 
+    @property
+    def placement_version(self) -> str | None:
+        """Software version of the upstreams that may get the request now, None for any."""
+        return self.begin_version if self.required_version is None else self.required_version
+
     @property
     def workspace_name(self) -> str:
         """Name of the workspace, empty on a route without authentication."""
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -20,6 +20,8 @@
     freshness,
     source_position,
     stage_balance,
+    stream_ranking,
+    upstream_changes,
     upstream_directory,
     upstream_limits,
     usage_caps,
@@ -32,6 +34,7 @@
     stream_origins,
     stream_slots,
     upstream_limiter,
+    upstream_lists,
     upstream_selection,
 )
 
@@ -85,6 +88,7 @@
         self._version_lost_by_source = 0
         self.membership = gossip.Membership(options.instance, {})
         self.streams: Final = stream_origins.StreamOrigins(options, clock, lambda: self.membership)
+        self.lists: Final = upstream_lists.ListReader(clock)
         self.stream_slots: Final = stream_slots.StreamSlots()
         self._incarnation = secrets.randbits(62)
         self._sequence = 0
@@ -217,6 +221,17 @@
             if self.directory.revision:
                 self.streams.record_listed()
 
+    def changes_beside(self, current: stream_ranking.UpstreamList) -> upstream_changes.ChangeLog:
+        """Return the changes that this instance has seen, with those that only a list shows."""
+        with self._lock:
+            before = self.directory.upstream_by_id
+            return upstream_changes.compare(
+                self.streams.changes,
+                self.clock.now_s(),
+                before,
+                {each.upstream.id: each.upstream for each in current.listed},
+            )
+
     def begin_request(self) -> None:
         """Count a request as active."""
         with self._lock:
@@ -352,6 +367,7 @@
                 crashes=crash_evidence.crashes,
                 sound_age_s_by_part=crash_evidence.sound_age_s_by_part,
                 sound_age_s_by_request=crash_evidence.sound_age_s_by_request,
+                ranks_streams=True,
                 limits=self.upstream_limiter.share(),
                 turned_away_s_by_upstream=self.selector.turned_away.share(),
                 leaving_born_ms_by_upstream=upstream_directory.lately_leaving(
@@ -472,6 +488,10 @@
             fleet_retry_budget.is_settled(self.retry_budget, now_s),
         )
 
+    def is_without_peers(self) -> bool:
+        """Return whether this instance knows of no peer, though there should be some."""
+        return self._has_seeds_beside_itself() and not self.membership.peer_by_instance
+
     def _has_seeds_beside_itself(self) -> bool:
         return any(each.host != self.options.peer_host for each in self.options.seeds)
 
@@ -534,12 +554,12 @@
 
     def _apply_directory_effect(self, effect: upstream_directory.Effect) -> None:
         upstream = effect.upstream
+        self.streams.record_change(upstream)
         match effect:
             case upstream_directory.Gone():
                 self.connection_pool.close_idle(upstream)
                 self.selector.forget_health(upstream.id)
                 self.upstream_limiter.remove(upstream)
-                self.streams.record_gone(upstream)
                 change = "upstream_gone"
             case upstream_directory.Leaving():
                 self.connection_pool.close_idle(upstream)
--- /dev/null
+++ b/src/carawaydoor/serving/origin_inference.py
@@ -0,0 +1,87 @@
+"""Finds out where a stream began that no instance remembers."""
+
+from __future__ import annotations
+
+import eliot
+
+from carawaydoor.fleet import gossip
+from carawaydoor.operating import configuration_source
+from carawaydoor.policy import entities, stream_ranking, stream_versions
+from carawaydoor.serving import http_exchange, instance_state, stream_origins
+
+
+class OriginInference:
+    """Ranks the upstreams that there were when a stream began.
+
+    Needs a list that is younger than the request which takes the stream up: an instance that was cut
+    off or suspended may not know the upstream at which the stream began.
+    """
+
+    def __init__(self, instance: instance_state.InstanceState) -> None:
+        self._instance = instance
+
+    def infer(
+        self, exchange: http_exchange.HttpExchange, route: entities.Route
+    ) -> stream_origins.Answer:
+        """Return the only place where the stream can have begun, if there is only one.
+
+        The answer is incomplete if more may be known soon.
+        """
+        if self._instance.proof_age_s() > stream_ranking.MAX_LIST_AGE_S:
+            # Upstreams may have come and gone meanwhile.
+            return stream_origins.Answer(None, False)
+        try:
+            origins = self._possible_origins(exchange, route)
+        except configuration_source.SourceError as error:
+            eliot.log_message(
+                message_type="origin_not_inferred", request=exchange.inbound.id, detail=str(error)
+            )
+            return stream_origins.Answer(None, False)
+        is_certain = origins is not None and len(origins) == 1
+        return stream_origins.Answer(next(iter(origins or ())) if is_certain else None, True)
+
+    def _possible_origins(
+        self, exchange: http_exchange.HttpExchange, route: entities.Route
+    ) -> frozenset[stream_versions.Origin] | None:
+        instance = self._instance
+        current = instance.lists.current(exchange.received_s)
+        window = self._window(exchange, route)
+        log = instance.changes_beside(current)
+        past = None if log.known_since_s <= window.listed_since_s else instance.lists.past()
+        key = exchange.stream_key if self._can_rank(exchange, route) else ""
+        origins = set()
+        for name in {each.service for each in route.shares}:
+            service = instance.configuration.service_by_name.get(name)
+            stage = entities.stage_of_streams(service)
+            candidates = stream_ranking.candidates(name, stage, current, log, past, window)
+            if candidates is None:
+                return None
+            if not candidates:
+                continue
+            version = stream_ranking.begun_version(key, candidates)
+            if version is None:
+                return None
+            origins.add(stream_versions.Origin(name, version))
+        return frozenset(origins)
+
+    def _can_rank(self, exchange: http_exchange.HttpExchange, route: entities.Route) -> bool:
+        """Return whether the rank of the stream decided where it began.
+
+        Instances of an earlier release place streams without it.
+        """
+        return (
+            bool(exchange.inbound.resumes)
+            and route.kind is entities.RouteKind.RESUMABLE_STREAM
+            and len({each.service for each in route.shares}) == 1
+            and gossip.all_rank_streams(self._instance.membership)
+            and not self._instance.is_without_peers()
+        )
+
+    def _window(
+        self, exchange: http_exchange.HttpExchange, route: entities.Route
+    ) -> stream_ranking.Window:
+        clock = self._instance.clock
+        left_s = exchange.deadline_s - exchange.received_s
+        longest_s = self._instance.longest_timeout_s(route)
+        since_s = stream_versions.earliest_begin_s(exchange.received_s, longest_s, left_s)
+        return stream_ranking.Window(since_s, clock.wall_s() - (clock.now_s() - since_s))
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -62,7 +62,7 @@
             if is_retry and not self._instance.may_retry(exchange.inbound.id, service.name):
                 break
             upstream = self._instance.selector.reserve_plain(
-                service.name, frozenset(excluded), exchange.permits, exchange.required_version
+                service.name, frozenset(excluded), exchange.permits, exchange.placement_version
             )
             if upstream is None:
                 break
--- a/src/carawaydoor/serving/stream_origins.py
+++ b/src/carawaydoor/serving/stream_origins.py
@@ -17,7 +17,7 @@
 
 from carawaydoor.fleet import gossip, origin_query, reports
 from carawaydoor.operating import clocks, platform_options
-from carawaydoor.policy import entities, stream_versions
+from carawaydoor.policy import entities, stream_versions, upstream_changes
 
 # Longer than callers go on with one stream.
 MAX_AGE_S: Final = 60.0
@@ -33,8 +33,8 @@
 class Answer:
     """What instances know of a stream.
 
-    :ivar origin: None if no instance that was asked remembers the stream
-    :ivar is_complete: whether all instances that may remember it have answered
+    :ivar origin: None if that is not known
+    :ivar is_complete: whether all that may be known was found out
     """
 
     origin: stream_versions.Origin | None
@@ -42,7 +42,7 @@
 
 
 class StreamOrigins:
-    """The origins that this instance remembers, and the versions that have served.
+    """The origins that this instance remembers, and the changes of upstreams.
 
     :ivar on_origins: called with a report and the hosts of the peers that should remember it
     """
@@ -54,7 +54,7 @@
         membership: Callable[[], gossip.Membership],
     ) -> None:
         self.on_origins: SendCallback = _send_nothing
-        self.history = stream_versions.VersionHistory()
+        self.changes = upstream_changes.ChangeLog()
         self._options = options
         self._clock = clock
         self._membership = membership
@@ -126,14 +126,13 @@
 
     def record_listed(self) -> None:
         """Record that the list of upstreams has been read, so that its changes are known now."""
-        if self.history.known_since_s > self._clock.now_s():
-            self.history = dataclasses.replace(self.history, known_since_s=self._clock.now_s())
+        self.changes = upstream_changes.start(self.changes, self._clock.now_s())
 
-    def record_gone(self, upstream: entities.Upstream) -> None:
-        """Record that an upstream was removed, whose version may have begun streams."""
+    def record_change(self, upstream: entities.Upstream) -> None:
+        """Record a change of an upstream, which may have begun streams before or begins some now."""
         now_s = self._clock.now_s()
-        history = stream_versions.forget_before(self.history, now_s - MAX_AGE_S)
-        self.history = stream_versions.record_gone(history, now_s, upstream)
+        change = upstream_changes.Change(now_s, upstream)
+        self.changes = upstream_changes.record(self.changes, change, now_s - MAX_AGE_S)
 
     def _record(self, key: str, origin: stream_versions.Origin, began_s: float) -> None:
         with self._lock:
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -216,7 +216,7 @@
         is_resumable = route.kind is entities.RouteKind.RESUMABLE_STREAM
         if not is_resumable or len(self._used) >= route.max_attempts:
             return False
-        version, service = self._exchange.required_version, self._exchange.service
+        version, service = self._exchange.placement_version, self._exchange.service
         return (
             version is None
             or service is None
@@ -262,7 +262,7 @@
         """Offer the stream to the engine with the copy of its KV cache, then to another one."""
         backup = self._backup
         if backup is not None and not stream_versions.matches(
-            backup, self._exchange.required_version
+            backup, self._exchange.placement_version
         ):
             # Made for an engine that failed before its first event.
             self._backup = backup = None
--- a/src/carawaydoor/serving/stream_resumption.py
+++ b/src/carawaydoor/serving/stream_resumption.py
@@ -8,7 +8,13 @@
 import expression
 
 from carawaydoor.policy import entities, stream_versions
-from carawaydoor.serving import http_exchange, refusals, request_filters
+from carawaydoor.serving import (
+    http_exchange,
+    instance_state,
+    origin_inference,
+    refusals,
+    request_filters,
+)
 
 # What callers name that got no event; their stream may begin anywhere.
 _NO_EVENT_IDS: Final = frozenset({"", "0"})
@@ -17,12 +23,16 @@
 
 
 class ResumptionFilter(request_filters.Filter):
-    """Sets the version, and the service, at which a stream that a caller takes up goes on.
+    """Sets the version at which a stream begins or goes on, and the service if a caller takes it up.
 
     Events of two versions don't fit together. A stream whose version is unknown is refused: a caller
     that gets no answer can begin anew, one that got a wrong one doesn't know.
     """
 
+    def __init__(self, instance: instance_state.InstanceState) -> None:
+        super().__init__(instance)
+        self._inference = origin_inference.OriginInference(instance)
+
     def apply(self, exchange: http_exchange.HttpExchange) -> request_filters.FilterResult:
         """Pass a new stream, and one that can go on at the version that began it."""
         route, inbound = exchange.route, exchange.inbound
@@ -30,6 +40,10 @@
             return expression.Ok(exchange)
         if inbound.last_event_id in _NO_EVENT_IDS:
             exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.id)
+            if route.kind is entities.RouteKind.RESUMABLE_STREAM and exchange.service is not None:
+                exchange.begin_version = self._instance.selector.begin_version(
+                    exchange.service, exchange.stream_key
+                )
             return expression.Ok(exchange)
         exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.resumes)
         result = self._find_origin(exchange, route)
@@ -54,14 +68,14 @@
     ) -> expression.Result[stream_versions.Origin, refusals.Refusal]:
         inbound = exchange.inbound
         origin = self._instance.streams.known(exchange.stream_key) if inbound.resumes else None
-        source = "own"
-        is_complete = True
-        possible = self._possible_origins(exchange, route)
-        if origin is None and possible is not None and len(possible) == 1:
-            origin, source = next(iter(possible)), "only version"
-        elif origin is None and inbound.resumes:
+        source, is_complete = "own", True
+        if origin is None and inbound.resumes:
             answer = self._instance.streams.ask_peers(exchange.stream_key)
             origin, source, is_complete = answer.origin, "peer", answer.is_complete
+        if origin is None:
+            answer = self._inference.infer(exchange, route)
+            origin, source = answer.origin, "inferred"
+            is_complete = is_complete and answer.is_complete
         eliot.log_message(
             message_type="stream_taken_up",
             request=inbound.id,
@@ -70,32 +84,18 @@
             service=origin.service if origin else "",
             version=origin.version if origin else "",
             source=source if origin else "",
-            possible=None if possible is None else sorted(each.version for each in possible),
+            list_age_s=round(self._instance.proof_age_s(), 3),
         )
         if origin is None:
-            retry_after_s = None if is_complete else UNKNOWN_RETRY_AFTER_S
             return expression.Error(
                 refusals.Refusal(
                     refusals.Reason.STREAM_LOST,
                     "no instance remembers which version began the stream",
-                    retry_after_s,
+                    None if is_complete else UNKNOWN_RETRY_AFTER_S,
                 )
             )
         return expression.Ok(origin)
 
-    def _possible_origins(
-        self, exchange: http_exchange.HttpExchange, route: entities.Route
-    ) -> frozenset[stream_versions.Origin] | None:
-        left_s = exchange.deadline_s - exchange.received_s
-        longest_s = self._instance.longest_timeout_s(route)
-        since_s = stream_versions.earliest_begin_s(exchange.received_s, longest_s, left_s)
-        return stream_versions.possible_origins(
-            self._instance.streams.history,
-            self._instance.directory.upstream_by_id.values(),
-            (each.service for each in route.shares),
-            since_s,
-        )
-
 
 def _refuse(reason: refusals.Reason, detail: str) -> request_filters.FilterResult:
     return expression.Error(refusals.Refusal(reason, detail))
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -147,8 +147,23 @@
             return self._instance.connection_pool.acquire(upstream, request_id=exchange.inbound.id)
         except connections.NotSentError as error:
             exchange.unreachable += 1
+            if isinstance(error, connections.NoListenerError):
+                self._record_ended(exchange, upstream)
             raise self._call_error(exchange, upstream, Failure.NOT_SENT, error) from error
 
+    def _record_ended(
+        self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
+    ) -> None:
+        """Let a stream begin at any version if all upstreams of its version have ended."""
+        exchange.ended_upstreams.add(upstream.id)
+        version, service = exchange.begin_version, exchange.service
+        if version is None or service is None:
+            return
+        if not self._instance.selector.serves_version(
+            service.name, version, exchange.ended_upstreams
+        ):
+            exchange.begin_version = None
+
     def send(
         self,
         exchange: http_exchange.HttpExchange,
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -19,6 +19,7 @@
     peer_evidence,
     placement,
     stage_balance,
+    stream_ranking,
     stream_versions,
 )
 from carawaydoor.serving import peer_failures, reachability, turned_away, upstream_limiter
@@ -231,6 +232,21 @@
             if each.service == service and each.stage is stage and not each.is_leaving
         )
 
+    def begin_version(self, service: entities.Service, key: str) -> str | None:
+        """Return the software version at which a new stream has to begin, None for any.
+
+        :param key: name of the stream
+        """
+        stage = entities.stage_of_streams(service)
+        return stream_ranking.begin_version(
+            key,
+            [
+                each
+                for each in self._upstreams()
+                if each.service == service.name and each.stage is stage
+            ],
+        )
+
     def serves_version(
         self, service: str, version: str, excluded: Collection[str] = frozenset()
     ) -> bool:
--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -111,6 +111,7 @@
         """Replace an instance by one that knows only the list of upstreams."""
         killed = self.members[number]
         started = router_harness.RouterHarness(self.clock, killed.instance.options.instance)
+        started.instance.lists.source = killed.instance.lists.source
         started.upstreams = killed.upstreams
         started.instance.streams.on_origins = self._deliver_origins
         entries = dict(killed.instance.directory.upstream_by_id)
