Bound the memory of all responses of an instance together

A faulty server that sends bytes without end filled the memory of the instance that had called it (report of other operators; LOST, processes that end by themselves).

Cause: each response was bounded, their sum was not, and up to 72 are read at once. Joined copies, the arenas of the C library, a quadratic search for the end of an event and unbounded trailers added to it.

ResponseBudget bounds what responses hold together by the memory of the machine; 64 KB of each are free, so small ones are always read. A response that finds no room counts as malformed, so a read is tried elsewhere. Chunks are passed on as they came and freed as they are taken. Heads, events, trailers and buffered output have smaller bounds; all threads share two arenas.

test_endless_responses.py: the constant it compares moved, its bound did not. test_partitioned_instances.py reads a field by name now that the evidence of crashes has four.

--- a/src/carawaydoor/operating/http_responses.py
+++ b/src/carawaydoor/operating/http_responses.py
@@ -16,6 +16,7 @@
 _HEADER_LINE: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00\r\n]*\r?\n")
 _CHUNK_SIZE_LINE: Final = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\x00\r\n]*)?\r?\n")
 _EMPTY_LINES: Final = frozenset({b"\r\n", b"\n"})
+_MAX_TRAILER_BYTES: Final = 16_384
 _CONTENT_LENGTH: Final = re.compile(r"[0-9]{1,15}")
 _SWITCHING_PROTOCOLS_STATUS: Final = 101
 _MIN_FINAL_STATUS: Final = 200
@@ -71,6 +72,7 @@
         self._reader = reader
         self._expected = _STATUS_LINE
         self._is_in_chunks = False
+        self._trailer_bytes = 0
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._reader, name)
@@ -95,6 +97,10 @@
             # An interim response is followed by another head, a trailer by nothing.
             self._expected = _CHUNK_SIZE_LINE if self._is_in_chunks else _STATUS_LINE
             return line
+        if self._is_in_chunks and self._expected is _HEADER_LINE:
+            self._trailer_bytes += len(line)
+            if self._trailer_bytes > _MAX_TRAILER_BYTES:
+                raise MalformedHeadError(f"trailers exceed {_MAX_TRAILER_BYTES} bytes")
         match = self._expected.fullmatch(line)
         if match is None:
             raise MalformedHeadError(f"malformed line in the head or framing: {line[:80]!r}")
--- a/src/carawaydoor/operating/platform_options.py
+++ b/src/carawaydoor/operating/platform_options.py
@@ -56,6 +56,7 @@
     :ivar seeds: addresses of peers to contact first; some may no longer exist
     :ivar store: address of the platform's store
     :ivar max_descriptors: limit of open file descriptors
+    :ivar memory_bytes: limit of the memory of the process
     :ivar store_history_s: time in seconds for which the store keeps changes
     """
 
@@ -69,4 +70,5 @@
     store: Address
     bounds: Bounds
     max_descriptors: int
+    memory_bytes: int = 300_000_000
     store_history_s: float = 0.0
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -15,6 +15,7 @@
 from carawaydoor.platform import names
 
 _MS_PER_S: Final = 1000.0
+_BYTES_PER_MB: Final = 1_000_000
 
 Positive = Annotated[float, pydantic.Field(gt=0.0, allow_inf_nan=False)]
 NonNegative = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
@@ -128,6 +129,7 @@
             drain_s=bounds.drainMs / _MS_PER_S,
         ),
         max_descriptors=settings.limits.fileDescriptors,
+        memory_bytes=int(settings.limits.memoryMb * _BYTES_PER_MB),
         store_history_s=settings.platform.historyS,
     )
 
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -18,6 +18,7 @@
 from carawaydoor import release
 from carawaydoor.fleet import transport
 from carawaydoor.operating import (
+    allocator,
     clocks,
     exit_codes,
     logs,
@@ -211,6 +212,7 @@
     signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
     signal.signal(signal.SIGINT, lambda *_: stop_requested.set())
     signal.signal(signal.SIGHUP, lambda *_: reload_requested.set())
+    allocator.limit_arenas()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     daemon = Daemon(result.ok, clock)
     daemon.start()
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import dataclasses
 import enum
 import http.client
@@ -14,7 +15,7 @@
 
 from carawaydoor.operating import clocks, http_responses
 from carawaydoor.policy import entities
-from carawaydoor.serving import http_exchange, protocol_adapter, sockets
+from carawaydoor.serving import http_exchange, protocol_adapter, response_budget, sockets
 
 # Long enough for some round trips and one retransmission.
 CONNECT_TIMEOUT_S: Final = 0.6
@@ -24,11 +25,8 @@
 # Applies to upstreams that state no keep-alive timeout.
 DEFAULT_MAX_IDLE_S: Final = 4.0
 MAX_CHUNK_BYTES: Final = 65_536
-# Applies to responses that are read as a whole, so that a few endless ones fit into the memory of a
-# small machine.
-MAX_RESPONSE_BYTES: Final = 4_194_304
 # Bounds the status line, the headers and any interim responses before them.
-MAX_HEAD_BYTES: Final = 262_144
+MAX_HEAD_BYTES: Final = 65_536
 # Bounds the body as it is transferred, with chunk sizes and trailers.
 MAX_TRANSFERRED_BODY_BYTES: Final = 64_000_000
 # Ids that a connection remembers; a request is only repeated within seconds.
@@ -57,6 +55,10 @@
     """The response violates HTTP; the request may have run."""
 
 
+class ResponseTooLargeError(MalformedResponseError):
+    """The instance has no memory left to read a response as a whole."""
+
+
 class Origin(enum.Enum):
     """Whether a connection is new or was used before."""
 
@@ -126,6 +128,11 @@
         self._pool.on_response(self.upstream, opened)
         return opened
 
+    @property
+    def budget(self) -> response_budget.ResponseBudget:
+        """The memory that responses may take."""
+        return self._pool.budget
+
     def set_wait_limit(self, wait_limit: sockets.WaitLimit) -> None:
         """Apply another wait limit to the rest of a response."""
         self._socket.wait_limit = wait_limit
@@ -193,18 +200,30 @@
     def read(self) -> bytes:
         """Return the whole body.
 
-        :raises UpstreamConnectionError: if the body is incomplete or too large
+        :raises UpstreamConnectionError: if the body is incomplete, or too large for the memory left
         """
-        return b"".join(self.chunks(MAX_RESPONSE_BYTES))
+        with contextlib.closing(self.read_held()) as body:
+            return b"".join(body)
+
+    def read_held(self) -> HeldBody:
+        """Return the whole body, which holds a part of the instance's memory until it is taken.
 
-    def chunks(self, limit: int | None = None) -> Iterator[bytes]:
+        :raises UpstreamConnectionError: if the body is incomplete, or too large for the memory left
+        """
+        body = HeldBody(self._connection.budget.reserve())
+        try:
+            for chunk in self.chunks():
+                body.add(chunk)
+        except BaseException:
+            body.close()
+            raise
+        return body
+
+    def chunks(self) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
-        :param limit: largest size in bytes, None for no limit
         :raises ConnectionLostError: if the connection fails or the body ends early
-        :raises MalformedResponseError: if the body exceeds the limit
         """
-        total = 0
         while True:
             try:
                 chunk = self._response.read1(MAX_CHUNK_BYTES)
@@ -214,9 +233,6 @@
                 raise ConnectionLostError(f"body is incomplete: {error!r}") from error
             if not chunk:
                 break
-            total += len(chunk)
-            if limit is not None and total > limit:
-                raise MalformedResponseError(f"body exceeds {limit} bytes")
             yield chunk
         if self._response.length:
             raise ConnectionLostError(f"{self._response.length} bytes of the body are missing")
@@ -232,6 +248,50 @@
         return MAX_IDLE_SHARE * int(match.group(1)) if match else DEFAULT_MAX_IDLE_S
 
 
+class HeldBody(Iterator[bytes]):
+    """The chunks of a body, whose memory is free again once they are taken.
+
+    :ivar length: size of the body in bytes
+    """
+
+    def __init__(self, reservation: response_budget.Reservation) -> None:
+        self.length = 0
+        self._held_bytes = 0
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._reservation = reservation
+
+    def add(self, chunk: bytes) -> None:
+        """Append a chunk.
+
+        :raises ResponseTooLargeError: if the instance has no memory for it
+        """
+        self._held_bytes += len(chunk)
+        if not self._reservation.resize(self._held_bytes):
+            raise ResponseTooLargeError(f"no memory for more than {self.length} bytes of the body")
+        self.length += len(chunk)
+        self._chunks.append(chunk)
+
+    @property
+    def end(self) -> bytes:
+        """The last bytes, at least four if there are as many."""
+        return b"".join(tuple(self._chunks)[-4:])
+
+    def __next__(self) -> bytes:
+        """Take the next chunk."""
+        if not self._chunks:
+            self._reservation.close()
+            raise StopIteration
+        chunk = self._chunks.popleft()
+        self._held_bytes -= len(chunk)
+        self._reservation.resize(self._held_bytes)
+        return chunk
+
+    def close(self) -> None:
+        """Drop the chunks that were not taken."""
+        self._chunks.clear()
+        self._reservation.close()
+
+
 RequestCallback = Callable[[entities.Upstream], None]
 ResponseCallback = Callable[[entities.Upstream, UpstreamResponse], None]
 
@@ -239,11 +299,17 @@
 class ConnectionPool:
     """Idle connections by upstream.
 
+    :ivar budget: the memory that responses may take
     :ivar on_request: called before any request is sent
     :ivar on_response: called with each response to any request, as soon as its headers are there
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, clock: clocks.Clock, budget: response_budget.ResponseBudget | None = None
+    ) -> None:
+        self.budget: Final = budget or response_budget.ResponseBudget(
+            response_budget.MAX_TOTAL_BYTES
+        )
         self.on_request: RequestCallback = _ignore_request
         self.on_response: ResponseCallback = _ignore_response
         self.clock: Final = clock
--- a/src/carawaydoor/serving/event_splitter.py
+++ b/src/carawaydoor/serving/event_splitter.py
@@ -5,7 +5,7 @@
 import re
 from typing import Final
 
-from carawaydoor.serving import connections
+from carawaydoor.serving import connections, response_budget
 
 EVENT_STREAM_TYPE: Final = "text/event-stream"
 MIN_UNSUCCESSFUL_STATUS: Final = 300
@@ -13,7 +13,9 @@
 _END_OF_EVENT: Final = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_ID: Final = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 # The engines send far smaller events; a longer one means that the stream is malformed.
-MAX_EVENT_BYTES: Final = 1_000_000
+MAX_EVENT_BYTES: Final = 262_144
+# Of the longest end of an event; the rest of it may come with the next chunk.
+_MAX_PARTIAL_END_BYTES: Final = 3
 
 
 def is_event_stream(response: connections.UpstreamResponse) -> bool:
@@ -29,10 +31,12 @@
     return response.status < MIN_UNSUCCESSFUL_STATUS and content_type.startswith(EVENT_STREAM_TYPE)
 
 
-def ends_inside_event(content: bytes) -> bool:
-    """Return whether a stream of events ends before the end of its last event."""
-    end = max((each.end() for each in _END_OF_EVENT.finditer(content)), default=0)
-    return end < len(content)
+def ends_inside_event(end: bytes) -> bool:
+    """Return whether a stream of events ends before the end of its last event.
+
+    :param end: its last bytes
+    """
+    return bool(end) and not end.endswith((b"\n\n", b"\r\n\r\n", b"\r\r"))
 
 
 class EventTooLongError(connections.MalformedResponseError):
@@ -42,25 +46,31 @@
 class EventSplitter:
     """Buffers the bytes of an event until it is complete.
 
+    :param reservation: memory for the incomplete event
+
     :ivar last_id: id of the last complete event that has one
     """
 
-    def __init__(self, last_id: str = "") -> None:
+    def __init__(self, reservation: response_budget.Reservation, last_id: str = "") -> None:
         self.last_id = last_id
-        self._incomplete = b""
+        self._reservation = reservation
+        self._incomplete = bytearray()
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk of the stream and return the events that are now complete.
 
-        :raises EventTooLongError: if an incomplete event exceeds the size limit
+        :raises EventTooLongError: if an incomplete event exceeds the size limit, or the memory left
         """
-        content = self._incomplete + chunk
+        content = self._incomplete
+        first_new = max(0, len(content) - _MAX_PARTIAL_END_BYTES)
+        content += chunk
         end = 0
-        for match in _END_OF_EVENT.finditer(content):
+        for match in _END_OF_EVENT.finditer(content, first_new):
             end = match.end()
-        complete, self._incomplete = content[:end], content[end:]
-        if len(self._incomplete) > MAX_EVENT_BYTES:
-            raise EventTooLongError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        complete = bytes(content[:end])
+        del content[:end]
+        if len(content) > MAX_EVENT_BYTES or not self._reservation.resize(len(content)):
+            raise EventTooLongError(f"no room for more than {len(content)} bytes of an event")
         ids = _EVENT_ID.findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1").strip()
@@ -68,9 +78,14 @@
 
     def take_remainder(self) -> bytes:
         """Return and remove the bytes after the last complete event."""
-        remainder, self._incomplete = self._incomplete, b""
+        remainder, self._incomplete = bytes(self._incomplete), bytearray()
         return remainder
 
     def discard_incomplete(self) -> None:
         """Discard the bytes after the last complete event."""
-        self._incomplete = b""
+        self._incomplete.clear()
+
+    def close(self) -> None:
+        """Discard what is buffered, and hold no memory any more."""
+        self.discard_incomplete()
+        self._reservation.close()
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -257,7 +257,7 @@
         )
         try:
             opened = self._client.send(exchange, request, attempt_deadline_s)
-            content = self._client.read_body(exchange, prefill, opened)
+            content = b"".join(self._client.read_body(exchange, prefill, opened))
         except upstream_client.CallError as error:
             if error.failure is upstream_client.Failure.CALLER_GONE:
                 raise
--- a/src/carawaydoor/serving/http_servers.py
+++ b/src/carawaydoor/serving/http_servers.py
@@ -28,7 +28,7 @@
 IDLE_TIMEOUT_SLACK_S: Final = 5.0
 CLEANUP_INTERVAL_S: Final = 5
 # Above this, sending to a slow caller blocks the thread of its request.
-MAX_BUFFERED_RESPONSE_BYTES: Final = 262_144
+MAX_BUFFERED_RESPONSE_BYTES: Final = 131_072
 POLL_CHECK_INTERVAL_S: Final = 0.005
 
 
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -30,6 +30,7 @@
     connections,
     crash_guard,
     reachability,
+    response_budget,
     source_state,
     stream_origins,
     stream_slots,
@@ -64,7 +65,8 @@
         self.options = options
         self.clock = clock
         self.metrics = metrics
-        self.connection_pool = connections.ConnectionPool(clock)
+        budget = response_budget.ResponseBudget(response_budget.total_bytes(options.memory_bytes))
+        self.connection_pool = connections.ConnectionPool(clock, budget)
         self.configuration = entities.EMPTY_CONFIGURATION
         self.freshness = freshness.Freshness()
         self.directory = upstream_directory.EMPTY
--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -47,7 +47,7 @@
     ) -> None:
         self._instance = instance
         self._adapter = adapter
-        self._pool = connections.ConnectionPool(instance.clock)
+        self._pool = connections.ConnectionPool(instance.clock, instance.connection_pool.budget)
         self._random = random.Random()
 
     def forward(self, exchange: http_exchange.HttpExchange) -> request_filters.HandlerResult | None:
@@ -121,7 +121,7 @@
         if check.is_of_other_request:
             raise connections.MalformedResponseError("the response is to another request")
         is_stream = check.is_genuine and response.framing is not connections.Framing.LENGTH
-        content = b"" if is_stream else response.read()
+        content = b"" if check.is_genuine else response.read()
         if not check.is_genuine and response.status == refusals.Status.UNAVAILABLE:
             reason = _reason(content)
             self._log(exchange, peer, f"refused: {reason}")
@@ -135,13 +135,16 @@
         )
         if is_refused and exchange.admitted_amount > 0.0:
             self._instance.refund(exchange.workspace_name, exchange.admitted_amount)
+        if is_stream:
+            chunks, length = response.chunks(), None
+        elif check.is_genuine:
+            body = response.read_held()
+            exchange.cleanup.callback(body.close)
+            chunks, length = body, body.length
+        else:
+            chunks, length = iter([content]), len(content)
         return http_exchange.Response(
-            response.status,
-            response.reason,
-            response.headers,
-            response.chunks() if is_stream else iter([content]),
-            None if is_stream else len(content),
-            peer.id,
+            response.status, response.reason, response.headers, chunks, length, peer.id
         )
 
     def _log(
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -140,7 +140,7 @@
         upstream: entities.Upstream,
         opened: upstream_client.OpenResponse,
     ) -> http_exchange.Response:
-        content = self._client.read_body(exchange, upstream, opened)
+        body = self._client.read_body(exchange, upstream, opened)
         response = opened.response
         if response.framing is connections.Framing.CONNECTION_END:
             self._client.crash_checks.check_survival_later(exchange, upstream)
@@ -150,8 +150,8 @@
             response.status,
             response.reason,
             response.headers,
-            iter([content]),
-            len(content),
+            body,
+            body.length,
             upstream.id,
         )
 
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -70,7 +70,10 @@
         self._adapter = adapter
         self._exchange = exchange
         self._targets = targets
-        self._splitter = event_splitter.EventSplitter(exchange.inbound.last_event_id)
+        self._splitter = event_splitter.EventSplitter(
+            instance.connection_pool.budget.reserve(), exchange.inbound.last_event_id
+        )
+        exchange.cleanup.callback(self._splitter.close)
         self._backup: entities.Upstream | None = None
         self._used: set[str] = set()
         self._continuation: _Source | None = None
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -231,18 +231,19 @@
         exchange: http_exchange.HttpExchange,
         upstream: entities.Upstream,
         opened: OpenResponse,
-    ) -> bytes:
+    ) -> connections.HeldBody:
         """Return the whole body of a response and release its connection to the pool.
 
-        :raises CallError: if the body is incomplete
+        :raises CallError: if the body is incomplete, or too large
         """
         try:
-            content = opened.response.read()
+            body = opened.response.read_held()
         except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
             opened.connection.close()
             raise self._call_error(exchange, upstream, classify_error(error), error) from error
+        exchange.cleanup.callback(body.close)
         is_stream = event_splitter.is_declared_event_stream(opened.response)
-        if is_stream and event_splitter.ends_inside_event(content):
+        if is_stream and event_splitter.ends_inside_event(body.end):
             opened.connection.close()
             detail = "the stream ended inside an event"
             raise self._call_error(exchange, upstream, Failure.BROKEN, detail)
@@ -251,7 +252,7 @@
         self._instance.selector.record_outcome(
             upstream, health.Outcome.FAILED if failed else health.Outcome.ANSWERED
         )
-        return content
+        return body
 
     def release_kv(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream, kv_source: str
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -181,9 +181,11 @@
 
 
 @contextlib.contextmanager
-def running(clock: clocks.Clock | None = None, instance: str = "m") -> Iterator[RouterHarness]:
+def running(
+    clock: clocks.Clock | None = None, instance: str = "m", **options: Any
+) -> Iterator[RouterHarness]:
     """Provide an instance and stop its upstreams at the end."""
-    harness = RouterHarness(clock, instance)
+    harness = RouterHarness(clock, instance, **options)
     try:
         yield harness
     finally:
--- a/tests/platform_side/test_endless_responses.py
+++ b/tests/platform_side/test_endless_responses.py
@@ -11,7 +11,7 @@
 import pytest
 
 from carawaydoor.policy import entities
-from carawaydoor.serving import connections
+from carawaydoor.serving import response_budget
 from tests.platform_side import router_harness
 from tests.platform_side.fake_upstream import Behaviour
 
@@ -85,7 +85,7 @@
 
 
 def test_memory_for_one_endless_body_is_bounded():
-    assert connections.MAX_RESPONSE_BYTES <= 8_000_000
+    assert response_budget.MAX_RESPONSE_BYTES <= 8_000_000
 
 
 def test_response_before_a_reset_connection_is_delivered(harness):
--- a/tests/platform_side/test_partitioned_instances.py
+++ b/tests/platform_side/test_partitioned_instances.py
@@ -114,7 +114,7 @@
 
     pool.acquire = acquire
     assert call(member, "/unsafe/x", "r").status == 502
-    struck, _, _ = member.instance.crash_guard.share()
+    struck = member.instance.crash_guard.share().strikes
     assert struck == ()
 
 
--- a/tools/soak/soak_environment.py
+++ b/tools/soak/soak_environment.py
@@ -25,6 +25,7 @@
 ROUTE_HOST: Final = "soak.example"
 API_KEYS: Final = ("key-a", "key-b", "key-c")
 SHUTDOWN_GRACE_S: Final = 8
+MEMORY_MB: Final = 300
 KEY_WITHDRAWAL_BOUND_S: Final = 5.0
 DRAIN_BOUND_S: Final = 2.0
 # Imported by the instances at their start.
@@ -48,7 +49,7 @@
 frontend = "{host}:{front}"
 ready = "{host}:{ready}"
 [limits]
-memoryMb = 300
+memoryMb = {memory}
 fileDescriptors = 1000
 [bounds]
 graceS = {grace}
@@ -91,6 +92,7 @@
                 front=FRONTEND_PORT,
                 ready=READINESS_PORT,
                 grace=SHUTDOWN_GRACE_S,
+                memory=MEMORY_MB,
                 store=store_port,
             )
         )
@@ -98,6 +100,13 @@
         self.is_exit_expected = False
         self.process: subprocess.Popen[bytes] | None = None
 
+    def limit_memory(self, memory_mb: int) -> None:
+        """State another limit of memory in the settings; it is not enforced."""
+        text = self._settings_path.read_text()
+        self._settings_path.write_text(
+            text.replace(f"memoryMb = {MEMORY_MB}", f"memoryMb = {memory_mb}")
+        )
+
     def start(self) -> None:
         """Start the process."""
         process_environment = {
@@ -265,6 +274,32 @@
             if key not in keys:
                 self.withdrawn_s_by_key.setdefault(key, time.monotonic())
 
+    def publish_endless_upstream(self, name: str, port: int) -> None:
+        """Write the store entry of an upstream of the service whose responses have no end."""
+        entry = {
+            "service": "endless",
+            "address": f"127.0.0.1:{port}",
+            "zone": "a",
+            "slots": 100,
+            "state": "ready",
+            "born": 1,
+            "version": FIRST_VERSION,
+        }
+        self.store.put(names.SERVERS_PREFIX + name, entry)
+
+    def publish_endless_routes(self) -> None:
+        """Publish a configuration with routes to the service whose responses have no end."""
+        common = {"host": ROUTE_HOST, "timeoutMs": 4000, "targetLatencyMs": 900, "priority": 1}
+        routes = [
+            {**common, "pathPrefix": "/endless/", "kind": "safe", "maxAttempts": 2},
+            {**common, "pathPrefix": "/endless-stream/", "kind": "streaming", "targetGapMs": 300},
+        ]
+        document: dict[str, Any] = dict(self._configuration)
+        document["version"] = self._configuration_version = self._configuration_version + 1
+        document["routes"] = [*document["routes"], *({**r, "service": "endless"} for r in routes)]
+        document["services"] = [*document["services"], {"name": "endless"}]
+        self.store.put(names.CONFIGURATION_KEY, document)
+
     def restore_store(self) -> None:
         """Restore the store from the copy that was made at the last call, or at the first one."""
         copy = self._copy or self.store.copy()
