Begin and continue no stream that a stop would cut off

Other operators reported that requests which came late in the grace period of a planned stop were passed on and cut off without an answer.

Two related faults were found. A stream that waited for an engine could begin 2.5 s after the last moment at which new ones are accepted, and one whose upstream failed near the end was continued here; both were cut off at the exit.

Cause: the time was checked once, on arrival. policy/drain.py now decides for what has waited and for continuations too.

--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -9,7 +9,7 @@
 import eliot
 import expression
 
-from carawaydoor.policy import capacity_wait, entities, load, placement
+from carawaydoor.policy import capacity_wait, drain, entities, load, placement
 from carawaydoor.serving import (
     connections,
     continuation_targets,
@@ -74,6 +74,8 @@
         arrival = self._describe_arrival(exchange)
         placed = self._place(exchange, service, prompt, arrival)
         if placed is None:
+            if not self._may_begin():
+                return expression.Error(request_filters.leaving_refusal())
             return expression.Error(self._no_room_refusal(service, arrival))
         try:
             kv_source = self._prefill(placed)
@@ -124,7 +126,7 @@
         """
         terms = capacity_wait.wait_terms(arrival, placement.decode_engine_prefill_s(prompt))
         excluded: set[str] = set()
-        while True:
+        while self._may_begin():
             chosen = self._instance.selector.reserve_generation(
                 service,
                 prompt,
@@ -166,6 +168,11 @@
             self._instance.selector.wait_for_release(
                 min(terms.until_s - now_s, sockets.CALLER_POLL_INTERVAL_S)
             )
+        return None
+
+    def _may_begin(self) -> bool:
+        """Return whether a generation that has waited may still begin before a stop."""
+        return drain.may_begin_stream(self._instance.draining_for_s(self._instance.clock.now_s()))
 
     def _is_version_unreachable(
         self,
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -132,6 +132,13 @@
         """Whether this instance has been told to stop."""
         return self.drain_started_s is not None
 
+    def draining_for_s(self, at_s: float) -> float | None:
+        """Return for how long this instance had been stopping at a time, None if it had not.
+
+        :param at_s: this instance's clock in seconds
+        """
+        return None if self.drain_started_s is None else at_s - self.drain_started_s
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this instance."""
--- a/src/carawaydoor/serving/request_filters.py
+++ b/src/carawaydoor/serving/request_filters.py
@@ -7,7 +7,7 @@
 
 import expression
 
-from carawaydoor.policy import routes, strikes, usage_caps
+from carawaydoor.policy import drain, routes, strikes, usage_caps
 from carawaydoor.serving import http_exchange, instance_state, refusals
 
 FilterResult = expression.Result[http_exchange.HttpExchange, refusals.Refusal]
@@ -17,11 +17,6 @@
 NOT_READY_RETRY_AFTER_S: Final = 0.5
 # Short, since a retry on a new connection reaches another instance.
 DRAINING_RETRY_AFTER_S: Final = 0.05
-# Counted from the stop signal: the load balancer needs about two seconds to stop sending requests,
-# and long streams need most of the grace period.
-STREAM_ACCEPT_PERIOD_S: Final = 2.8
-# Part of the grace period that the process needs to exit.
-EXIT_RESERVE_S: Final = 1.0
 
 
 class Filter(abc.ABC):
@@ -89,20 +84,16 @@
 
     def apply(self, exchange: http_exchange.HttpExchange) -> FilterResult:
         """Pass a request that has enough time to finish."""
-        drain_started_s, route = self._instance.drain_started_s, exchange.route
-        if drain_started_s is None or route is None:
+        route = exchange.route
+        if route is None:
             return expression.Ok(exchange)
-        draining_for_s = exchange.received_s - drain_started_s
+        draining_for_s = self._instance.draining_for_s(exchange.received_s)
         if route.kind.is_stream:
-            is_too_late = draining_for_s > STREAM_ACCEPT_PERIOD_S
+            may_begin = drain.may_begin_stream(draining_for_s)
         else:
-            left_s = self._instance.options.bounds.grace_s - draining_for_s
-            is_too_late = left_s < route.timeout_s + EXIT_RESERVE_S
-        if is_too_late:
-            return _refuse(
-                refusals.Reason.INSTANCE_LEAVING, "this instance is leaving", DRAINING_RETRY_AFTER_S
-            )
-        return expression.Ok(exchange)
+            grace_s = self._instance.options.bounds.grace_s
+            may_begin = drain.may_begin_request(draining_for_s, grace_s, route.timeout_s)
+        return expression.Ok(exchange) if may_begin else expression.Error(leaving_refusal())
 
 
 class AuthenticationFilter(Filter):
@@ -180,6 +171,13 @@
     return expression.Error(refusals.Refusal(reason, detail, retry_after_s))
 
 
+def leaving_refusal() -> refusals.Refusal:
+    """Return the refusal of a request that the exit of this instance might cut off."""
+    return refusals.Refusal(
+        refusals.Reason.INSTANCE_LEAVING, "this instance is leaving", DRAINING_RETRY_AFTER_S
+    )
+
+
 def internal_error() -> HandlerResult:
     """Return the refusal of a request that caused an error in the router."""
     return expression.Error(refusals.Refusal(refusals.Reason.INTERNAL, "internal error"))
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from carawaydoor.policy import crash_suspects, entities, health, stream_versions
+from carawaydoor.policy import crash_suspects, drain, entities, health, stream_versions
 from carawaydoor.serving import (
     connections,
     continuation_targets,
@@ -201,7 +201,9 @@
 
     def _may_continue(self) -> bool:
         route, service = self._exchange.route, self._exchange.service
-        if self._is_suspended():
+        draining_for_s = self._instance.draining_for_s(self._instance.clock.now_s())
+        grace_s = self._instance.options.bounds.grace_s
+        if self._is_suspended() or not drain.may_continue_stream(draining_for_s, grace_s):
             return False
         if service is not None and self._instance.reach.is_cut_off(service.name):
             # The caller can take the stream up by a peer.
--- a/tools/soak/soak_environment.py
+++ b/tools/soak/soak_environment.py
@@ -25,6 +25,7 @@
 ROUTE_HOST: Final = "soak.example"
 API_KEYS: Final = ("key-a", "key-b", "key-c")
 SHUTDOWN_GRACE_S: Final = 8
+TIMEOUT_MS: Final = 4000
 MEMORY_MB: Final = 300
 KEY_WITHDRAWAL_BOUND_S: Final = 5.0
 DRAIN_BOUND_S: Final = 2.0
@@ -240,7 +241,9 @@
             self.upstream_by_name[name].is_leaving = True
             self.draining_since_s_by_name[name] = time.monotonic()
 
-    def publish_configuration(self, keys: tuple[str, ...]) -> None:
+    def publish_configuration(
+        self, keys: tuple[str, ...], stream_timeout_ms: int = TIMEOUT_MS
+    ) -> None:
         """Publish a new configuration in which only the given API keys are valid."""
         self._configuration_version += 1
         self.configured_keys = keys
@@ -252,7 +255,13 @@
             "backups": True,
             "handleTtlS": 0.5,
         }
-        common = {"host": ROUTE_HOST, "timeoutMs": 4000, "targetLatencyMs": 900, "priority": 1}
+        common = {
+            "host": ROUTE_HOST,
+            "timeoutMs": TIMEOUT_MS,
+            "targetLatencyMs": 900,
+            "priority": 1,
+        }
+        stream = {**common, "timeoutMs": stream_timeout_ms, "kind": "streaming"}
         document: dict[str, object] = {
             "version": self._configuration_version,
             "routes": [
@@ -260,9 +269,8 @@
                 | {"maxAttempts": 2},
                 {**common, "pathPrefix": "/unsafe/", "kind": "unsafe", "service": "bookings"}
                 | {"maxAttempts": 2},
-                {**common, "pathPrefix": "/stream/", "kind": "streaming", "service": "planner"}
-                | {"targetGapMs": 300},
-                {**common, "pathPrefix": "/resumable/", "kind": "streaming", "service": "planner"}
+                {**stream, "pathPrefix": "/stream/", "service": "planner", "targetGapMs": 300},
+                {**stream, "pathPrefix": "/resumable/", "service": "planner"}
                 | {"targetGapMs": 300, "allowResume": True, "maxAttempts": 2},
             ],
             "services": [{"name": "planner", "engine": engine}, {"name": "bookings"}],
@@ -289,7 +297,7 @@
 
     def publish_endless_routes(self) -> None:
         """Publish a configuration with routes to the service whose responses have no end."""
-        common = {"host": ROUTE_HOST, "timeoutMs": 4000, "targetLatencyMs": 900, "priority": 1}
+        common = {"host": ROUTE_HOST, "timeoutMs": TIMEOUT_MS, "targetLatencyMs": 900}
         routes = [
             {**common, "pathPrefix": "/endless/", "kind": "safe", "maxAttempts": 2},
             {**common, "pathPrefix": "/endless-stream/", "kind": "streaming", "targetGapMs": 300},
