End a request whose response can't be started

Cause: start_response raised for a header value with a line break, outside the try around the handlers, so the cleanup never ran and the work counted at the engine and its backup, the stream slot and the request leaked.

The exchange now ends whatever is raised before there is a body for the HTTP server to close. A header named Trailers, which the server refuses as well, is not passed on.

Evidence: the three cases of a response that can't be started were not idle before, and Trailers was passed on.

--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -80,6 +80,7 @@
         "proxy-connection",
         "te",
         "trailer",
+        "trailers",
         "transfer-encoding",
         "upgrade",
     }
--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -79,6 +79,17 @@
         exchange.is_forwarded = self._is_for_peers
         exchange.cleanup.callback(permits.close)
         self._instance.begin_request()
+        try:
+            return self._respond(exchange, start_response)
+        except BaseException:
+            # The HTTP server gets no body, at whose end this would be done.
+            self._end_request(exchange)
+            raise
+
+    def _respond(
+        self, exchange: http_exchange.HttpExchange, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Handle a request and return the body of the response."""
         try:
             result = self._filter_and_handle(exchange)
         except Exception:
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -143,8 +143,12 @@
         timeout_ms: int = 3000,
         is_gone: Any = lambda: False,
         headers: dict[str, str] | None = None,
+        start_response: Any = None,
     ) -> CallerResponse:
-        """Send a request as a caller and return the start of its response."""
+        """Send a request as a caller and return the start of its response.
+
+        :param start_response: stands for that of the HTTP server
+        """
         environ: dict[str, Any] = {
             "REQUEST_METHOD": method,
             "REQUEST_URI": path,
@@ -162,7 +166,8 @@
         for name, value in sent.items():
             environ["HTTP_" + name.upper().replace("-", "_")] = value
         started: list[tuple[str, list[tuple[str, str]]]] = []
-        chunks = self.app(environ, lambda status, head: started.append((status, head)))
+        start = start_response or (lambda status, head: started.append((status, head)))
+        chunks = self.app(environ, start)
         return CallerResponse(*started[0], chunks)
 
     def stream(self, path: str = "/stream/1", **kwargs: Any) -> CallerResponse:
--- a/tests/platform_side/test_response_heads.py
+++ b/tests/platform_side/test_response_heads.py
@@ -236,3 +236,33 @@
             response = harness.stream("/resumable/1").read()
             assert response.status == 502 or response.body == EVENTS
         assert harness.is_idle()
+
+
+def refuse_to_start(*_):
+    raise ValueError("the HTTP server does not send such a head")
+
+
+@pytest.mark.parametrize("path", ["/safe/1", "/resumable/1", "/unknown/1"])
+def test_request_whose_response_can_not_be_started_holds_nothing(path):
+    """The work counted at the engines leaked, so that all streams were refused after eight of these."""
+    with router_harness.running() as harness:
+        harness.add_upstream("a")
+        harness.add_upstream("p", entities.Stage.PREFILL)
+        harness.add_upstream("d", entities.Stage.DECODE)
+        harness.add_upstream("e", entities.Stage.DECODE)
+        for _ in range(12):
+            with pytest.raises(ValueError, match="does not send"):
+                harness.stream(path, start_response=refuse_to_start)
+        assert harness.is_idle()
+        assert harness.stream("/resumable/1").read().status == 200
+
+
+@pytest.mark.parametrize("name", ["Trailers", "Trailer", "TE", "Upgrade", "Keep-Alive"])
+def test_headers_for_one_connection_are_not_passed_on(name):
+    """The HTTP server raises an error for these."""
+    whole = HEAD + name.encode() + b": x\r\n" + LENGTH + BODY
+    with router_harness.running() as harness, scripted_upstream.running(whole) as upstream:
+        add_scripted(harness, "a", upstream.port)
+        response = harness.call("/safe/1").read()
+        assert (response.status, response.body) == (200, BODY)
+        assert name.lower() not in response.headers
