Check a silent upstream before its stream is offered elsewhere

Cause: 1.2 s of silence alone led to the offer, inside the wait on the first server and limited by the deadline of the request only, so the first one was not read and neither run was ended.

The upstream is now asked for its report after 0.9 s. If it responds, the stream stays until 2.2 s and is then offered once for at most 0.3 s; if it does not, the stream is offered elsewhere at once. The offer ends when the stream goes on.

--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -141,6 +141,10 @@
         """Tell the wait limit that a part of the response arrived."""
         self._socket.wait_limit.record_progress()
 
+    def has_bytes(self) -> bool:
+        """Return whether more of the response, or its end, can be read without waiting."""
+        return self._socket.has_bytes()
+
     def has_carried(self, request_id: str) -> bool:
         """Return whether a request with this id was sent, whose response may be repeated."""
         return request_id in self._carried_ids
--- a/src/carawaydoor/serving/sockets.py
+++ b/src/carawaydoor/serving/sockets.py
@@ -14,6 +14,8 @@
 
 # Work has to stop within half a second after the caller disconnects.
 CALLER_POLL_INTERVAL_S: Final = 0.2
+# Interval at which a silent stream is checked while it is offered to another upstream.
+OFFER_POLL_INTERVAL_S: Final = 0.02
 # Ends a connection to a dead peer, but leaves time for a few retransmissions.
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 1500
 # Keep-alive probes detect a dead peer on a connection that only receives.
@@ -38,6 +40,10 @@
     """No event arrived for so long that the stream was replaced by one of another engine."""
 
 
+class OfferEndedError(WaitAbortedError):
+    """Another upstream has not accepted a stream in time, or the stream has gone on meanwhile."""
+
+
 class TooManyBytesError(WaitAbortedError):
     """The peer sent more bytes than the message may have."""
 
@@ -75,10 +81,52 @@
         return min(left_s, CALLER_POLL_INTERVAL_S)
 
 
+class OfferWaitLimit(CallerWaitLimit):
+    """Ends the offer of a silent stream to another upstream, in time or once the stream goes on.
+
+    :param has_resumed: returns whether the stream has gone on at the upstream that has it
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        deadline_s: float,
+        is_gone: Callable[[], bool],
+        has_resumed: Callable[[], bool],
+    ) -> None:
+        super().__init__(clock, deadline_s, is_gone)
+        self._has_resumed = has_resumed
+
+    def next_wait_s(self) -> float:
+        """Return the time left, at most the interval at which the silent stream is checked."""
+        if self._has_resumed():
+            raise OfferEndedError
+        try:
+            return min(super().next_wait_s(), OFFER_POLL_INTERVAL_S)
+        except DeadlineExceededError as error:
+            raise OfferEndedError from error
+
+
+class SilenceHandler(abc.ABC):
+    """Decides what to do about a stream that is silent."""
+
+    @abc.abstractmethod
+    def record_progress(self) -> None:
+        """Record that an event has arrived."""
+
+    @abc.abstractmethod
+    def next_check_s(self, silent_s: float) -> float:
+        """Return after how many seconds of silence to call :meth:`replace`."""
+
+    @abc.abstractmethod
+    def replace(self, silent_s: float) -> bool:
+        """Replace the stream if that is due; return whether it was replaced."""
+
+
 class StreamWaitLimit(CallerWaitLimit):
-    """Offers a stream that delivers no event for too long to a callback, which may replace it.
+    """Lets a handler replace a stream that delivers no event for too long.
 
-    The callback runs inside the wait, since a response that is read in chunks can't be read further
+    The handler runs inside the wait, since a response that is read in chunks can't be read further
     after an exception. If it replaces the stream, the wait is aborted; otherwise it goes on, because
     the upstream may only be slow.
     """
@@ -88,26 +136,29 @@
         clock: clocks.Clock,
         deadline_s: float,
         is_gone: Callable[[], bool],
-        stall_timeout_s: float,
-        replace_stream: Callable[[], bool],
+        handler: SilenceHandler,
     ) -> None:
         super().__init__(clock, deadline_s, is_gone)
-        self._stall_timeout_s = stall_timeout_s
-        self._stalled_at_s = clock.now_s() + stall_timeout_s
-        self._replace_stream = replace_stream
+        self._handler = handler
+        self._last_event_s = clock.now_s()
+        self._next_check_s = self._last_event_s + handler.next_check_s(0.0)
 
     def record_progress(self) -> None:
-        """Restart the stall timeout after an event."""
-        self._stalled_at_s = self._clock.now_s() + self._stall_timeout_s
+        """Begin a new silence after an event."""
+        self._handler.record_progress()
+        self._last_event_s = self._clock.now_s()
+        self._next_check_s = self._last_event_s + self._handler.next_check_s(0.0)
 
     def next_wait_s(self) -> float:
-        """Return the time left until the deadline, a stall or the next check of the caller."""
-        if self._clock.now_s() >= self._stalled_at_s:
-            if self._replace_stream():
+        """Return the time left until the deadline, a check of the stream or one of the caller."""
+        now_s = self._clock.now_s()
+        if now_s >= self._next_check_s:
+            if self._handler.replace(now_s - self._last_event_s):
                 raise StreamStalledError
-            self.record_progress()
+            silent_s = self._clock.now_s() - self._last_event_s
+            self._next_check_s = self._last_event_s + self._handler.next_check_s(silent_s)
         poll_s = super().next_wait_s()
-        return min(poll_s, max(0.0, self._stalled_at_s - self._clock.now_s()))
+        return min(poll_s, max(0.0, self._next_check_s - self._clock.now_s()))
 
 
 class InterruptibleSocket(io.RawIOBase):
@@ -177,6 +228,10 @@
         """
         return not self._reader.has_unread and not self._readable.poll(0)
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes, or the end of the connection, can be read without waiting."""
+        return bool(self._readable.poll(0))
+
     def close(self) -> None:
         """Do nothing: ``http.client`` calls this before the body of a last response is read."""
 
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -18,12 +18,10 @@
     instance_state,
     protocol_adapter,
     sockets,
+    stall_watch,
     upstream_client,
 )
 
-# Longer than any pause of a stream that meets its targets, and well below the time after which
-# callers abandon a stream.
-STREAM_STALL_TIMEOUT_S: Final = 1.2
 # Interval between attempts to continue a broken stream while every upstream rejects it.
 CONTINUATION_RETRY_INTERVAL_S: Final = 0.15
 # Callers abandon a stream after a pause of two seconds.
@@ -77,6 +75,8 @@
         self._backup: entities.Upstream | None = None
         self._used: set[str] = set()
         self._continuation: _Source | None = None
+        # Limits the offer of a stream that its upstream may still write.
+        self._offer_limit: sockets.OfferWaitLimit | None = None
 
     def relay(
         self,
@@ -133,7 +133,7 @@
         """
         response = source.opened.response
         if self._may_continue():
-            source.opened.connection.set_wait_limit(self._stall_limit())
+            source.opened.connection.set_wait_limit(self._silence_limit(source))
         for chunk in response.chunks():
             complete = self._splitter.feed(chunk)
             if complete:
@@ -228,22 +228,34 @@
             or self._instance.selector.serves_version(service.name, version, self._used)
         )
 
-    def _stall_limit(self) -> sockets.StreamWaitLimit:
+    def _silence_limit(self, source: _Source) -> sockets.StreamWaitLimit:
+        watch = stall_watch.StallWatch(
+            self._client,
+            self._exchange,
+            source.upstream,
+            lambda timeout_s: self._offer_silent(source, timeout_s),
+        )
         return sockets.StreamWaitLimit(
-            self._instance.clock,
-            self._exchange.deadline_s,
-            self._exchange.inbound.is_gone,
-            STREAM_STALL_TIMEOUT_S,
-            self._replace_stalled,
+            self._instance.clock, self._exchange.deadline_s, self._exchange.inbound.is_gone, watch
         )
 
-    def _replace_stalled(self) -> bool:
-        """Continue a stalled stream elsewhere; return False to go on waiting for its upstream.
+    def _offer_silent(self, source: _Source, timeout_s: float) -> bool:
+        """Offer a silent stream to another upstream; return whether that has accepted it.
 
-        An engine may only have preempted the request, so its stream is kept until another one has
-        accepted the continuation.
+        The stream is kept until then, since its upstream may only be slow, and it goes on there if
+        an event arrives meanwhile.
         """
-        self._continuation = self._continue_once()
+        if not self._may_continue() or source.opened.connection.has_bytes():
+            return False
+        clock = self._instance.clock
+        deadline_s = min(self._exchange.deadline_s, clock.now_s() + timeout_s)
+        self._offer_limit = sockets.OfferWaitLimit(
+            clock, deadline_s, self._exchange.inbound.is_gone, source.opened.connection.has_bytes
+        )
+        try:
+            self._continuation = self._continue_once()
+        finally:
+            self._offer_limit = None
         return self._continuation is not None
 
     def _continue_broken(self, error: Exception) -> _Source | None:
@@ -312,7 +324,7 @@
         outcome = "continued"
         opened = None
         try:
-            opened = self._client.send(self._exchange, request)
+            opened = self._client.send(self._exchange, request, wait_limit=self._offer_limit)
         except upstream_client.CallError as error:
             outcome = error.failure.value
             if not error.failure.did_not_run:
@@ -333,6 +345,11 @@
         )
         if opened is None:
             return None
+        opened.connection.set_wait_limit(
+            sockets.CallerWaitLimit(
+                self._instance.clock, self._exchange.deadline_s, self._exchange.inbound.is_gone
+            )
+        )
         self._splitter.discard_incomplete()
         return self._register(upstream, opened)
 
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -37,6 +37,7 @@
     BROKEN = "broken"
     MALFORMED = "malformed"
     SILENT = "silent"
+    ABANDONED = "abandoned"
     CALLER_GONE = "caller_gone"
 
     @property
@@ -254,6 +255,39 @@
         )
         return body
 
+    def responds(self, upstream: entities.Upstream, timeout_s: float) -> bool:
+        """Return whether an upstream responds to a request beside those that it runs.
+
+        Plain upstreams, and engines that want no requests, are only asked for a connection.
+
+        :param timeout_s: longest wait in seconds
+        """
+        deadline_s = self._instance.clock.now_s() + timeout_s
+        try:
+            connection = self._instance.connection_pool.acquire(
+                upstream, new_only=True, connect_timeout_s=timeout_s
+            )
+        except connections.NotSentError:
+            # The caller of this function logs the outcome.
+            return False
+        try:
+            if upstream.stage is entities.Stage.NONE or self._wants_no_requests(upstream):
+                return True
+            wait_limit = sockets.CallerWaitLimit(self._instance.clock, deadline_s, lambda: False)
+            request = self._adapter.encode_report_request(upstream)
+            connection.send(request, wait_limit).read()
+        except (connections.UpstreamConnectionError, sockets.WaitAbortedError):
+            return False
+        finally:
+            connection.close()
+        return True
+
+    def _wants_no_requests(self, upstream: entities.Upstream) -> bool:
+        return (
+            self._instance.selector.turned_away.remaining_s(upstream) > 0.0
+            or self._instance.upstream_limiter.limit_per_s(upstream) is not None
+        )
+
     def release_kv(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream, kv_source: str
     ) -> None:
@@ -262,10 +296,7 @@
         A failure is only logged, since the engine soon drops the cache by itself. For the same
         reason, nothing is sent to an engine that rejects requests or names a limit.
         """
-        if (
-            self._instance.selector.turned_away.remaining_s(upstream) > 0.0
-            or self._instance.upstream_limiter.limit_per_s(upstream) is not None
-        ):
+        if self._wants_no_requests(upstream):
             return
         now_s = self._instance.clock.now_s()
         wait_limit = sockets.CallerWaitLimit(
@@ -334,6 +365,8 @@
     match error:
         case sockets.CallerDisconnectedError():
             return Failure.CALLER_GONE
+        case sockets.OfferEndedError():
+            return Failure.ABANDONED
         case sockets.DeadlineExceededError() | sockets.StreamStalledError():
             return Failure.SILENT
         case connections.NotSentError():
--- a/tests/platform_side/test_stream_continuation.py
+++ b/tests/platform_side/test_stream_continuation.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from carawaydoor.policy import entities
+from carawaydoor.serving import stall_watch
 from tests.platform_side import router_harness
 from tests.platform_side.fake_upstream import Behaviour
 
@@ -60,6 +63,46 @@
     assert engines["d"].received[0].caller_disconnected.wait(0.4)
 
 
+def test_stream_that_is_silent_for_a_moment_is_run_by_one_engine(harness):
+    """It was sent to a second one after 1.2 s, and both worked on it until the deadline."""
+    engines = add_decode_engines(harness, d=[Behaviour.PAUSE_STREAM], e=[Behaviour.HANG])
+    engines["d"].pause_s = 1.3
+    response = harness.stream("/resumable/1").read()
+    assert (response.body, response.is_truncated) == (events(1, 6), False)
+    assert engines["e"].received == []
+    assert harness.is_idle()
+
+
+def test_offer_of_a_silent_stream_ends_in_time(harness):
+    """Two engines must not work on a stream for longer than 0.4 s."""
+    engines = add_decode_engines(harness, d=[Behaviour.PAUSE_STREAM], e=[Behaviour.HANG])
+    response = harness.stream("/resumable/1").read()
+    (offered,) = engines["e"].received
+    assert offered.caller_disconnected.wait(0.0)
+    assert offered.disconnected_s - offered.at_s < 0.4
+    assert (response.body, response.is_truncated) == (events(1, 6), False)
+    assert harness.is_idle()
+
+
+def test_offer_ends_as_soon_as_the_stream_goes_on(harness):
+    engines = add_decode_engines(harness, d=[Behaviour.PAUSE_STREAM], e=[Behaviour.HANG])
+    engines["d"].pause_s = stall_watch.MAX_SOUND_SILENCE_S + 0.1
+    response = harness.stream("/resumable/1").read()
+    (offered,) = engines["e"].received
+    assert offered.disconnected_s - offered.at_s < stall_watch.OFFER_OF_SILENT_TIMEOUT_S
+    assert (response.body, response.is_truncated) == (events(1, 6), False)
+
+
+def test_stream_of_an_engine_that_does_not_respond_is_moved_soon(harness):
+    engines = add_decode_engines(harness, d=[Behaviour.HANG_STREAM], e=[])
+    response = harness.stream("/resumable/1")
+    started_s = time.monotonic()
+    engines["d"].stop_listening()
+    assert response.read().body == events(1, 6)
+    moved_s = engines["e"].received[0].at_s - started_s
+    assert moved_s < stall_watch.MAX_SOUND_SILENCE_S - 0.5
+
+
 def test_rejected_continuation_of_a_broken_stream_is_offered_again(harness):
     add_decode_engines(harness, d=[Behaviour.BREAK_STREAM], e=[Behaviour.REJECT, Behaviour.REJECT])
     response = harness.stream().read()
