Don't wait for a process that the signal's own check has reaped

test_process_that_has_exited_can_be_paused failed once in a full run with a ChildProcessError. Popen.send_signal polls first and reaps a child that has exited, so waitid had none to wait for. pause_process returns then. The case with 0.2 s between the kill and the call failed before.

--- a/tests/test_local_cluster.py
+++ b/tests/test_local_cluster.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -60,8 +61,15 @@
         threaded.send_signal(signal.SIGCONT)
 
 
-def test_process_that_has_exited_can_be_paused(threaded: subprocess.Popen[bytes]) -> None:
-    """A process that exits on its own does not block whoever pauses it."""
+@pytest.mark.parametrize("delay_s", [0.0, 0.2])
+def test_process_that_has_exited_can_be_paused(
+    threaded: subprocess.Popen[bytes], delay_s: float
+) -> None:
+    """A process that exits on its own does not block whoever pauses it.
+
+    After the delay the signal's own check reaps it, and there was no child left to wait for.
+    """
     os.kill(threaded.pid, signal.SIGKILL)
+    time.sleep(delay_s)
     local_cluster.pause_process(threaded)
     assert threaded.wait() == -signal.SIGKILL
--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -363,6 +363,9 @@
     Without the wait, threads on a busy machine run on for tens of milliseconds.
     """
     process.send_signal(signal.SIGSTOP)
+    if process.returncode is not None:
+        # It had exited, and has been waited for by the call above.
+        return
     os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
 
 
