Split the placement of generations and the held bodies off

The placement of a generation is GenerationPlacer now, and the body that holds memory lies beside the budget. No behaviour changes; the tests of generations, memory, drains and plain streams pass (83).

--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -209,15 +209,16 @@
         with contextlib.closing(self.read_held()) as body:
             return b"".join(body)
 
-    def read_held(self) -> HeldBody:
+    def read_held(self) -> response_budget.HeldBody:
         """Return the whole body, which holds a part of the instance's memory until it is taken.
 
         :raises UpstreamConnectionError: if the body is incomplete, or too large for the memory left
         """
-        body = HeldBody(self._connection.budget.reserve())
+        body = response_budget.HeldBody(self._connection.budget.reserve())
         try:
             for chunk in self.chunks():
-                body.add(chunk)
+                if not body.add(chunk):
+                    raise ResponseTooLargeError(f"no memory for more than {body.length} bytes")
         except BaseException:
             body.close()
             raise
@@ -252,50 +253,6 @@
         return MAX_IDLE_SHARE * int(match.group(1)) if match else DEFAULT_MAX_IDLE_S
 
 
-class HeldBody(Iterator[bytes]):
-    """The chunks of a body, whose memory is free again once they are taken.
-
-    :ivar length: size of the body in bytes
-    """
-
-    def __init__(self, reservation: response_budget.Reservation) -> None:
-        self.length = 0
-        self._held_bytes = 0
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._reservation = reservation
-
-    def add(self, chunk: bytes) -> None:
-        """Append a chunk.
-
-        :raises ResponseTooLargeError: if the instance has no memory for it
-        """
-        self._held_bytes += len(chunk)
-        if not self._reservation.resize(self._held_bytes):
-            raise ResponseTooLargeError(f"no memory for more than {self.length} bytes of the body")
-        self.length += len(chunk)
-        self._chunks.append(chunk)
-
-    @property
-    def end(self) -> bytes:
-        """The last bytes, at least four if there are as many."""
-        return b"".join(tuple(self._chunks)[-4:])
-
-    def __next__(self) -> bytes:
-        """Take the next chunk."""
-        if not self._chunks:
-            self._reservation.close()
-            raise StopIteration
-        chunk = self._chunks.popleft()
-        self._held_bytes -= len(chunk)
-        self._reservation.resize(self._held_bytes)
-        return chunk
-
-    def close(self) -> None:
-        """Drop the chunks that were not taken."""
-        self._chunks.clear()
-        self._reservation.close()
-
-
 RequestCallback = Callable[[entities.Upstream], None]
 ResponseCallback = Callable[[entities.Upstream, UpstreamResponse], None]
 
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -2,24 +2,21 @@
 
 from __future__ import annotations
 
-import contextlib
-import dataclasses
 from typing import Final
 
 import eliot
 import expression
 
-from carawaydoor.policy import capacity_wait, drain, entities, load, placement
+from carawaydoor.policy import capacity_wait, entities, load
 from carawaydoor.serving import (
-    connections,
     continuation_targets,
+    generation_placement,
     http_exchange,
     instance_state,
     plain_handler,
     protocol_adapter,
     refusals,
     request_filters,
-    sockets,
     stream_relay,
     upstream_client,
 )
@@ -32,24 +29,6 @@
 DEFAULT_PROMPT: Final = entities.Prompt(1000, 100, 100)
 
 
-@dataclasses.dataclass(slots=True)
-class _PlacedGeneration:
-    """A generation with reservations at its engines.
-
-    :ivar decode_reservation: releases the load counted at the decode engine and at its backup
-    :ivar prefill_reservation: releases the load counted at the prefill engine
-    """
-
-    exchange: http_exchange.HttpExchange
-    service: entities.Service
-    prompt: entities.Prompt
-    chosen: placement.GenerationPlacement
-    decode: entities.Upstream
-    connection: connections.Connection
-    decode_reservation: contextlib.ExitStack
-    prefill_reservation: contextlib.ExitStack
-
-
 class GenerationHandler(request_filters.RequestHandler):
     """Places a generation on engines, has its prompt prefilled and relays its events."""
 
@@ -62,6 +41,7 @@
         super().__init__(instance)
         self._client = client
         self._adapter = adapter
+        self._placer = generation_placement.GenerationPlacer(instance, client)
 
     def handle(self, exchange: http_exchange.HttpExchange) -> request_filters.HandlerResult:
         """Return the response as a stream."""
@@ -72,9 +52,9 @@
         assert service is not None
         prompt = exchange.inbound.prompt or DEFAULT_PROMPT
         arrival = self._describe_arrival(exchange)
-        placed = self._place(exchange, service, prompt, arrival)
+        placed = self._placer.place(exchange, service, prompt, arrival)
         if placed is None:
-            if not self._may_begin():
+            if not self._placer.may_begin():
                 return expression.Error(request_filters.leaving_refusal())
             return expression.Error(self._no_room_refusal(service, arrival))
         try:
@@ -112,142 +92,7 @@
         detail = f"no engine of service {service.name} has free capacity"
         return refusals.Refusal(refusals.Reason.NO_ROOM, detail, retry_after_s)
 
-    def _place(
-        self,
-        exchange: http_exchange.HttpExchange,
-        service: entities.Service,
-        prompt: entities.Prompt,
-        arrival: capacity_wait.Arrival,
-    ) -> _PlacedGeneration | None:
-        """Reserve engines with free capacity and connect to the one that decodes.
-
-        The connection is made before the prefill, which would be wasted if the decode engine has
-        failed.
-        """
-        terms = capacity_wait.wait_terms(arrival, placement.decode_engine_prefill_s(prompt))
-        excluded: set[str] = set()
-        while self._may_begin():
-            chosen = self._instance.selector.reserve_generation(
-                service,
-                prompt,
-                frozenset(excluded),
-                terms.reserve_share,
-                exchange.permits,
-                exchange.placement_version,
-            )
-            now_s = self._instance.clock.now_s()
-            if chosen is not None:
-                placed = self._connect(exchange, service, prompt, chosen)
-                if placed is not None:
-                    self._log_placement(placed, arrival)
-                    return placed
-                excluded.add(chosen.decode.id)
-                if self._instance.reach.is_cut_off(service.name):
-                    return None
-                continue
-            turned_away_s = self._instance.selector.turned_away_retry_s(
-                service.name, entities.Stage.DECODE
-            )
-            permit_s = self._instance.selector.next_permit_s(service.name, entities.Stage.DECODE)
-            none_in_time = now_s + max(permit_s, turned_away_s or 0.0) >= terms.until_s
-            if (
-                now_s >= terms.until_s
-                or none_in_time
-                or exchange.inbound.is_gone()
-                or self._is_version_unreachable(exchange, service, excluded)
-            ):
-                eliot.log_message(
-                    message_type="generation_not_placed",
-                    request=exchange.inbound.id,
-                    waited_s=round(now_s - exchange.received_s, 3),
-                    late_s=round(exchange.received_s - arrival.first_sent_s, 3),
-                    reserve_share=terms.reserve_share,
-                    load=self._instance.selector.describe_load(),
-                )
-                return None
-            self._instance.selector.wait_for_release(
-                min(terms.until_s - now_s, sockets.CALLER_POLL_INTERVAL_S)
-            )
-        return None
-
-    def _may_begin(self) -> bool:
-        """Return whether a generation that has waited may still begin before a stop."""
-        return drain.may_begin_stream(self._instance.draining_for_s(self._instance.clock.now_s()))
-
-    def _is_version_unreachable(
-        self,
-        exchange: http_exchange.HttpExchange,
-        service: entities.Service,
-        unreachable: set[str],
-    ) -> bool:
-        """Return whether all engines of the version at which a stream has to begin have failed."""
-        version = exchange.placement_version
-        return (
-            bool(unreachable)
-            and version is not None
-            and not self._instance.selector.serves_version(service.name, version, unreachable)
-        )
-
-    def _connect(
-        self,
-        exchange: http_exchange.HttpExchange,
-        service: entities.Service,
-        prompt: entities.Prompt,
-        chosen: placement.GenerationPlacement,
-    ) -> _PlacedGeneration | None:
-        """Connect to the decode engine; return None and free both engines if that fails."""
-        decode_reservation = exchange.cleanup.enter_context(contextlib.ExitStack())
-        decode_reservation.callback(self._instance.selector.on_generations_changed)
-        decode_work = load.Work(1, prompt.mean_kv_tokens)
-        decode_reservation.callback(self._instance.selector.release, chosen.decode.id, decode_work)
-        prefill_reservation = contextlib.ExitStack()
-        if chosen.prefill is not None:
-            prefill_work = load.Work(1, prompt.tokens)
-            prefill_reservation.callback(
-                self._instance.selector.release, chosen.prefill.id, prefill_work
-            )
-        exchange.cleanup.push(prefill_reservation)
-        try:
-            connection = self._client.connect(exchange, chosen.decode)
-        except upstream_client.CallError:
-            # The client has logged the failure; another engine is chosen.
-            prefill_reservation.close()
-            decode_reservation.close()
-            exchange.permits.close()
-            return None
-        return _PlacedGeneration(
-            exchange,
-            service,
-            prompt,
-            chosen,
-            chosen.decode,
-            connection,
-            decode_reservation,
-            prefill_reservation,
-        )
-
-    def _log_placement(self, placed: _PlacedGeneration, arrival: capacity_wait.Arrival) -> None:
-        prefill = placed.chosen.prefill
-        waited_s = self._instance.clock.now_s() - placed.exchange.received_s
-        eliot.log_message(
-            message_type="generation_placed",
-            request=placed.exchange.inbound.id,
-            prompt_tokens=placed.prompt.tokens,
-            prompt_parts=placed.prompt.shared_parts,
-            expected_output_tokens=placed.prompt.expected_output_tokens,
-            decode=placed.decode.id,
-            decode_version=placed.decode.version,
-            prefill=prefill.id if prefill else None,
-            prefill_version=prefill.version if prefill else None,
-            resumes=placed.exchange.inbound.resumes,
-            last_event=placed.exchange.inbound.last_event_id,
-            expected_read_s=round(placed.chosen.prefill_wait_s, 3),
-            waited_s=round(waited_s, 3),
-            late_s=round(placed.exchange.received_s - arrival.first_sent_s, 3),
-            load=self._instance.selector.describe_load(),
-        )
-
-    def _prefill(self, placed: _PlacedGeneration) -> str:
+    def _prefill(self, placed: generation_placement.PlacedGeneration) -> str:
         """Have the prompt prefilled and return the location of its KV cache, empty without one.
 
         :raises CallError: if the caller has disconnected
@@ -286,7 +131,7 @@
         return prefilled.kv_source
 
     def _start_decode(
-        self, placed: _PlacedGeneration, kv_source: str
+        self, placed: generation_placement.PlacedGeneration, kv_source: str
     ) -> request_filters.HandlerResult:
         """Start the decoding, at another engine if the first one rejects the request."""
         exchange = placed.exchange
@@ -323,7 +168,7 @@
                     refusal = self._no_room_refusal(
                         placed.service, self._describe_arrival(exchange)
                     )
-                if not self._may_retry(placed, error) or not self._connect_other_decode(
+                if not self._may_retry(placed, error) or not self._placer.connect_other_decode(
                     placed, frozenset(excluded)
                 ):
                     self._release_kv_later(placed, kv_source)
@@ -351,7 +196,9 @@
                 )
             )
 
-    def _reserve_backup(self, placed: _PlacedGeneration) -> entities.Upstream | None:
+    def _reserve_backup(
+        self, placed: generation_placement.PlacedGeneration
+    ) -> entities.Upstream | None:
         backup = self._instance.selector.reserve_backup(
             placed.service, placed.prompt, placed.decode
         )
@@ -362,44 +209,20 @@
             )
         return backup
 
-    def _may_retry(self, placed: _PlacedGeneration, error: upstream_client.CallError) -> bool:
+    def _may_retry(
+        self, placed: generation_placement.PlacedGeneration, error: upstream_client.CallError
+    ) -> bool:
         """Return whether a generation that an engine did not run may be sent to another one."""
         if error.failure.was_not_sent:
             return True
         request = placed.exchange.inbound.id
         return error.failure.did_not_run and self._instance.may_retry(request, placed.service.name)
 
-    def _connect_other_decode(self, placed: _PlacedGeneration, excluded: frozenset[str]) -> bool:
-        """Reserve and connect to another decode engine; return whether one was found."""
-        tried = set(excluded)
-        while True:
-            decode = self._instance.selector.reserve_decode(
-                placed.service,
-                placed.prompt,
-                frozenset(tried),
-                placed.exchange.permits,
-                placed.exchange.placement_version,
-            )
-            if decode is None:
-                return False
-            decode_reservation = placed.exchange.cleanup.enter_context(contextlib.ExitStack())
-            decode_work = load.Work(1, placed.prompt.mean_kv_tokens)
-            decode_reservation.callback(self._instance.selector.release, decode.id, decode_work)
-            try:
-                placed.connection = self._client.connect(placed.exchange, decode)
-            except upstream_client.CallError:
-                # The client has logged the failure; the next engine is tried.
-                decode_reservation.close()
-                placed.exchange.permits.give_back(decode)
-                tried.add(decode.id)
-                if self._instance.reach.is_cut_off(placed.service.name):
-                    return False
-                continue
-            placed.decode, placed.decode_reservation = decode, decode_reservation
-            return True
-
     def _send_decode(
-        self, placed: _PlacedGeneration, kv_source: str, backup: entities.Upstream | None
+        self,
+        placed: generation_placement.PlacedGeneration,
+        kv_source: str,
+        backup: entities.Upstream | None,
     ) -> upstream_client.OpenResponse:
         exchange = placed.exchange
         exchange.attempts += 1
@@ -414,7 +237,7 @@
         return self._client.send(exchange, request, connection=placed.connection)
 
     def _give_up_kv_cache(
-        self, placed: _PlacedGeneration, kv_source: str, rejecting: set[str]
+        self, placed: generation_placement.PlacedGeneration, kv_source: str, rejecting: set[str]
     ) -> None:
         """Have the decode engine prefill the prompt; those that rejected it may have room."""
         self._release_kv_later(placed, kv_source)
@@ -426,7 +249,9 @@
             rejected_by=sorted(rejecting),
         )
 
-    def _release_kv_later(self, placed: _PlacedGeneration, kv_source: str) -> None:
+    def _release_kv_later(
+        self, placed: generation_placement.PlacedGeneration, kv_source: str
+    ) -> None:
         prefill = placed.chosen.prefill
         if kv_source and prefill is not None:
             placed.exchange.cleanup.callback(
--- /dev/null
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -0,0 +1,209 @@
+"""Reserves the engines of a generation and connects to the one that decodes."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+
+import eliot
+
+from carawaydoor.policy import capacity_wait, drain, entities, load, placement
+from carawaydoor.serving import (
+    connections,
+    http_exchange,
+    instance_state,
+    sockets,
+    upstream_client,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class PlacedGeneration:
+    """A generation with reservations at its engines.
+
+    :ivar decode_reservation: releases the load counted at the decode engine and at its backup
+    :ivar prefill_reservation: releases the load counted at the prefill engine
+    """
+
+    exchange: http_exchange.HttpExchange
+    service: entities.Service
+    prompt: entities.Prompt
+    chosen: placement.GenerationPlacement
+    decode: entities.Upstream
+    connection: connections.Connection
+    decode_reservation: contextlib.ExitStack
+    prefill_reservation: contextlib.ExitStack
+
+
+class GenerationPlacer:
+    """Places the generations of one instance."""
+
+    def __init__(
+        self, instance: instance_state.InstanceState, client: upstream_client.UpstreamClient
+    ) -> None:
+        self._instance = instance
+        self._client = client
+
+    def place(
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        prompt: entities.Prompt,
+        arrival: capacity_wait.Arrival,
+    ) -> PlacedGeneration | None:
+        """Reserve engines with free capacity and connect to the one that decodes.
+
+        The connection is made before the prefill, which would be wasted if the decode engine has
+        failed.
+        """
+        terms = capacity_wait.wait_terms(arrival, placement.decode_engine_prefill_s(prompt))
+        excluded: set[str] = set()
+        while self.may_begin():
+            chosen = self._instance.selector.reserve_generation(
+                service,
+                prompt,
+                frozenset(excluded),
+                terms.reserve_share,
+                exchange.permits,
+                exchange.placement_version,
+            )
+            now_s = self._instance.clock.now_s()
+            if chosen is not None:
+                placed = self._connect(exchange, service, prompt, chosen)
+                if placed is not None:
+                    self._log_placement(placed, arrival)
+                    return placed
+                excluded.add(chosen.decode.id)
+                if self._instance.reach.is_cut_off(service.name):
+                    return None
+                continue
+            turned_away_s = self._instance.selector.turned_away_retry_s(
+                service.name, entities.Stage.DECODE
+            )
+            permit_s = self._instance.selector.next_permit_s(service.name, entities.Stage.DECODE)
+            none_in_time = now_s + max(permit_s, turned_away_s or 0.0) >= terms.until_s
+            if (
+                now_s >= terms.until_s
+                or none_in_time
+                or exchange.inbound.is_gone()
+                or self._is_version_unreachable(exchange, service, excluded)
+            ):
+                eliot.log_message(
+                    message_type="generation_not_placed",
+                    request=exchange.inbound.id,
+                    waited_s=round(now_s - exchange.received_s, 3),
+                    late_s=round(exchange.received_s - arrival.first_sent_s, 3),
+                    reserve_share=terms.reserve_share,
+                    load=self._instance.selector.describe_load(),
+                )
+                return None
+            self._instance.selector.wait_for_release(
+                min(terms.until_s - now_s, sockets.CALLER_POLL_INTERVAL_S)
+            )
+        return None
+
+    def connect_other_decode(self, placed: PlacedGeneration, excluded: frozenset[str]) -> bool:
+        """Reserve and connect to another decode engine; return whether one was found."""
+        tried = set(excluded)
+        while True:
+            decode = self._instance.selector.reserve_decode(
+                placed.service,
+                placed.prompt,
+                frozenset(tried),
+                placed.exchange.permits,
+                placed.exchange.placement_version,
+            )
+            if decode is None:
+                return False
+            decode_reservation = placed.exchange.cleanup.enter_context(contextlib.ExitStack())
+            decode_work = load.Work(1, placed.prompt.mean_kv_tokens)
+            decode_reservation.callback(self._instance.selector.release, decode.id, decode_work)
+            try:
+                placed.connection = self._client.connect(placed.exchange, decode)
+            except upstream_client.CallError:
+                # The client has logged the failure; the next engine is tried.
+                decode_reservation.close()
+                placed.exchange.permits.give_back(decode)
+                tried.add(decode.id)
+                if self._instance.reach.is_cut_off(placed.service.name):
+                    return False
+                continue
+            placed.decode, placed.decode_reservation = decode, decode_reservation
+            return True
+
+    def may_begin(self) -> bool:
+        """Return whether a generation that has waited may still begin before a stop."""
+        return drain.may_begin_stream(self._instance.draining_for_s(self._instance.clock.now_s()))
+
+    def _is_version_unreachable(
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        unreachable: set[str],
+    ) -> bool:
+        """Return whether all engines of the version at which a stream has to begin have failed."""
+        version = exchange.placement_version
+        return (
+            bool(unreachable)
+            and version is not None
+            and not self._instance.selector.serves_version(service.name, version, unreachable)
+        )
+
+    def _connect(
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        prompt: entities.Prompt,
+        chosen: placement.GenerationPlacement,
+    ) -> PlacedGeneration | None:
+        """Connect to the decode engine; return None and free both engines if that fails."""
+        decode_reservation = exchange.cleanup.enter_context(contextlib.ExitStack())
+        decode_reservation.callback(self._instance.selector.on_generations_changed)
+        decode_work = load.Work(1, prompt.mean_kv_tokens)
+        decode_reservation.callback(self._instance.selector.release, chosen.decode.id, decode_work)
+        prefill_reservation = contextlib.ExitStack()
+        if chosen.prefill is not None:
+            prefill_work = load.Work(1, prompt.tokens)
+            prefill_reservation.callback(
+                self._instance.selector.release, chosen.prefill.id, prefill_work
+            )
+        exchange.cleanup.push(prefill_reservation)
+        try:
+            connection = self._client.connect(exchange, chosen.decode)
+        except upstream_client.CallError:
+            # The client has logged the failure; another engine is chosen.
+            prefill_reservation.close()
+            decode_reservation.close()
+            exchange.permits.close()
+            return None
+        return PlacedGeneration(
+            exchange,
+            service,
+            prompt,
+            chosen,
+            chosen.decode,
+            connection,
+            decode_reservation,
+            prefill_reservation,
+        )
+
+    def _log_placement(self, placed: PlacedGeneration, arrival: capacity_wait.Arrival) -> None:
+        prefill = placed.chosen.prefill
+        waited_s = self._instance.clock.now_s() - placed.exchange.received_s
+        eliot.log_message(
+            message_type="generation_placed",
+            request=placed.exchange.inbound.id,
+            prompt_tokens=placed.prompt.tokens,
+            prompt_parts=placed.prompt.shared_parts,
+            expected_output_tokens=placed.prompt.expected_output_tokens,
+            decode=placed.decode.id,
+            decode_version=placed.decode.version,
+            prefill=prefill.id if prefill else None,
+            prefill_version=prefill.version if prefill else None,
+            resumes=placed.exchange.inbound.resumes,
+            last_event=placed.exchange.inbound.last_event_id,
+            expected_read_s=round(placed.chosen.prefill_wait_s, 3),
+            waited_s=round(waited_s, 3),
+            late_s=round(placed.exchange.received_s - arrival.first_sent_s, 3),
+            load=self._instance.selector.describe_load(),
+        )
--- a/src/carawaydoor/serving/response_budget.py
+++ b/src/carawaydoor/serving/response_budget.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import threading
+from collections.abc import Iterator
 from typing import Final
 
 # Each response may hold as much without regard to the others, so that small ones are always read.
@@ -72,6 +74,48 @@
         self.resize(0)
 
 
+class HeldBody(Iterator[bytes]):
+    """The chunks of a body, whose memory is free again once they are taken.
+
+    :ivar length: size of the body in bytes
+    """
+
+    def __init__(self, reservation: Reservation) -> None:
+        self.length = 0
+        self._held_bytes = 0
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._reservation = reservation
+
+    def add(self, chunk: bytes) -> bool:
+        """Append a chunk; return False if the instance has no memory for it."""
+        if not self._reservation.resize(self._held_bytes + len(chunk)):
+            return False
+        self._held_bytes += len(chunk)
+        self.length += len(chunk)
+        self._chunks.append(chunk)
+        return True
+
+    @property
+    def end(self) -> bytes:
+        """The last bytes, at least four if there are as many."""
+        return b"".join(tuple(self._chunks)[-4:])
+
+    def __next__(self) -> bytes:
+        """Take the next chunk."""
+        if not self._chunks:
+            self._reservation.close()
+            raise StopIteration
+        chunk = self._chunks.popleft()
+        self._held_bytes -= len(chunk)
+        self._reservation.resize(self._held_bytes)
+        return chunk
+
+    def close(self) -> None:
+        """Drop the chunks that were not taken."""
+        self._chunks.clear()
+        self._reservation.close()
+
+
 def total_bytes(memory_bytes: int) -> int:
     """Return how much the responses of an instance may hold together.
 
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -16,6 +16,7 @@
     http_exchange,
     instance_state,
     protocol_adapter,
+    response_budget,
     retry_delay,
     sockets,
 )
@@ -232,7 +233,7 @@
         exchange: http_exchange.HttpExchange,
         upstream: entities.Upstream,
         opened: OpenResponse,
-    ) -> connections.HeldBody:
+    ) -> response_budget.HeldBody:
         """Return the whole body of a response and release its connection to the pool.
 
         :raises CallError: if the body is incomplete, or too large
--- a/tests/platform_side/test_response_memory.py
+++ b/tests/platform_side/test_response_memory.py
@@ -12,7 +12,7 @@
 import pytest
 from hypothesis import strategies as st
 
-from carawaydoor.serving import connections, event_splitter, response_budget
+from carawaydoor.serving import event_splitter, response_budget
 from tests.platform_side import router_harness
 from tests.platform_side.fake_upstream import Behaviour
 from tools import endless_responses
@@ -66,7 +66,7 @@
 
 def test_chunks_are_free_again_once_they_are_taken():
     budget = response_budget.ResponseBudget(10 * MB)
-    body = connections.HeldBody(budget.reserve())
+    body = response_budget.HeldBody(budget.reserve())
     for _ in range(10):
         body.add(b"x" * FREE)
     assert budget.held_bytes == 9 * FREE
