--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(BIN)/carawaydoor check examples/boekenkast
 	$(BIN)/python -m pytest tests
 	$(BIN)/python -m tools.soak --seed 1 --seconds 8 --instances 3
+	$(BIN)/python -m tools.soak --seed 2001 --seconds 15 --instances 4 --stutter
 
 bench: $(STAMP)
 	$(BIN)/python -m tools.bench
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -13,9 +13,12 @@
 import time
 
 from carawaydoor.platform import names
+from tests.platform_side import stutter
 
 EVENT_INTERVAL_S = 0.02
 STOP_POLL_INTERVAL_S = 0.02
+# A silence of a sound upstream.
+SILENCE_S = 1.3
 # Longer than the pause after which the router looks for another engine.
 PAUSE_S = 2.6
 
@@ -116,11 +119,20 @@
     at_s: float = dataclasses.field(default_factory=time.monotonic)
     caller_disconnected: threading.Event = dataclasses.field(default_factory=threading.Event)
     disconnected_s: float = float("inf")
+    was_cut: bool = False
 
     def header(self, name: str) -> str | None:
         return self.headers.get(name.lower())
 
 
+ANSWER = b"answer"
+
+
+def answer_to(request_id: str) -> bytes:
+    """Return the body of the response to a request, where each has one of its own."""
+    return f"answer to {request_id}. ".encode() * 20
+
+
 class FakeUpstream:
     """A server on its own port; each request uses up one of the queued behaviours."""
 
@@ -130,6 +142,9 @@
         self.released_handles: list[str] = []
         self.events = events
         self.pause_s = PAUSE_S
+        # Whether each plain response has a body of its own.
+        self.names_requests = False
+        self.stutter: stutter.StutterSource | None = None
         # Written into each event, unless it is empty.
         self.version = ""
         self.is_leaving = False
@@ -218,6 +233,10 @@
         if self._repeated is not None:
             of_earlier_request, self._repeated = self._repeated, None
             self._respond(*of_earlier_request)
+        drawn = upstream.stutter.draw() if upstream.stutter and not upstream.behaviours else None
+        if drawn is not None and behaviour is Behaviour.ANSWER:
+            self._respond_stuttering(received, drawn)
+            return
         if behaviour in _ONCE_BY_REPEATED:
             behaviour = _ONCE_BY_REPEATED[behaviour]
             self._repeated = received, behaviour
@@ -225,6 +244,37 @@
 
     do_GET = do_POST = do_DELETE = _handle  # noqa: N815
 
+    def _respond_stuttering(self, received: ReceivedRequest, drawn: stutter.Drawn) -> None:
+        is_stream = bool(received.header(names.Header.TOKENS))
+        match drawn.stutter:
+            case stutter.Stutter.CUT:
+                writer, self.wfile = self.wfile, stutter.CutWriter(self.wfile, drawn.cut_bytes)
+                self.close_connection = True
+                try:
+                    self._respond(received, Behaviour.ANSWER)
+                except stutter.CutError:
+                    received.was_cut = True
+                finally:
+                    self.wfile = writer
+            case stutter.Stutter.REPEATED_AT_ONCE if not is_stream:
+                self._respond(received, Behaviour.ANSWER)
+                self._respond(received, Behaviour.ANSWER)
+            case stutter.Stutter.REPEATED_LATE if not is_stream:
+                self._respond(received, Behaviour.ANSWER)
+                self._repeated = received, Behaviour.ANSWER
+            case stutter.Stutter.SILENT if is_stream:
+                self._respond(received, Behaviour.PAUSE_STREAM)
+            case stutter.Stutter.SILENT:
+                time.sleep(SILENCE_S)
+                self._respond(received, Behaviour.ANSWER)
+            case _:
+                self._respond(received, Behaviour.ANSWER)
+
+    def _answer(self, received: ReceivedRequest) -> bytes:
+        if not self.server.upstream.names_requests:
+            return ANSWER
+        return answer_to(self._request_id(received))
+
     def _respond(self, received: ReceivedRequest, behaviour: Behaviour) -> None:
         stamp: dict[str, str] = {
             names.Header.STAMP: "s",
@@ -245,7 +295,7 @@
             case _ if behaviour in _STREAMS and received.header(names.Header.TOKENS):
                 self._send_stream(received, behaviour, stamp)
             case Behaviour.ANSWER:
-                self._send_response(200, b"answer", stamp)
+                self._send_response(200, self._answer(received), stamp)
             case Behaviour.FAIL:
                 self._send_response(500, b"failed", stamp)
             case Behaviour.REJECT:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -53,6 +53,7 @@
         withdrawn_s_by_key={"key-b": 10.0},
         limit_by_name={},
         partitions=[],
+        capped_workspace="",
     )
 
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,7 +13,7 @@
 
 import cyclopts
 
-from tools.soak import callers, checks, faults, limits, soak_environment, streams
+from tools.soak import callers, checks, faults, limits, soak_environment, streams, stutters
 
 DEFAULT_FAULT_DURATION_S: Final = 20.0
 CALLER_COUNT: Final = 12
@@ -29,7 +29,9 @@
     VIOLATIONS_FOUND = 1
 
 
-def run_seed(seed: int, seconds: float, instance_count: int) -> list[str]:
+def run_seed(
+    seed: int, seconds: float, instance_count: int, has_stutters: bool = False
+) -> list[str]:
     """Run one seed and return the violations found."""
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     environment = soak_environment.SoakEnvironment(instance_count, directory)
@@ -41,6 +43,9 @@
         violations = list(checks.wait_until_ready(environment))
         for sender in senders:
             sender.start()
+        if has_stutters:
+            environment.cap_workspace(soak_environment.API_KEYS[-1])
+            stutters.begin(environment, seed)
         limits.LimitNamer(environment, seed).start()
         injector = faults.FaultInjector(environment, seed)
         injector.run(seconds)
@@ -75,14 +80,21 @@
         float, cyclopts.Parameter(help="How long faults are injected for each seed.")
     ] = DEFAULT_FAULT_DURATION_S,
     instances: Annotated[int, cyclopts.Parameter(help="Number of instances.")] = 4,
+    stutter: Annotated[
+        bool,
+        cyclopts.Parameter(
+            help="Have upstreams cut, repeat and delay single responses, and cap one workspace."
+        ),
+    ] = False,
 ) -> int:
     """Run the soak test; exit with 1 if a violation was found."""
     if seed is not None:
-        return ExitCode.VIOLATIONS_FOUND if run_seed(seed, seconds, instances) else ExitCode.SUCCESS
+        violations = run_seed(seed, seconds, instances, stutter)
+        return ExitCode.VIOLATIONS_FOUND if violations else ExitCode.SUCCESS
     deadline_s = time.monotonic() + minutes * 60.0
     exit_code = ExitCode.SUCCESS
     while time.monotonic() < deadline_s:
-        if run_seed(random.randrange(1_000_000), seconds, instances):
+        if run_seed(random.randrange(1_000_000), seconds, instances, stutter):
             exit_code = ExitCode.VIOLATIONS_FOUND
     return exit_code
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -10,7 +10,7 @@
 
 from carawaydoor.platform import names
 from tests.platform_side import fake_upstream
-from tools.soak import callers, partitions, soak_environment, streams
+from tools.soak import callers, partitions, quotas, soak_environment, streams
 
 READY_TIMEOUT_S: Final = 15.0
 # Allowed for a request that was sent before a bound and arrives after it.
@@ -65,7 +65,8 @@
         if each.is_complete and each.status == 200:
             # An upstream with a behaviour other than ANSWER may answer a generation with the
             # complete body of a plain request, under the right request id.
-            is_right = each.body == b"answer" or (is_stream and streams.is_whole(each))
+            plain_bodies = (fake_upstream.ANSWER, fake_upstream.answer_to(each.id))
+            is_right = each.body in plain_bodies or (is_stream and streams.is_whole(each))
             if not is_right or each.echoed_id != each.id:
                 yield f"{each.id} {each.path} received a wrong answer: {each.body[:60]!r}"
         withdrawn_s = environment.withdrawn_s_by_key.get(each.key)
@@ -82,6 +83,7 @@
     yield from _find_requests_after_rejections(environment, outcomes)
     yield from partitions.find_badly_served(environment, outcomes)
     yield from streams.find_joined(outcomes)
+    yield from quotas.find_exceeded(environment)
     for upstream in environment.upstream_by_name.values():
         for request in upstream.received:
             if request.header(names.Header.KEY) is not None:
--- a/tools/soak/soak_environment.py
+++ b/tools/soak/soak_environment.py
@@ -26,6 +26,9 @@
 API_KEYS: Final = ("key-a", "key-b", "key-c")
 SHUTDOWN_GRACE_S: Final = 8
 TIMEOUT_MS: Final = 4000
+# In requests, below what the callers of one key send.
+CAPPED_RATE_PER_S: Final = 20.0
+CAPPED_BURST: Final = 20.0
 MEMORY_MB: Final = 300
 KEY_WITHDRAWAL_BOUND_S: Final = 5.0
 DRAIN_BOUND_S: Final = 2.0
@@ -178,6 +181,7 @@
     :ivar draining_since_s_by_name: monotonic time at which an upstream began to drain
     :ivar limit_by_name: limits that upstreams name, and since when in monotonic seconds
     :ivar withdrawn_s_by_key: monotonic time at which an API key was withdrawn
+    :ivar capped_workspace: workspace that has a usage cap, empty for none
     :ivar partitions: when instances were cut off from all upstreams
     """
 
@@ -193,6 +197,7 @@
         self.withdrawn_s_by_key: dict[str, float] = {}
         self.partitions: list[partition.Partition] = []
         self.fault_history = fault_history.FaultHistory()
+        self.capped_workspace = ""
         self._configuration_version = 1
         self._entry_by_name: dict[str, dict[str, object]] = {}
         self._configuration: dict[str, object] = {}
@@ -274,7 +279,7 @@
                 | {"targetGapMs": 300, "allowResume": True, "maxAttempts": 2},
             ],
             "services": [{"name": "planner", "engine": engine}, {"name": "bookings"}],
-            "tenants": [{"name": f"w-{key}", "apiKeys": [key]} for key in keys],
+            "tenants": [self._tenant(key) for key in keys],
         }
         self._configuration = document
         self.store.put(names.CONFIGURATION_KEY, document)
@@ -308,6 +313,18 @@
         document["services"] = [*document["services"], {"name": "endless"}]
         self.store.put(names.CONFIGURATION_KEY, document)
 
+    def _tenant(self, key: str) -> dict[str, object]:
+        name = f"w-{key}"
+        tenant: dict[str, object] = {"name": name, "apiKeys": [key]}
+        if name == self.capped_workspace:
+            tenant |= {"unit": "requests", "ratePerS": CAPPED_RATE_PER_S, "burst": CAPPED_BURST}
+        return tenant
+
+    def cap_workspace(self, key: str) -> None:
+        """Publish a usage cap for the workspace of a key."""
+        self.capped_workspace = f"w-{key}"
+        self.publish_configuration(self.configured_keys)
+
     def restore_store(self) -> None:
         """Restore the store from the copy that was made at the last call, or at the first one."""
         copy = self._copy or self.store.copy()
