Pass requests on to peers that have reported lately

Requests now go to peers that have reported within 0.55 s, if there are any, and a read without a response in half of its time goes to the next one, within the retry budget.

Evidence: the two new cases failed before (504 for a read; the second one needs the new constant to run at all).

The soak's proxy uses poll(), since select() failed in a process that had opened over a thousand descriptors.

--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -12,12 +12,14 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from carawaydoor.fleet import report_effects, reports
 from carawaydoor.policy import load
 
+# Two rounds of reports, so that one may be lost.
+RECENT_REPORT_S: Final = 0.55
 # A peer without reports counts as silent after the minimum timeout or, in a large fleet, after a
 # number of cycles, so that a few lost datagrams have no effect. In each cycle, an instance sends
 # one report to every peer.
@@ -354,6 +356,15 @@
     )
 
 
+def recently_heard(peers: Sequence[Peer], now_s: float) -> Sequence[Peer]:
+    """Return the peers that have reported lately, or all of them if none has.
+
+    A peer that is suspended or cut off still accepts connections, and counts as silent only later.
+    """
+    recent = [each for each in peers if now_s - each.last_report_s <= RECENT_REPORT_S]
+    return recent or peers
+
+
 def peers_reaching(state: Membership, now_s: float, service: str) -> tuple[Peer, ...]:
     """Return the live peers that stay and do not report to be cut off from a service."""
     live_since_s = now_s - silence_timeout_s(state)
--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -57,27 +57,42 @@
         """
         service = exchange.service
         assert service is not None
-        for peer in self._candidates(service.name):
+        candidates = self._candidates(service.name)
+        for number, peer in enumerate(candidates, start=1):
+            may_repeat = number < len(candidates) and self._may_repeat(exchange)
             try:
-                result = self._send(exchange, peer)
+                result = self._send(exchange, peer, self._attempt_deadline_s(exchange, may_repeat))
             except connections.NotSentError as error:
                 self._log(exchange, peer, repr(error))
                 continue
+            except sockets.DeadlineExceededError as error:
+                self._log(exchange, peer, repr(error))
+                request_id = exchange.inbound.id
+                if not (may_repeat and self._instance.may_retry(request_id, service.name)):
+                    return _failed(error, peer)
+                continue
             except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
                 # The peer may have sent the request to an upstream.
                 self._log(exchange, peer, repr(error))
-                failure = upstream_client.classify_error(error)
-                call_error = upstream_client.CallError(failure, str(error))
-                return expression.Error(plain_handler.refusal_for(call_error, peer))
+                return _failed(error, peer)
             if result is not None:
                 return expression.Ok(result)
         return None
 
+    def _may_repeat(self, exchange: http_exchange.HttpExchange) -> bool:
+        return exchange.route is not None and not exchange.route.kind.forbids_rerun
+
+    def _attempt_deadline_s(self, exchange: http_exchange.HttpExchange, may_repeat: bool) -> float:
+        """Return when to give up a peer, which may be suspended; another one can serve the rest."""
+        now_s = self._instance.clock.now_s()
+        share = plain_handler.ATTEMPT_TIMEOUT_SHARE if may_repeat else 1.0
+        return now_s + (exchange.deadline_s - now_s) * share
+
     def _candidates(self, service: str) -> list[entities.Upstream]:
         """Return the peers to ask, those of this failure domain first, else in random order."""
-        peers = gossip.peers_reaching(
-            self._instance.membership, self._instance.clock.now_s(), service
-        )
+        now_s = self._instance.clock.now_s()
+        reaching = gossip.peers_reaching(self._instance.membership, now_s, service)
+        peers = gossip.recently_heard(reaching, now_s)
         options = self._instance.options
         hops = [
             entities.Upstream(
@@ -99,7 +114,7 @@
         return hops[:MAX_PEERS]
 
     def _send(
-        self, exchange: http_exchange.HttpExchange, peer: entities.Upstream
+        self, exchange: http_exchange.HttpExchange, peer: entities.Upstream, deadline_s: float
     ) -> http_exchange.Response | None:
         """Return the response of a peer, None if it reaches no upstream either.
 
@@ -110,11 +125,19 @@
         connection = self._pool.acquire(peer, new_only=True, connect_timeout_s=CONNECT_TIMEOUT_S)
         exchange.cleanup.callback(connection.close)
         clock = self._instance.clock
-        wait_limit = sockets.CallerWaitLimit(clock, exchange.deadline_s, exchange.inbound.is_gone)
+        wait_limit = sockets.CallerWaitLimit(clock, deadline_s, exchange.inbound.is_gone)
         encoded = self._adapter.encode_forwarded(
             exchange, exchange.deadline_s - clock.now_s(), self._instance.options.instance
         )
-        response = connection.send(encoded, wait_limit)
+        try:
+            response = connection.send(encoded, wait_limit)
+        except sockets.WaitAbortedError:
+            # Has the peer stop its work, if it still does any.
+            connection.close()
+            raise
+        connection.set_wait_limit(
+            sockets.CallerWaitLimit(clock, exchange.deadline_s, exchange.inbound.is_gone)
+        )
         check = self._adapter.check_response(
             exchange, response.status, response.header_by_name, response.is_first
         )
@@ -160,6 +183,12 @@
         )
 
 
+def _failed(error: Exception, peer: entities.Upstream) -> request_filters.HandlerResult:
+    """Return the refusal of a request that the peer may have sent to an upstream."""
+    call_error = upstream_client.CallError(upstream_client.classify_error(error), str(error))
+    return expression.Error(plain_handler.refusal_for(call_error, peer))
+
+
 def _reason(content: bytes) -> str:
     """Return why a peer refused a request, empty if it does not say."""
     try:
--- a/tests/platform_side/harness_fleet.py
+++ b/tests/platform_side/harness_fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import enum
 import random
+import socket
 import time
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -65,10 +66,17 @@
             if each.instance.options.instance != report.instance:
                 each.instance.handle_report(codec.decode(codec.encode(report)))
 
-    def serve_peers(self) -> None:
-        """Have every instance accept requests that peers pass on."""
+    def serve_peers(self, suspended: int | None = None) -> None:
+        """Have every instance accept requests that peers pass on.
+
+        :param suspended: number of one that accepts connections and does not answer
+        """
         adapter = http_adapter.PlatformHttpAdapter()
-        for each in self.members:
+        for number, each in enumerate(self.members):
+            if number == suspended:
+                address = each.instance.options.peer_host, each.instance.options.first_port
+                self.suspended = socket.create_server(address, backlog=64)
+                continue
             options = each.instance.options
             server = http_servers.CallerServer(each.app, options, lambda: False)
             forwarded = caller_app.CallerApp(each.instance, adapter, is_for_peers=True)
--- a/tests/platform_side/test_partitioned_instances.py
+++ b/tests/platform_side/test_partitioned_instances.py
@@ -190,3 +190,36 @@
     assert call(fleet.members[0], "/unsafe/x", "r").status == 200
     after = [each.charged() for each in fleet.members]
     assert sum(after) - sum(before) == 200.0
+
+
+def test_read_is_passed_on_to_another_peer_if_the_first_one_is_suspended():
+    """Half of the reads waited for the suspended peer until their callers had left."""
+    with harness_fleet.running(3, clocks.SystemClock()) as fleet:
+        for name in ("a", "b", "c"):
+            fleet.add_upstream(name)
+        fleet.serve_peers(suspended=1)
+        fleet.exchange_reports()
+        fleet.cut(0, harness_fleet.Cut.REFUSED)
+        call(fleet.members[0], "/safe/x", "finds-out")
+        for number in range(6):
+            fleet.exchange_reports()
+            assert call(fleet.members[0], "/safe/x", f"r-{number}").status == 200
+        fleet.suspended.close()
+
+
+def test_request_is_not_passed_on_to_a_peer_that_has_fallen_silent():
+    """A suspended peer accepts connections, so bookings were lost until it counted as silent."""
+    with harness_fleet.running(3, clocks.SystemClock()) as fleet:
+        for name in ("a", "b", "c"):
+            fleet.add_upstream(name)
+        fleet.serve_peers(suspended=1)
+        fleet.exchange_reports()
+        fleet.cut(0, harness_fleet.Cut.REFUSED)
+        call(fleet.members[0], "/safe/x", "finds-out")
+        time.sleep(gossip.RECENT_REPORT_S)
+        for number in range(6):
+            report, _, _ = fleet.members[2].instance.compose_report()
+            fleet.members[0].instance.handle_report(report)
+            fleet.members[0].instance.confirm_revision(1, fleet.clock.now_s())
+            assert call(fleet.members[0], "/unsafe/x", f"r-{number}").status == 200
+        fleet.suspended.close()
--- a/tools/soak/fault_proxy.py
+++ b/tools/soak/fault_proxy.py
@@ -9,6 +9,7 @@
 import struct
 import threading
 import time
+from typing import Final
 
 
 class Mode(enum.Enum):
@@ -24,7 +25,8 @@
     ONE_WAY = "one_way"
 
 
-DELAY_S = 0.15
+DELAY_S: Final = 0.15
+POLL_INTERVAL_MS: Final = 100
 
 
 class FaultProxy:
@@ -80,8 +82,12 @@
             time.sleep(0.05)
             return True
         sources = [inbound] if mode is Mode.ONE_WAY else [inbound, outbound]
-        readable, _, _ = select.select(sources, [], [], 0.1)
-        for source in readable:
+        # select() fails for the descriptors of a process that has opened over a thousand.
+        poll, source_by_descriptor = select.poll(), {each.fileno(): each for each in sources}
+        for descriptor in source_by_descriptor:
+            poll.register(descriptor, select.POLLIN)
+        for descriptor, _ in poll.poll(POLL_INTERVAL_MS):
+            source = source_by_descriptor[descriptor]
             content = source.recv(65_536)
             if not content:
                 return False
