--- a/src/carawaydoor/policy/strikes.py
+++ b/src/carawaydoor/policy/strikes.py
@@ -94,6 +94,15 @@
     return count
 
 
+def count_after(state: Strikes, now_s: float, request: str, since_s: float | None) -> int:
+    """Return the number of strikes against a request after a time in seconds, None for any time.
+
+    :param request: its fingerprint
+    """
+    current = _current(state, now_s, request)
+    return sum(since_s is None or each.at_s > since_s for each in current)
+
+
 def has_any(state: Strikes, now_s: float, request: str) -> bool:
     """Return whether there are strikes against a request.
 
--- a/src/carawaydoor/serving/crash_guard.py
+++ b/src/carawaydoor/serving/crash_guard.py
@@ -74,8 +74,15 @@
         """
         now_s = self._clock.now_s()
         with self._lock:
+            cleared = strikes.count_after(
+                self._strikes, now_s, fingerprint, self._sound.last_s(fingerprint)
+            )
             self._sound.record(fingerprint, now_s)
             self._evidence = crash_suspects.record_sound(self._evidence, now_s, shared_parts)
+        if cleared:
+            eliot.log_message(
+                message_type="strikes_taken_back", fingerprint=fingerprint, strikes=cleared
+            )
 
     def is_suspect(self, fingerprint: str, shared_parts: Sequence[str]) -> bool:
         """Return whether a sound run of a request would tell more about earlier crashes."""
