Ask a peer that left a request without a response last

A peer that left a request without a response until the attempt's deadline comes last among the candidates for five seconds, or until it responds.

--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -31,6 +31,8 @@
 MAX_PEERS: Final = 3
 # Peers are near, so a longer wait means that this one has failed.
 CONNECT_TIMEOUT_S: Final = 0.2
+# A suspended peer counts as silent sooner; one that still reports may stay unable to respond.
+NO_RESPONSE_MEMORY_S: Final = 5.0
 
 
 class _Problem(pydantic.BaseModel):
@@ -49,6 +51,7 @@
         self._adapter = adapter
         self._pool = connections.ConnectionPool(instance.clock, instance.connection_pool.budget)
         self._random = random.Random()
+        self._no_response_s_by_peer: dict[str, float] = {}
 
     def forward(self, exchange: http_exchange.HttpExchange) -> request_filters.HandlerResult | None:
         """Have a peer serve a request that this instance has sent to no upstream.
@@ -67,6 +70,7 @@
                 continue
             except sockets.DeadlineExceededError as error:
                 self._log(exchange, peer, repr(error))
+                self._no_response_s_by_peer[peer.id] = self._instance.clock.now_s()
                 request_id = exchange.inbound.id
                 if not (may_repeat and self._instance.may_retry(request_id, service.name)):
                     return _failed(error, peer)
@@ -89,7 +93,10 @@
         return now_s + (exchange.deadline_s - now_s) * share
 
     def _candidates(self, service: str) -> list[entities.Upstream]:
-        """Return the peers to ask, those of this failure domain first, else in random order."""
+        """Return the peers to ask, those of this failure domain first, else in random order.
+
+        Those that left a request without a response lately come last.
+        """
         now_s = self._instance.clock.now_s()
         reaching = gossip.peers_reaching(self._instance.membership, now_s, service)
         peers = gossip.recently_heard(reaching, now_s)
@@ -110,9 +117,17 @@
             if each.report is not None
         ]
         self._random.shuffle(hops)
-        hops.sort(key=lambda each: each.domain != options.domain)
+        unresponsive = self._unresponsive_since(now_s - NO_RESPONSE_MEMORY_S)
+        hops.sort(key=lambda each: (each.id in unresponsive, each.domain != options.domain))
         return hops[:MAX_PEERS]
 
+    def _unresponsive_since(self, since_s: float) -> frozenset[str]:
+        """Return the peers that left a request without a response, and forget older cases."""
+        for peer, failed_s in tuple(self._no_response_s_by_peer.items()):
+            if failed_s < since_s:
+                self._no_response_s_by_peer.pop(peer, None)
+        return frozenset(self._no_response_s_by_peer)
+
     def _send(
         self, exchange: http_exchange.HttpExchange, peer: entities.Upstream, deadline_s: float
     ) -> http_exchange.Response | None:
@@ -135,6 +150,7 @@
             # Has the peer stop its work, if it still does any.
             connection.close()
             raise
+        self._no_response_s_by_peer.pop(peer.id, None)
         connection.set_wait_limit(
             sockets.CallerWaitLimit(clock, exchange.deadline_s, exchange.inbound.is_gone)
         )
