--- a/src/carawaydoor/serving/stall_watch.py
+++ b/src/carawaydoor/serving/stall_watch.py
@@ -20,7 +20,7 @@
 # Two upstreams must not work on a stream for longer than 0.4 s. One that accepts it begins its
 # response at once.
 OFFER_OF_SILENT_TIMEOUT_S: Final = 0.3
-# An upstream that does not respond can't be told to stop either.
+# An upstream that does not respond does not notice a cancellation either.
 OFFER_OF_FAILED_TIMEOUT_S: Final = 1.0
 # Pause between two offers of a stream whose upstream has failed.
 OFFER_INTERVAL_S: Final = 0.6
