Count the attempts of a read that goes to a second peer

An instance without links to upstreams passed a read on to a second peer when the first one had not responded in half of the time, without regard to the route's number of attempts; the first peer had sent it to a slow upstream, and each peer counted its own attempts only. When no further peer could be connected to after that, the refusal also said that the request had not run, which was not known.

A request that is passed on names the attempts that other instances may have made or may make. The first peer may make all but one, the second one the rest; on a route of one attempt there is no second peer. The refusal after a peer without a response says that the request may have run.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -138,6 +138,7 @@
         cut_off_services=list(report.cut_off_services),
         sound_age_s_by_request=dict(report.sound_age_s_by_request),
         ranks_streams=report.ranks_streams,
+        bounds_attempts=report.bounds_attempts,
     )
 
 
@@ -256,6 +257,7 @@
         cut_off_services=tuple(message.cut_off_services or ()),
         sound_age_s_by_request=message.sound_age_s_by_request or {},
         ranks_streams=bool(message.ranks_streams),
+        bounds_attempts=bool(message.bounds_attempts),
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -356,6 +356,14 @@
     )
 
 
+def all_bound_attempts(state: Membership) -> bool:
+    """Return whether all peers have reported that they bound the attempts of passed-on requests."""
+    return all(
+        each.report is not None and each.report.bounds_attempts
+        for each in state.peer_by_instance.values()
+    )
+
+
 def recently_heard(peers: Sequence[Peer], now_s: float) -> Sequence[Peer]:
     """Return the peers that have reported lately, or all of them if none has.
 
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -86,6 +86,7 @@
     (thrift.TType.LIST, "cut_off_services", _STRING),
     _amounts("sound_age_s_by_request"),
     (_BOOL, "ranks_streams"),
+    (_BOOL, "bounds_attempts"),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -134,6 +134,8 @@
         crashing its upstream
     :ivar ranks_streams: whether resumable streams begin at the version of their rank at the sender;
         earlier releases don't say
+    :ivar bounds_attempts: whether the sender bounds the attempts of a request that an instance passes
+        on to it; earlier releases don't say
     """
 
     contact: Contact
@@ -164,6 +166,7 @@
     cut_off_services: tuple[str, ...] = ()
     sound_age_s_by_request: Mapping[str, float] = dataclasses.field(default_factory=dict)
     ranks_streams: bool = False
+    bounds_attempts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -58,6 +58,7 @@
                 prompt=_decode_prompt(environ),
                 last_event_id=_header_text(environ, names.Header.LAST_EVENT_ID) or "",
                 resumes=_header_text(environ, names.Header.RESUMES) or "",
+                attempts_elsewhere=_header_count(environ, names.Header.ATTEMPTS_ELSEWHERE),
                 is_gone=environ.get("waitress.client_disconnected", lambda: False),
             )
         except ValueError as error:
@@ -92,7 +93,11 @@
         )
 
     def encode_forwarded(
-        self, exchange: http_exchange.HttpExchange, time_left_s: float, instance: str
+        self,
+        exchange: http_exchange.HttpExchange,
+        time_left_s: float,
+        instance: str,
+        attempts_elsewhere: int,
     ) -> protocol_adapter.EncodedRequest:
         """Encode a caller's request for another instance."""
         inbound = exchange.inbound
@@ -101,6 +106,7 @@
             *inbound.headers,
             (names.Header.TIME_LEFT_MS.value, str(max(1, int(time_left_s * _MS_PER_S)))),
             (names.Header.FORWARDED_BY.value, instance),
+            (names.Header.ATTEMPTS_ELSEWHERE.value, str(attempts_elsewhere)),
         ]
         if inbound.key is not None:
             headers.append((names.Header.KEY.value, inbound.key))
@@ -306,6 +312,11 @@
     return seconds
 
 
+def _header_count(environ: Mapping[str, Any], header: names.Header) -> int:
+    text = _header_text(environ, header) or ""
+    return int(text) if _is_token_count(text) else 0
+
+
 def _decode_prompt(environ: Mapping[str, Any]) -> entities.Prompt | None:
     text = _header_text(environ, names.Header.TOKENS)
     if text is None:
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -30,6 +30,8 @@
     HOLD = "Carawaydoor-Hold"
     # Between instances only: the one that got the request from its caller.
     FORWARDED_BY = "Carawaydoor-Forwarded-By"
+    # Between instances only: attempts of a request that other instances may have made or may make.
+    ATTEMPTS_ELSEWHERE = "Carawaydoor-Attempts-Elsewhere"
     LAST_EVENT_ID = "Last-Event-Id"
     # Id of the caller's attempt that brought the first event of a stream that it takes up again.
     RESUMES = "Resumes"
@@ -63,6 +65,7 @@
         Header.PIN,
         Header.HOLD,
         Header.FORWARDED_BY,
+        Header.ATTEMPTS_ELSEWHERE,
     )
 )
 # What upstreams say of themselves to the router; not forwarded to callers.
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -23,6 +23,8 @@
         stream
     :ivar resumes: id of the caller's attempt that brought the first event of that stream, empty if
         it names none
+    :ivar attempts_elsewhere: attempts that other instances may have made or may make, if one of them
+        has passed the request on
     :ivar is_gone: returns whether the caller has closed its connection
     """
 
@@ -38,6 +40,7 @@
     last_event_id: str
     is_gone: Callable[[], bool]
     resumes: str = ""
+    attempts_elsewhere: int = 0
 
     @property
     def path(self) -> str:
@@ -84,6 +87,13 @@
     begin_version: str | None = None
     required_version: str | None = None
 
+    @property
+    def max_attempts(self) -> int:
+        """Number of upstreams that this instance may send the request to."""
+        assert self.route is not None
+        elsewhere = self.inbound.attempts_elsewhere if self.is_forwarded else 0
+        return self.route.max_attempts - elsewhere
+
     @property
     def placement_version(self) -> str | None:
         """Software version of the upstreams that may get the request now, None for any."""
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -377,6 +377,7 @@
                 sound_age_s_by_part=crash_evidence.sound_age_s_by_part,
                 sound_age_s_by_request=crash_evidence.sound_age_s_by_request,
                 ranks_streams=True,
+                bounds_attempts=True,
                 limits=self.upstream_limiter.share(),
                 turned_away_s_by_upstream=self.selector.turned_away.share(),
                 leaving_born_ms_by_upstream=upstream_directory.lately_leaving(
--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -61,19 +61,26 @@
         service = exchange.service
         assert service is not None
         candidates = self._candidates(service.name)
+        elsewhere = 0
+        failed: request_filters.HandlerResult | None = None
         for number, peer in enumerate(candidates, start=1):
-            may_repeat = number < len(candidates) and self._may_repeat(exchange)
+            may_repeat = number < len(candidates) and self._may_repeat(exchange, elsewhere)
+            # One attempt is left for the next peer.
+            kept = 1 if may_repeat else 0
+            deadline_s = self._attempt_deadline_s(exchange, may_repeat)
             try:
-                result = self._send(exchange, peer, self._attempt_deadline_s(exchange, may_repeat))
+                result = self._send(exchange, peer, deadline_s, elsewhere + kept)
             except connections.NotSentError as error:
                 self._log(exchange, peer, repr(error))
                 continue
             except sockets.DeadlineExceededError as error:
                 self._log(exchange, peer, repr(error))
                 self._no_response_s_by_peer[peer.id] = self._instance.clock.now_s()
+                failed = _failed(error, peer)
                 request_id = exchange.inbound.id
                 if not (may_repeat and self._instance.may_retry(request_id, service.name)):
-                    return _failed(error, peer)
+                    return failed
+                elsewhere = exchange.max_attempts - kept
                 continue
             except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
                 # The peer may have sent the request to an upstream.
@@ -81,10 +88,20 @@
                 return _failed(error, peer)
             if result is not None:
                 return expression.Ok(result)
-        return None
+        return failed
 
-    def _may_repeat(self, exchange: http_exchange.HttpExchange) -> bool:
-        return exchange.route is not None and not exchange.route.kind.forbids_rerun
+    def _may_repeat(self, exchange: http_exchange.HttpExchange, elsewhere: int) -> bool:
+        """Return whether the route allows an attempt after all that the next peer may make.
+
+        :param elsewhere: attempts that former peers may have made
+        """
+        route = exchange.route
+        return (
+            route is not None
+            and not route.kind.forbids_rerun
+            and route.max_attempts - elsewhere > 1
+            and gossip.all_bound_attempts(self._instance.membership)
+        )
 
     def _attempt_deadline_s(self, exchange: http_exchange.HttpExchange, may_repeat: bool) -> float:
         """Return when to give up a peer, which may be suspended; another one can serve the rest."""
@@ -129,10 +146,16 @@
         return frozenset(self._no_response_s_by_peer)
 
     def _send(
-        self, exchange: http_exchange.HttpExchange, peer: entities.Upstream, deadline_s: float
+        self,
+        exchange: http_exchange.HttpExchange,
+        peer: entities.Upstream,
+        deadline_s: float,
+        attempts_elsewhere: int,
     ) -> http_exchange.Response | None:
         """Return the response of a peer, None if it reaches no upstream either.
 
+        :param attempts_elsewhere: attempts that other peers may have made or may make
+
         :raises NotSentError: if the peer can't be connected to
         :raises UpstreamConnectionError: if the connection fails after that
         :raises WaitAbortedError: if the deadline passes or the caller disconnects
@@ -142,7 +165,10 @@
         clock = self._instance.clock
         wait_limit = sockets.CallerWaitLimit(clock, deadline_s, exchange.inbound.is_gone)
         encoded = self._adapter.encode_forwarded(
-            exchange, exchange.deadline_s - clock.now_s(), self._instance.options.instance
+            exchange,
+            exchange.deadline_s - clock.now_s(),
+            self._instance.options.instance,
+            attempts_elsewhere,
         )
         try:
             response = connection.send(encoded, wait_limit)
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -57,7 +57,7 @@
             refusals.Reason.NO_UPSTREAM, f"service {service.name} has no upstream", RETRY_AFTER_S
         )
         last_response: http_exchange.Response | None = None
-        while exchange.attempts < route.max_attempts:
+        while exchange.attempts < exchange.max_attempts:
             is_retry = exchange.attempts > 0
             if is_retry and not self._instance.may_retry(exchange.inbound.id, service.name):
                 break
@@ -129,7 +129,7 @@
         now_s = self._instance.clock.now_s()
         left_s = exchange.deadline_s - now_s
         attempt_deadline_s = None
-        if not route.kind.forbids_rerun and exchange.attempts + 1 < route.max_attempts:
+        if not route.kind.forbids_rerun and exchange.attempts + 1 < exchange.max_attempts:
             attempt_deadline_s = now_s + left_s * ATTEMPT_TIMEOUT_SHARE
         request = protocol_adapter.UpstreamRequest(upstream, left_s)
         return self._client.send(exchange, request, attempt_deadline_s)
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -134,12 +134,17 @@
 
     @abc.abstractmethod
     def encode_forwarded(
-        self, exchange: http_exchange.HttpExchange, time_left_s: float, instance: str
+        self,
+        exchange: http_exchange.HttpExchange,
+        time_left_s: float,
+        instance: str,
+        attempts_elsewhere: int,
     ) -> EncodedRequest:
         """Return a caller's request as it is passed on to another instance.
 
         :param time_left_s: time in seconds for which the caller still waits
         :param instance: this instance
+        :param attempts_elsewhere: attempts that further instances may have made or may make
         """
 
     @abc.abstractmethod
--- a/tests/platform_side/test_partitioned_instances.py
+++ b/tests/platform_side/test_partitioned_instances.py
@@ -223,3 +223,21 @@
             fleet.members[0].instance.confirm_revision(1, fleet.clock.now_s())
             assert call(fleet.members[0], "/unsafe/x", f"r-{number}").status == 200
         fleet.suspended.close()
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2])
+def test_read_runs_at_no_more_upstreams_than_its_route_allows(max_attempts):
+    """A read without a response went to a second peer, though the first one had sent it."""
+    route = dataclasses.replace(router_harness.SAFE, max_attempts=max_attempts)
+    with harness_fleet.running(4, clocks.SystemClock()) as fleet:
+        for name in ("a", "b", "c", "d"):
+            fleet.add_upstream(name).behaviours = [Behaviour.HANG] * 8
+        for member in fleet.members:
+            member.configure(route, revision=2)
+        fleet.serve_peers()
+        fleet.exchange_reports()
+        fleet.cut(0, harness_fleet.Cut.REFUSED)
+        assert call(fleet.members[0], "/safe/x", "r", timeout_ms=800).status == 504
+        time.sleep(0.3)
+        upstreams = fleet.members[0].upstreams.values()
+        assert sum(len(each.received) for each in upstreams) == max_attempts
