--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -1,7 +1,7 @@
 """Passes requests on to a peer while this instance reaches no upstream of their service.
 
-A request goes by one peer only, which serves it like a caller's, apart from what this instance has
-already done: the charge to the usage cap and the count for the retry budget.
+A peer serves it like a caller's, apart from what this instance has already done: the charge to the
+usage cap and the count for the retry budget. A read without a response goes to a second peer in time.
 """
 
 from __future__ import annotations
