Hold decode memory before a prompt is prefilled

An engine that may be full is now asked to hold memory first, where the configuration states holdMs; one without memory is asked again after 0.2 s.

--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -30,6 +30,10 @@
             "carawaydoor_limited_requests",
             "Requests sent to upstreams that name a limit, by upstream.",
         )
+        self.memory_holds: Final = exporter.create_counter(
+            "carawaydoor_memory_holds",
+            "Engines asked to hold memory for a generation, by service and outcome.",
+        )
         self.stream_ends: Final = exporter.create_counter(
             "carawaydoor_stream_ends",
             "Streams whose upstream ended them, by framing and whether inside an event.",
--- a/src/carawaydoor/platform/engine_documents.py
+++ b/src/carawaydoor/platform/engine_documents.py
@@ -28,6 +28,20 @@
     tokens: field_types.Count
 
 
+class _Hold(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    hold: Annotated[str, pydantic.Field(pattern=r"^[!-.0-~]{1,200}$")]
+
+
+def decode_hold(content: bytes) -> str:
+    """Decode the id of the memory that an engine holds.
+
+    :raises pydantic.ValidationError: if it is malformed
+    """
+    return _Hold.model_validate_json(content).hold
+
+
 def decode_report(content: bytes) -> protocol_adapter.EngineReport:
     """Decode the status report of an engine.
 
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -29,6 +29,11 @@
     409: protocol_adapter.OrderOutcome.CONFLICT,
     412: protocol_adapter.OrderOutcome.FENCED,
 }
+_OUTCOME_BY_HOLD_STATUS: Final = {
+    200: protocol_adapter.HoldOutcome.TAKEN,
+    _MISDIRECTED_STATUS: protocol_adapter.HoldOutcome.MISDIRECTED,
+    _UNAVAILABLE_STATUS: protocol_adapter.HoldOutcome.REFUSED,
+}
 _PART_DIGEST_BYTES: Final = 8
 # Bounds what is kept of one prompt; the headers alone would allow hundreds of parts.
 _MAX_SHARED_PARTS: Final = 32
@@ -83,6 +88,8 @@
             headers.append((names.Header.STAGE.value, _STAGE_PREFILL))
         if request.kv_source:
             headers.append((names.Header.KV_SOURCE.value, request.kv_source))
+        if request.hold:
+            headers.append((names.Header.HOLD.value, request.hold))
         if request.backup is not None:
             headers.append((names.Header.KV_BACKUP.value, request.backup.address))
         if request.last_event_id:
@@ -213,6 +220,43 @@
         path = names.HANDLE_PATH + kv_source.rpartition("/")[2]
         return protocol_adapter.EncodedRequest("DELETE", path, headers, b"")
 
+    def encode_hold(
+        self, upstream: entities.Upstream, tokens: int, ttl_s: float
+    ) -> protocol_adapter.EncodedRequest:
+        """Encode the request that has an engine hold a slot and memory."""
+        headers = (
+            ("Host", upstream.address),
+            ("Content-Type", "application/json"),
+            (names.Header.EXPECT_INCARNATION.value, upstream.id),
+        )
+        document = {"tokens": tokens, "ttlMs": int(ttl_s * _MS_PER_S)}
+        return protocol_adapter.EncodedRequest(
+            "POST", names.HOLD_PATH, headers, json.dumps(document).encode()
+        )
+
+    def parse_hold(self, status: int, content: bytes) -> tuple[protocol_adapter.HoldOutcome, str]:
+        """Return the outcome and the id of the held memory, which is empty if none is held."""
+        outcome = _OUTCOME_BY_HOLD_STATUS.get(status, protocol_adapter.HoldOutcome.UNSUPPORTED)
+        if outcome is not protocol_adapter.HoldOutcome.TAKEN:
+            return outcome, ""
+        try:
+            return outcome, engine_documents.decode_hold(content)
+        except pydantic.ValidationError as error:
+            eliot.log_message(message_type="hold_malformed", detail=str(error)[:300])
+            return protocol_adapter.HoldOutcome.UNSUPPORTED, ""
+
+    def encode_hold_release(
+        self, upstream: entities.Upstream, hold: str
+    ) -> protocol_adapter.EncodedRequest:
+        """Encode the request that releases held memory."""
+        headers = (
+            ("Host", upstream.address),
+            (names.Header.EXPECT_INCARNATION.value, upstream.id),
+        )
+        return protocol_adapter.EncodedRequest(
+            "DELETE", names.HOLD_RELEASE_PATH + hold, headers, b""
+        )
+
     def encode_report_request(self, upstream: entities.Upstream) -> protocol_adapter.EncodedRequest:
         """Encode the request for the status report of an engine."""
         return protocol_adapter.EncodedRequest(
--- a/src/carawaydoor/platform/store_documents.py
+++ b/src/carawaydoor/platform/store_documents.py
@@ -65,6 +65,7 @@
     linkMbps: field_types.NonNegative  # noqa: N815
     backups: bool = False
     handleTtlS: field_types.Milliseconds = 0.0  # noqa: N815
+    holdMs: field_types.Milliseconds = 0.0  # noqa: N815
 
 
 class _Service(_Model):
@@ -214,6 +215,7 @@
             engine.linkMbps * entities.BYTES_PER_MEGABIT,
             engine.backups,
             engine.handleTtlS,
+            engine.holdMs / _MS_PER_S,
         ),
     )
 
--- a/src/carawaydoor/policy/entities.py
+++ b/src/carawaydoor/policy/entities.py
@@ -87,6 +87,8 @@
     :ivar link_bytes_per_s: speed of KV cache transfers between engines
     :ivar keeps_backups: whether an engine can keep a copy of the KV cache of generations that run
         on another engine
+    :ivar max_hold_s: longest time in seconds for which an engine holds memory for a request, zero
+        if it holds none
     :ivar handle_ttl_s: time for which a prefill engine keeps a prompt's KV cache for the decode
         engine to fetch
     """
@@ -97,6 +99,7 @@
     link_bytes_per_s: float
     keeps_backups: bool
     handle_ttl_s: float
+    max_hold_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/policy/health.py
+++ b/src/carawaydoor/policy/health.py
@@ -22,6 +22,8 @@
 # An engine that rejected a request is treated as full for this time, whatever its known load: it
 # may be in use by instances that can't be reached, and a generation takes longer than this.
 ASSUMED_FULL_S: Final = 0.6
+# An engine that refuses to hold memory is asked again sooner, since that costs no prefill.
+NO_MEMORY_S: Final = 0.2
 
 
 class Outcome(enum.Enum):
@@ -120,6 +122,12 @@
     }
 
 
+def mark_full(health: Health, now_s: float, upstream: str) -> Health:
+    """Return the health after an upstream has refused to hold memory."""
+    before = health.get(upstream, HEALTHY)
+    return {**health, upstream: dataclasses.replace(before, full_until_s=now_s + NO_MEMORY_S)}
+
+
 def withdraw_rejections(health: Health, upstreams: Collection[str]) -> Health:
     """Return the health with upstreams no longer treated as full."""
     return {
--- /dev/null
+++ b/src/carawaydoor/policy/memory_hold.py
@@ -0,0 +1,38 @@
+"""Decides when a decode engine is asked to hold memory for a generation before its prompt is prefilled.
+
+Load pattern: many instances place generations on engines that are nearly full, by reports that are
+some hundred milliseconds old. An engine that is full when the prefill ends rejects the generation,
+and the prefill is wasted. Only the engine itself knows whether it has room, so it is asked first.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from carawaydoor.policy import entities, load
+
+# Emptier engines take what the instances don't know of each other, so the call would gain nothing.
+MIN_FILL_SHARE: Final = 0.5
+# Added to the expected time until the prompt is prefilled, for its transfer to the decode engine.
+TTL_MARGIN_S: Final = 0.5
+
+
+def is_worthwhile(engine_spec: entities.EngineSpec, work: load.Work) -> bool:
+    """Return whether an engine may be too full for one more generation.
+
+    :param work: work of all instances at the engine, as far as this one knows it
+    """
+    if engine_spec.max_hold_s <= 0.0:
+        return False
+    return (
+        work.tokens >= MIN_FILL_SHARE * engine_spec.kv_tokens
+        or work.requests >= MIN_FILL_SHARE * engine_spec.slots
+    )
+
+
+def ttl_s(engine_spec: entities.EngineSpec, prefill_wait_s: float) -> float:
+    """Return the time in seconds for which memory is held.
+
+    :param prefill_wait_s: expected time until the prompt is prefilled
+    """
+    return min(engine_spec.max_hold_s, prefill_wait_s + TTL_MARGIN_S)
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -13,6 +13,7 @@
     generation_placement,
     http_exchange,
     instance_state,
+    memory_holds,
     plain_handler,
     protocol_adapter,
     refusals,
@@ -41,7 +42,9 @@
         super().__init__(instance)
         self._client = client
         self._adapter = adapter
-        self._placer = generation_placement.GenerationPlacer(instance, client)
+        self._placer = generation_placement.GenerationPlacer(
+            instance, client, memory_holds.MemoryHolds(instance, adapter)
+        )
 
     def handle(self, exchange: http_exchange.HttpExchange) -> request_filters.HandlerResult:
         """Return the response as a stream."""
@@ -233,9 +236,18 @@
             kv_source=kv_source,
             backup=backup,
             last_event_id=exchange.inbound.last_event_id,
+            hold=self._use_hold(placed),
         )
         return self._client.send(exchange, request, connection=placed.connection)
 
+    def _use_hold(self, placed: generation_placement.PlacedGeneration) -> str:
+        """Return the id of the memory held at the decode engine, which one offer uses up."""
+        hold = placed.hold
+        if hold is None or hold.is_used or hold.upstream.id != placed.decode.id:
+            return ""
+        hold.is_used = True
+        return hold.id
+
     def _give_up_kv_cache(
         self, placed: generation_placement.PlacedGeneration, kv_source: str, rejecting: set[str]
     ) -> None:
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -4,18 +4,30 @@
 
 import contextlib
 import dataclasses
+from typing import Final
 
 import eliot
 
-from carawaydoor.policy import capacity_wait, drain, entities, load, placement
+from carawaydoor.policy import capacity_wait, drain, entities, load, memory_hold, placement
 from carawaydoor.serving import (
     connections,
     http_exchange,
     instance_state,
+    memory_holds,
+    protocol_adapter,
     sockets,
     upstream_client,
 )
 
+# With these outcomes, the prompt is prefilled for the engine.
+_PROCEED: Final = frozenset(
+    {
+        protocol_adapter.HoldOutcome.NOT_NEEDED,
+        protocol_adapter.HoldOutcome.TAKEN,
+        protocol_adapter.HoldOutcome.UNSUPPORTED,
+    }
+)
+
 
 @dataclasses.dataclass(slots=True)
 class PlacedGeneration:
@@ -23,6 +35,7 @@
 
     :ivar decode_reservation: releases the load counted at the decode engine and at its backup
     :ivar prefill_reservation: releases the load counted at the prefill engine
+    :ivar hold: memory that the decode engine holds for the generation, None for none
     """
 
     exchange: http_exchange.HttpExchange
@@ -33,16 +46,21 @@
     connection: connections.Connection
     decode_reservation: contextlib.ExitStack
     prefill_reservation: contextlib.ExitStack
+    hold: memory_holds.Hold | None = None
 
 
 class GenerationPlacer:
     """Places the generations of one instance."""
 
     def __init__(
-        self, instance: instance_state.InstanceState, client: upstream_client.UpstreamClient
+        self,
+        instance: instance_state.InstanceState,
+        client: upstream_client.UpstreamClient,
+        holds: memory_holds.MemoryHolds,
     ) -> None:
         self._instance = instance
         self._client = client
+        self._holds = holds
 
     def place(
         self,
@@ -70,13 +88,19 @@
             now_s = self._instance.clock.now_s()
             if chosen is not None:
                 placed = self._connect(exchange, service, prompt, chosen)
-                if placed is not None:
+                if placed is None:
+                    excluded.add(chosen.decode.id)
+                    if self._instance.reach.is_cut_off(service.name):
+                        return None
+                    continue
+                outcome = self._take_hold(placed)
+                if outcome in _PROCEED:
                     self._log_placement(placed, arrival)
                     return placed
-                excluded.add(chosen.decode.id)
-                if self._instance.reach.is_cut_off(service.name):
-                    return None
-                continue
+                if outcome is not protocol_adapter.HoldOutcome.REFUSED:
+                    excluded.add(chosen.decode.id)
+                if now_s < terms.until_s and not exchange.inbound.is_gone():
+                    continue
             turned_away_s = self._instance.selector.turned_away_retry_s(
                 service.name, entities.Stage.DECODE
             )
@@ -131,6 +155,46 @@
             placed.decode, placed.decode_reservation = decode, decode_reservation
             return True
 
+    def _take_hold(self, placed: PlacedGeneration) -> protocol_adapter.HoldOutcome:
+        """Have the decode engine hold memory if it may be full; free both engines if it refuses."""
+        engine_spec, decode = placed.service.engine_spec, placed.decode
+        if (
+            engine_spec is None
+            or placed.chosen.prefill is None
+            or not memory_hold.is_worthwhile(
+                engine_spec, self._instance.selector.load.at(decode.id)
+            )
+            or self._instance.upstream_limiter.limit_per_s(decode) is not None
+        ):
+            return protocol_adapter.HoldOutcome.NOT_NEEDED
+        outcome, placed.hold = self._holds.take(
+            placed.exchange,
+            placed.connection,
+            placed.prompt.mean_kv_tokens,
+            memory_hold.ttl_s(engine_spec, placed.chosen.prefill_wait_s),
+        )
+        if outcome in _PROCEED and not placed.connection.is_reusable():
+            outcome = self._reconnect(placed, outcome)
+        if outcome not in _PROCEED:
+            placed.connection.close()
+            placed.prefill_reservation.close()
+            placed.decode_reservation.close()
+            placed.exchange.permits.close()
+        if outcome is protocol_adapter.HoldOutcome.REFUSED:
+            self._instance.selector.record_no_memory(decode)
+        return outcome
+
+    def _reconnect(
+        self, placed: PlacedGeneration, outcome: protocol_adapter.HoldOutcome
+    ) -> protocol_adapter.HoldOutcome:
+        """Replace a connection that the engine has closed after its response."""
+        try:
+            placed.connection = self._client.connect(placed.exchange, placed.decode)
+        except upstream_client.CallError:
+            # The client has logged the failure; another engine is chosen.
+            return protocol_adapter.HoldOutcome.FAILED
+        return outcome
+
     def may_begin(self) -> bool:
         """Return whether a generation that has waited may still begin before a stop."""
         return drain.may_begin_stream(self._instance.draining_for_s(self._instance.clock.now_s()))
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -38,6 +38,7 @@
     :ivar kv_source: location from which the engine fetches the KV cache, empty for none
     :ivar backup: engine that keeps a copy of the KV cache, None for no copy
     :ivar last_event_id: id of the event after which a stream is resumed, empty for a new stream
+    :ivar hold: id of the memory that the engine holds for the request, empty for none
     """
 
     upstream: entities.Upstream
@@ -46,6 +47,7 @@
     kv_source: str = ""
     backup: entities.Upstream | None = None
     last_event_id: str = ""
+    hold: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +108,20 @@
     kv_used: int
 
 
+class HoldOutcome(enum.Enum):
+    """How an engine responded when it was asked to hold memory.
+
+    ``REFUSED`` says that the engine has no room; ``UNSUPPORTED`` says nothing about it.
+    """
+
+    NOT_NEEDED = "not_needed"
+    TAKEN = "taken"
+    REFUSED = "refused"
+    UNSUPPORTED = "unsupported"
+    MISDIRECTED = "misdirected"
+    FAILED = "failed"
+
+
 class OrderOutcome(enum.Enum):
     """How an engine responded to a stage order."""
 
@@ -191,6 +207,22 @@
     def encode_release(self, upstream: entities.Upstream, kv_source: str) -> EncodedRequest:
         """Return the HTTP request that releases the KV cache of a prompt."""
 
+    @abc.abstractmethod
+    def encode_hold(self, upstream: entities.Upstream, tokens: int, ttl_s: float) -> EncodedRequest:
+        """Return the HTTP request that has an engine hold a slot and memory for a request.
+
+        :param tokens: tokens that the request takes up in the KV cache
+        :param ttl_s: time in seconds after which the engine releases what no request has used
+        """
+
+    @abc.abstractmethod
+    def parse_hold(self, status: int, content: bytes) -> tuple[HoldOutcome, str]:
+        """Return the outcome and the id of the held memory, which is empty if none is held."""
+
+    @abc.abstractmethod
+    def encode_hold_release(self, upstream: entities.Upstream, hold: str) -> EncodedRequest:
+        """Return the HTTP request that releases held memory."""
+
     @abc.abstractmethod
     def encode_report_request(self, upstream: entities.Upstream) -> EncodedRequest:
         """Return the HTTP request for an engine's report."""
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -278,6 +278,11 @@
                 outcome=outcome.value,
             )
 
+    def record_no_memory(self, upstream: entities.Upstream) -> None:
+        """Treat an engine as full for a while, since it has refused to hold memory."""
+        with self._lock:
+            self.health = health.mark_full(self.health, self._clock.now_s(), upstream.id)
+
     def withdraw_rejections(self, upstreams: Collection[str]) -> None:
         """Use upstreams again whose rejections were not for lack of capacity."""
         with self._lock:
--- a/tests/platform_side/fake_upstream.py
+++ b/tests/platform_side/fake_upstream.py
@@ -140,6 +140,10 @@
         self.behaviours: list[Behaviour] = []
         self.received: list[ReceivedRequest] = []
         self.released_handles: list[str] = []
+        self.holds: list[dict[str, int]] = []
+        self.released_holds: list[str] = []
+        # Status of the response to a request to hold memory.
+        self.hold_status = 200
         self.events = events
         self.pause_s = PAUSE_S
         # Whether each plain response has a body of its own.
@@ -215,6 +219,15 @@
             upstream.released_handles.append(self.path.removeprefix(names.HANDLE_PATH))
             self._send_response(200, b"")
             return
+        if self.path.startswith(names.HOLD_RELEASE_PATH):
+            upstream.released_holds.append(self.path.removeprefix(names.HOLD_RELEASE_PATH))
+            self._send_response(200, b"")
+            return
+        if self.path == names.HOLD_PATH:
+            upstream.holds.append(json.loads(body))
+            content = json.dumps({"hold": f"hold{len(upstream.holds)}"}).encode()
+            self._send_response(upstream.hold_status, content)
+            return
         if self.path == names.REPORT_PATH:
             report = {"stage": "prefill", "busy": False, "sequenceNumber": 3, "kvUsed": 7}
             self._send_response(200, json.dumps(report).encode())
