Separate the division of a limit from its statements and permits

Cause: the limits of cold upstreams hold over one second and not four, so they have to be divided among instances in another way by the same code. Change: the division is an abstract class with one implementation for the limits that upstreams name; statements are recorded in batches. An instance that loses its share now loses its permits, since it could send them beside those of the instances that have the share now. Evidence: tests/policy/test_limit_shares.py and test_upstream_limits.py pass unchanged.

--- a/src/carawaydoor/policy/upstream_limits.py
+++ b/src/carawaydoor/policy/upstream_limits.py
@@ -8,25 +8,15 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from typing import Final
 
-from carawaydoor.policy import entities, rendezvous
+from carawaydoor.policy import entities, limit_sharing, rendezvous
 
 # A server that takes more than this needs no limit; the figure is a mistake.
 MAX_LIMIT_PER_S: Final = 1e6
-# Below this rate too few responses would come back to learn that a limit has been raised.
-MIN_USED_LIMIT_PER_S: Final = 0.1
-# Instances that share a limit: this many, and more for each request a second. Together with what each
-# may save up, they send at most half a limit more than the limit in 4 s, and a few requests.
-MIN_SHARING_INSTANCES: Final = 2
-SHARING_INSTANCES_PER_RPS: Final = 1.33
-# What an instance with a small share may save up. Permits that come up while it waits for a request
-# would be lost without the half.
-MAX_SAVED_PERMITS: Final = 1.5
-# One with a large share may save up its part of this time.
-MAX_SAVED_S: Final = 0.25
 # Permits are fractions; sums of these may miss a whole one by rounding.
 ROUNDING_TOLERANCE: Final = 1e-9
 # Statements of peers are dated by their age when they were sent. The assumed delay since then makes
@@ -40,6 +30,9 @@
 RECENT_CHANGE_S: Final = 2.0
 
 
+Fleet = limit_sharing.Fleet
+
+
 class LimitError(Exception):
     """The text states no usable limit."""
 
@@ -82,20 +75,6 @@
         return self.upstream_id, self.born_ms
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Fleet:
-    """The instances that share limits, as far as this one knows them.
-
-    :ivar instances: names of those that can be reached, this one included unless it is leaving
-    :ivar usable_share: part of each limit that these may use, below 1 while others are cut off
-    :ivar is_settled: whether this instance knows its peers; it doesn't shortly after its start
-    """
-
-    instances: tuple[str, ...]
-    usable_share: float
-    is_settled: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Permits:
     """Requests that this instance may send to an upstream.
@@ -120,6 +99,9 @@
     permits_by_incarnation: Mapping[entities.Incarnation, Permits] = dataclasses.field(
         default_factory=dict
     )
+    sharing: limit_sharing.Sharing = dataclasses.field(
+        default_factory=limit_sharing.NamedLimitSharing
+    )
 
     def limit_per_s(self, incarnation: entities.Incarnation) -> float | None:
         """Return the limit of an incarnation, None if it names none."""
@@ -127,41 +109,53 @@
         return None if statement is None else statement.limit_per_s
 
 
-def create(instance: str) -> UpstreamLimits:
-    """Return the limits known to an instance that starts."""
-    return UpstreamLimits(instance, Fleet((instance,), 1.0, False))
+def create(instance: str, sharing: limit_sharing.Sharing | None = None) -> UpstreamLimits:
+    """Return the limits known to an instance that starts.
 
+    :param sharing: how limits are divided, None for limits that upstreams name
+    """
+    fleet = Fleet((instance,), 1.0, False, (instance,))
+    return UpstreamLimits(instance, fleet, sharing=sharing or limit_sharing.NamedLimitSharing())
 
-def record(state: UpstreamLimits, now_s: float, statement: Statement) -> UpstreamLimits:
-    """Record a statement, unless a newer one is known."""
-    incarnation = statement.incarnation
-    known = state.statement_by_incarnation.get(incarnation)
-    if known is None and statement.limit_per_s is None:
-        return state
-    if known is not None and statement.asked_s < known.asked_s:
+
+def record(state: UpstreamLimits, now_s: float, *statements: Statement) -> UpstreamLimits:
+    """Record statements of different incarnations, unless newer ones are known."""
+    news = [each for each in statements if _is_news(state, each)]
+    if not news:
         return state
-    is_same = known is not None and known.limit_per_s == statement.limit_per_s
-    changed_s = known.changed_s if known is not None and is_same else now_s
-    statements = {
-        **state.statement_by_incarnation,
-        incarnation: dataclasses.replace(statement, changed_s=changed_s),
-    }
-    after = dataclasses.replace(state, statement_by_incarnation=statements)
-    if is_same:
-        return after
+    statement_by_incarnation = dict(state.statement_by_incarnation)
     permits = dict(state.permits_by_incarnation)
-    if statement.limit_per_s is None:
-        permits.pop(incarnation, None)
-    elif incarnation in permits:
-        permits[incarnation] = _updated(state, now_s, incarnation)
-    else:
-        permits[incarnation] = _first_permits(after, now_s, statement)
-    return dataclasses.replace(after, permits_by_incarnation=permits)
+    for statement in news:
+        incarnation = statement.incarnation
+        known = state.statement_by_incarnation.get(incarnation)
+        if known is not None and known.limit_per_s == statement.limit_per_s:
+            changed_s = known.changed_s
+        else:
+            changed_s = now_s
+            if statement.limit_per_s is None:
+                permits.pop(incarnation, None)
+            elif incarnation in permits:
+                permits[incarnation] = _updated(state, now_s, incarnation)
+            else:
+                permits[incarnation] = _first_permits(state, now_s, statement)
+        statement_by_incarnation[incarnation] = dataclasses.replace(statement, changed_s=changed_s)
+    return dataclasses.replace(
+        state,
+        statement_by_incarnation=statement_by_incarnation,
+        permits_by_incarnation=permits,
+    )
+
+
+def _is_news(state: UpstreamLimits, statement: Statement) -> bool:
+    known = state.statement_by_incarnation.get(statement.incarnation)
+    if known is None:
+        return statement.limit_per_s is not None
+    return statement.asked_s >= known.asked_s
 
 
 def _first_permits(state: UpstreamLimits, now_s: float, statement: Statement) -> Permits:
     """Return permits that come up one after the other at the instances that share a limit."""
-    rank = _rank(state, statement.incarnation)
+    rank = _rank(state, statement)
     has_share = _share_per_s(state, statement, rank) > 0.0
     level = rank / _sharing_instances(state, statement) if has_share else 0.0
     return Permits(rank, level, now_s)
@@ -203,15 +197,18 @@
     )
 
 
-def remove(state: UpstreamLimits, incarnation: entities.Incarnation) -> UpstreamLimits:
-    """Remove what is known of an incarnation that has ended."""
-    if incarnation not in state.statement_by_incarnation:
-        return state
-    return _without(state, {incarnation})
+def remove(state: UpstreamLimits, *incarnations: entities.Incarnation) -> UpstreamLimits:
+    """Remove what is known of incarnations that have ended or have no limit any more."""
+    known = state.statement_by_incarnation.keys() & set(incarnations)
+    return _without(state, known) if known else state
 
 
 def with_fleet(state: UpstreamLimits, now_s: float, fleet: Fleet) -> UpstreamLimits:
-    """Return the limits as they are shared in a fleet, without ended ones that are long past."""
+    """Return the limits as they are shared in a fleet, without ended ones that are long past.
+
+    An instance that has lost its share loses its permits, since the instances that have it now have
+    permits of their own.
+    """
     past = {
         incarnation
         for incarnation, each in state.statement_by_incarnation.items()
@@ -221,13 +218,13 @@
     if fleet == state.fleet:
         return state
     permits = _all_updated(state, now_s)
-    has_other_instances = fleet.instances != state.fleet.instances
+    has_other_ranks = state.sharing.ranked(fleet) != state.sharing.ranked(state.fleet)
     state = dataclasses.replace(state, fleet=fleet)
-    if has_other_instances:
-        permits = {
-            incarnation: dataclasses.replace(each, rank=_rank(state, incarnation))
-            for incarnation, each in permits.items()
-        }
+    for incarnation, each in permits.items():
+        statement = state.statement_by_incarnation[incarnation]
+        rank = _rank(state, statement) if has_other_ranks else each.rank
+        has_share = _share_per_s(state, statement, rank) > 0.0
+        permits[incarnation] = Permits(rank, each.level if has_share else 0.0, now_s)
     return dataclasses.replace(state, permits_by_incarnation=permits)
 
 
@@ -271,10 +268,11 @@
     statement = state.statement_by_incarnation.get(incarnation)
     if statement is None or statement.limit_per_s is None:
         return math.inf
-    return _usable_per_s(state, statement) / max(1, len(state.fleet.instances))
+    instances = len(state.sharing.ranked(state.fleet))
+    return _usable_per_s(state, statement) / max(1, instances)
 
 
-def _without(state: UpstreamLimits, incarnations: set[entities.Incarnation]) -> UpstreamLimits:
+def _without(state: UpstreamLimits, incarnations: Set[entities.Incarnation]) -> UpstreamLimits:
     return dataclasses.replace(
         state,
         statement_by_incarnation={
@@ -310,20 +308,18 @@
     statement = state.statement_by_incarnation[incarnation]
     share_per_s = _share_per_s(state, statement, before.rank)
     gained = share_per_s * max(0.0, now_s - before.updated_s)
-    most = max(MAX_SAVED_PERMITS, share_per_s * MAX_SAVED_S)
+    most = state.sharing.max_saved(share_per_s)
     return Permits(before.rank, min(most, before.level + gained), now_s)
 
 
 def _usable_per_s(state: UpstreamLimits, statement: Statement) -> float:
     assert statement.limit_per_s is not None
-    return max(MIN_USED_LIMIT_PER_S, statement.limit_per_s) * state.fleet.usable_share
+    return state.sharing.usable_per_s(statement.limit_per_s, state.fleet)
 
 
 def _sharing_instances(state: UpstreamLimits, statement: Statement) -> int:
-    wanted = MIN_SHARING_INSTANCES + int(
-        SHARING_INSTANCES_PER_RPS * _usable_per_s(state, statement)
-    )
-    return min(wanted, max(1, len(state.fleet.instances)))
+    assert statement.limit_per_s is not None
+    return state.sharing.instance_count(statement.limit_per_s, state.fleet)
 
 
 def _share_per_s(state: UpstreamLimits, statement: Statement, rank: int) -> float:
@@ -334,11 +330,14 @@
     return _usable_per_s(state, statement) / sharing
 
 
-def _rank(state: UpstreamLimits, incarnation: entities.Incarnation) -> int:
+def _rank(state: UpstreamLimits, statement: Statement) -> int:
     """Return how many instances come before this one in the order for an upstream."""
-    if state.instance not in state.fleet.instances:
-        return len(state.fleet.instances)
-    upstream_id, born_ms = incarnation
-    name = f"{upstream_id}/{born_ms}"
+    names = state.sharing.ranked(state.fleet)
+    if state.instance not in names:
+        return len(names)
+    name = f"{statement.upstream_id}/{statement.born_ms}"
     own = rendezvous.weight(name, state.instance), state.instance
-    return sum((rendezvous.weight(name, each), each) > own for each in state.fleet.instances)
+    preceding = (each for each in names if (rendezvous.weight(name, each), each) > own)
+    # Ranks beyond the last instance that may share a limit need not be told apart.
+    most = state.sharing.max_instances()
+    return sum(1 for _ in itertools.islice(preceding, None if math.isinf(most) else int(most)))
