Decode the cold times of upstreams and the rates of services

Cause: the platform states how long an upstream is cold and what it handles meanwhile, and nothing read it. Change: coldRemainingMs of entries, coldStartS and coldPerS of services, the bounds coldOvershoot and coldSlack, and Carawaydoor-Cold-Milliseconds of responses. A value out of range counts as zero and is logged; the rest of its document holds. Entries carry their revision.

--- a/src/carawaydoor/operating/platform_options.py
+++ b/src/carawaydoor/operating/platform_options.py
@@ -31,6 +31,9 @@
     :ivar cap_window_s: length of the window in which the usage of a workspace is counted
     :ivar drain_s: time from an upstream's notice that it leaves until no request may be sent there
     :ivar cap_overshoot: fraction by which all instances together may exceed a workspace's cap
+    :ivar cold_overshoot: multiple of the requests that a cold upstream handles in a second which all
+        instances together may send in one
+    :ivar cold_slack: requests that they may send in a second in addition to that multiple
     """
 
     withdrawal_s: float
@@ -42,6 +45,8 @@
     cap_window_s: float
     cap_overshoot: float
     drain_s: float
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -178,6 +178,7 @@
             ),
             date=headers.get("date", ""),
             limit=headers.get(names.Header.LIMIT.lower(), "").strip(),
+            cold_ms=headers.get(names.Header.COLD_MS.lower(), "").strip(),
             unknown_headers=tuple(
                 name
                 for name in headers
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -46,6 +46,8 @@
     # Requests a second that an upstream takes from all instances together, in each response for as
     # long as the limit holds.
     LIMIT = "Server-Limit"
+    # Milliseconds for which an upstream is still cold.
+    COLD_MS = "Carawaydoor-Cold-Milliseconds"
 
 
 # Never forwarded from callers: the router consumes them or sets them itself.
@@ -70,7 +72,9 @@
 )
 # What upstreams say of themselves to the router; not forwarded to callers.
 UPSTREAM_NOTICE_PREFIX: Final = "server-"
-UPSTREAM_NOTICE_HEADERS: Final = frozenset({Header.LEAVING.lower(), Header.LIMIT.lower()})
+UPSTREAM_NOTICE_HEADERS: Final = frozenset(
+    {Header.LEAVING.lower(), Header.LIMIT.lower(), Header.COLD_MS.lower()}
+)
 HOP_BY_HOP_HEADERS: Final = frozenset(
     {
         "connection",
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -63,6 +63,8 @@
     budgetWindowS: Positive = 10.0  # noqa: N815
     quotaWindowS: Positive = 8.0  # noqa: N815
     quotaOvershoot: NonNegative = 0.25  # noqa: N815
+    coldOvershoot: NonNegative = 1.5  # noqa: N815
+    coldSlack: NonNegative = 5.0  # noqa: N815
 
 
 class _Platform(_Model):
@@ -127,6 +129,8 @@
             cap_window_s=bounds.quotaWindowS,
             cap_overshoot=bounds.quotaOvershoot,
             drain_s=bounds.drainMs / _MS_PER_S,
+            cold_overshoot=bounds.coldOvershoot,
+            cold_slack=bounds.coldSlack,
         ),
         max_descriptors=settings.limits.fileDescriptors,
         memory_bytes=int(settings.limits.memoryMb * _BYTES_PER_MB),
--- a/src/carawaydoor/platform/store_documents.py
+++ b/src/carawaydoor/platform/store_documents.py
@@ -6,10 +6,11 @@
 import math
 from typing import Annotated, Any, Final, Literal
 
+import eliot
 import pydantic
 
 from carawaydoor.platform import field_types
-from carawaydoor.policy import entities
+from carawaydoor.policy import cold_upstreams, entities, upstream_limits
 
 _ROUTE_KIND_BY_KIND_AND_RESUME: Final = {
     ("safe", False): entities.RouteKind.IDEMPOTENT,
@@ -28,6 +29,31 @@
 DEFAULT_UNCACHED_TOKENS: Final = 1.0
 
 
+def _zero_if_invalid(value: Any, validate: pydantic.ValidatorFunctionWrapHandler) -> float:
+    """Return zero for a value that is out of range, so that the rest of the document holds."""
+    try:
+        result: float = validate(value)
+    except pydantic.ValidationError as error:
+        eliot.log_message(message_type="cold_value_ignored", detail=_describe_first_error(error))
+        return 0.0
+    return result
+
+
+_ColdMilliseconds = Annotated[
+    float,
+    pydantic.Field(ge=0.0, le=cold_upstreams.MAX_COLD_S * _MS_PER_S),
+    pydantic.WrapValidator(_zero_if_invalid),
+]
+_ColdSeconds = Annotated[
+    float,
+    pydantic.Field(ge=0.0, le=cold_upstreams.MAX_COLD_S),
+    pydantic.WrapValidator(_zero_if_invalid),
+]
+_ColdRate = Annotated[
+    float,
+    pydantic.Field(ge=0.0, le=upstream_limits.MAX_LIMIT_PER_S),
+    pydantic.WrapValidator(_zero_if_invalid),
+]
 _Priority = Annotated[int, pydantic.Field(ge=-1_000_000, le=1_000_000)]
 
 
@@ -72,6 +98,8 @@
     name: str
     connectionLimit: field_types.Slots = 0  # noqa: N815
     engine: _Engine | None = None
+    coldStartS: _ColdSeconds = 0.0  # noqa: N815
+    coldPerS: _ColdRate = 0.0  # noqa: N815
 
 
 class _Limits(_Model):
@@ -111,6 +139,8 @@
     sequenceNumber: field_types.Count = 0  # noqa: N815
     # Of the software; the versions of the weights are listed with the models.
     version: field_types.Name = ""
+    # As of the time when the entry was written.
+    coldRemainingMs: _ColdMilliseconds = 0.0  # noqa: N815
 
 
 class DocumentError(Exception):
@@ -146,10 +176,11 @@
     )
 
 
-def decode_server(server_id: str, content: bytes) -> entities.Upstream:
+def decode_server(server_id: str, content: bytes, revision: int = 0) -> entities.Upstream:
     """Decode a server entry.
 
     :param server_id: the server's id, which is the item's key without ``SERVERS_PREFIX``
+    :param revision: the store's revision of the item
     :raises DocumentError: if the content is not a valid entry, as when another program wrote it
     """
     try:
@@ -172,6 +203,8 @@
         entry.state == "draining",
         entry.born,
         entry.version,
+        entry.coldRemainingMs / _MS_PER_S,
+        revision,
     )
 
 
@@ -204,7 +237,9 @@
 def _decode_service(service: _Service) -> entities.Service:
     engine = service.engine
     if engine is None:
-        return entities.Service(service.name, service.connectionLimit, None)
+        return entities.Service(
+            service.name, service.connectionLimit, None, service.coldStartS, service.coldPerS
+        )
     return entities.Service(
         service.name,
         service.connectionLimit,
@@ -217,6 +252,8 @@
             engine.handleTtlS,
             engine.holdMs / _MS_PER_S,
         ),
+        service.coldStartS,
+        service.coldPerS,
     )
 
 
--- a/src/carawaydoor/platform/store_source.py
+++ b/src/carawaydoor/platform/store_source.py
@@ -145,7 +145,7 @@
     if item.value is None:
         return None
     try:
-        return store_documents.decode_server(server_id, item.value)
+        return store_documents.decode_server(server_id, item.value, item.revision)
     except store_documents.DocumentError as error:
         eliot.log_message(
             message_type="server_entry_malformed",
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -77,6 +77,7 @@
     :ivar limit: requests a second that it takes from all instances together, as stated; empty if it
         names no limit
     :ivar unknown_headers: names of headers that seem to be notices of another kind
+    :ivar cold_ms: milliseconds for which it is still cold, as stated; empty if it does not say
     """
 
     is_leaving: bool = False
@@ -84,6 +85,7 @@
     date: str = ""
     limit: str = ""
     unknown_headers: tuple[str, ...] = ()
+    cold_ms: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
