Limit what all instances send to a cold upstream

Cause: an upstream that has just started is the emptiest one, so all instances choose it at once, and it crashes. Change: serving/cold_limits.py learns of cold upstreams from the list and from responses, and sets their limits in the limiter. A request needs a permit of the named and of the cold limit. Retry-After is no later than the end of a cold limit. Log lines upstream_cold, upstream_cold_over and cold_time_malformed, counter carawaydoor_cold_periods. Evidence: tests/platform_side/test_cold_upstreams.py. 20 instances whose reports are 0.1 to 1 s late, half of them restarted: at most 28 requests in any second at 40 calls a second and instance (32 allowed), 22 at 8 calls, with 0.84 to 1.0 of the rate used. With the division of named limits the same test fails at 40 requests.

--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -315,6 +315,20 @@
     return tuple(sorted((*peers, *own)))
 
 
+def staying_instances(state: Membership, is_leaving: bool) -> tuple[str, ...]:
+    """Return the names of the known instances that are not leaving, silent ones included.
+
+    :param is_leaving: whether this instance is leaving
+    """
+    peers = (
+        name
+        for name, peer in state.peer_by_instance.items()
+        if peer.report is not None and not peer.report.is_leaving
+    )
+    own = () if is_leaving else (state.instance,)
+    return tuple(sorted((*peers, *own)))
+
+
 def count_reachable(state: Membership, now_s: float) -> int:
     """Return how many instances are reachable by the latest reports, including this one.
 
--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -28,7 +28,7 @@
         )
         self.limited_requests: Final = exporter.create_counter(
             "carawaydoor_limited_requests",
-            "Requests sent to upstreams that name a limit, by upstream.",
+            "Requests sent to upstreams that name a limit or are cold, by upstream.",
         )
         self.memory_holds: Final = exporter.create_counter(
             "carawaydoor_memory_holds",
@@ -44,6 +44,9 @@
         self.peer_datagrams: Final = exporter.create_counter(
             "carawaydoor_peer_datagrams", "Datagrams between instances, by direction."
         )
+        self.cold_periods: Final = exporter.create_counter(
+            "carawaydoor_cold_periods", "Upstreams found cold, by service and source."
+        )
         self.answer_seconds: Final = exporter.create_histogram(
             "carawaydoor_answer_seconds", "s", "Time to the end of an answer."
         )
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -108,6 +108,7 @@
                 "requests": instance.selector.load.at(each.id).requests,
                 "turned_away_s": round(instance.selector.turned_away.remaining_s(each), 3),
                 "limit_per_s": instance.upstream_limiter.limit_per_s(each),
+                "cold_limit_s": round(instance.cold_limits.remaining_s(each), 3),
                 "next_request_s": _finite(instance.upstream_limiter.next_permit_s(each)),
                 "fails_peers": each.id in failing_peers,
                 "suspect_for_s": max(
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -15,6 +15,7 @@
 from carawaydoor.fleet import codec, gossip, report_effects, reports, transport
 from carawaydoor.operating import clocks, platform_metrics, platform_options
 from carawaydoor.policy import (
+    cold_upstreams,
     entities,
     fleet_retry_budget,
     freshness,
@@ -27,6 +28,7 @@
     usage_caps,
 )
 from carawaydoor.serving import (
+    cold_limits,
     connections,
     crash_guard,
     reachability,
@@ -84,7 +86,13 @@
         )
         self.crash_guard: Final = crash_guard.CrashGuard(clock)
         self.upstream_limiter: Final = upstream_limiter.UpstreamLimiter(
-            options.instance, clock, metrics
+            options.instance,
+            clock,
+            metrics,
+            cold_upstreams.ColdSharing(bounds.cold_overshoot, bounds.cold_slack),
+        )
+        self.cold_limits: Final = cold_limits.ColdLimits(
+            clock, metrics, self.upstream_limiter, lambda: self.configuration.service_by_name
         )
         # A version that a peer holds of an era before the one of the configuration here.
         self._version_lost_by_source = 0
@@ -222,6 +230,7 @@
     def update_directory(self, message: upstream_directory.Message) -> None:
         """Apply a message about upstreams and act on the changes."""
         with self._lock:
+            self.cold_limits.record_listed(message, self.directory.revision == 0)
             self.directory, effects = upstream_directory.step(
                 self.directory, self.clock.now_s(), message
             )
@@ -479,6 +488,7 @@
                 self.retry_budget, reachable, known, now_s
             )
             self.upstream_limiter.set_fleet(self._limit_sharing_fleet(now_s, reachable, known))
+        self.cold_limits.expire()
         self.connection_pool.close_expired()
 
     def _limit_sharing_fleet(
@@ -496,6 +506,7 @@
             gossip.sharing_instances(self.membership, now_s, self.is_draining),
             min(1.0, reachable / known),
             fleet_retry_budget.is_settled(self.retry_budget, now_s),
+            gossip.staying_instances(self.membership, self.is_draining),
         )
 
     def is_without_peers(self) -> bool:
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -108,6 +108,7 @@
         if notice.retry_after:
             self._apply_retry_after(upstream, notice)
         self._instance.upstream_limiter.record_text(upstream, notice.limit, response.requested_s)
+        self._instance.cold_limits.record_text(upstream, notice.cold_ms)
         self._log_unknown_headers(upstream, notice.unknown_headers)
 
     def _log_unknown_headers(self, upstream: entities.Upstream, names: tuple[str, ...]) -> None:
--- a/src/carawaydoor/serving/upstream_limiter.py
+++ b/src/carawaydoor/serving/upstream_limiter.py
@@ -1,19 +1,25 @@
-"""The limits that upstreams name, and the permits of this instance to send requests to them."""
+"""The limits of upstreams, and the permits of this instance to send requests to them.
+
+An upstream has a limit if it names one, if it is cold, or for both reasons. Both kinds have permits of
+their own, and a request needs a permit of each, so that the lower limit holds.
+"""
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 import itertools
+import math
 import random
 import threading
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 import eliot
 
 from carawaydoor.fleet import report_selection, reports
 from carawaydoor.operating import clocks, platform_metrics
-from carawaydoor.policy import entities, upstream_limits
+from carawaydoor.policy import cold_upstreams, entities, upstream_limits
 
 MALFORMED_LOG_INTERVAL_S: Final = 1.0
 # Bounds what is kept to avoid repeated log lines.
@@ -24,55 +30,104 @@
 RETRY_SPREAD_SHARE: Final = 0.25
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """The limit of a cold upstream.
+
+    :ivar per_s: requests a second from all instances together
+    :ivar until_s: when the limit is removed
+    """
+
+    upstream: entities.Upstream
+    per_s: float
+    until_s: float
+
+
 class UpstreamLimiter:
-    """Holds the limits of upstreams and this instance's permits, and logs changes of limits.
+    """Holds the limits of upstreams and this instance's permits, and logs changes of named limits.
 
     :ivar on_change: called when a response to this instance has changed the limit of an upstream
     """
 
     def __init__(
-        self, instance: str, clock: clocks.Clock, metrics: platform_metrics.Metrics
+        self,
+        instance: str,
+        clock: clocks.Clock,
+        metrics: platform_metrics.Metrics,
+        cold_sharing: cold_upstreams.ColdSharing,
     ) -> None:
         self.on_change: Callable[[], None] = _do_nothing
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
         self._state = upstream_limits.create(instance)
+        self._cold = upstream_limits.create(instance, cold_sharing)
+        self._cold_until_s_by_incarnation: dict[entities.Incarnation, float] = {}
         self._malformed_logged_s_by_id: dict[str, float] = {}
         self._next_return_s_by_service: dict[str, float] = {}
         self._turns = itertools.count()
         self._random = random.Random()
 
     def limit_per_s(self, upstream: entities.Upstream) -> float | None:
-        """Return the limit of an upstream in requests a second, None if it names none."""
-        return self._state.limit_per_s(upstream.incarnation)
+        """Return the limit of an upstream in requests a second, None if it has none."""
+        limits = (each.limit_per_s(upstream.incarnation) for each in (self._state, self._cold))
+        return min((each for each in limits if each is not None), default=None)
 
     def permitted(self, upstreams: tuple[entities.Upstream, ...]) -> tuple[entities.Upstream, ...]:
         """Return the upstreams to which a request may be sent now."""
-        if not self._state.statement_by_incarnation:
+        if not self._state.statement_by_incarnation and not self._cold.statement_by_incarnation:
             return upstreams
         return tuple(each for each in upstreams if self.next_permit_s(each) <= 0.0)
 
     def next_permit_s(self, upstream: entities.Upstream) -> float:
         """Return the seconds until a request may be sent, infinite if other instances send all."""
-        return upstream_limits.next_permit_s(self._state, self._clock.now_s(), upstream.incarnation)
+        now_s, incarnation = self._clock.now_s(), upstream.incarnation
+        return max(
+            upstream_limits.next_permit_s(self._state, now_s, incarnation),
+            upstream_limits.next_permit_s(self._cold, now_s, incarnation),
+        )
 
     def take(self, upstream: entities.Upstream) -> bool:
         """Take the permit to send one request; return False if there is none now."""
         if self.limit_per_s(upstream) is None:
             return True
         with self._lock:
-            self._state, is_taken = upstream_limits.take(
-                self._state, self._clock.now_s(), upstream.incarnation
-            )
-        return is_taken
+            now_s, incarnation = self._clock.now_s(), upstream.incarnation
+            state, is_taken = upstream_limits.take(self._state, now_s, incarnation)
+            cold, is_taken_cold = upstream_limits.take(self._cold, now_s, incarnation)
+            if not is_taken or not is_taken_cold:
+                return False
+            self._state, self._cold = state, cold
+        return True
 
     def give_back(self, upstream: entities.Upstream) -> None:
         """Return the permit of a request that was not sent."""
         with self._lock:
-            self._state = upstream_limits.give_back(
-                self._state, self._clock.now_s(), upstream.incarnation
-            )
+            now_s, incarnation = self._clock.now_s(), upstream.incarnation
+            self._state = upstream_limits.give_back(self._state, now_s, incarnation)
+            self._cold = upstream_limits.give_back(self._cold, now_s, incarnation)
+
+    def set_cold(
+        self, limits: Collection[ColdLimit], ended: Collection[entities.Incarnation]
+    ) -> None:
+        """Set limits of cold upstreams, and remove those of others.
+
+        :param ended: incarnations that have no such limit any more
+        """
+        if not limits and not ended:
+            return
+        now_s = self._clock.now_s()
+        statements = (
+            upstream_limits.Statement(each.upstream.id, each.upstream.born_ms, each.per_s, now_s)
+            for each in limits
+        )
+        with self._lock:
+            cold = upstream_limits.remove(self._cold, *ended)
+            self._cold = upstream_limits.record(cold, now_s, *statements)
+            until_s = {each.upstream.incarnation: each.until_s for each in limits}
+            self._cold_until_s_by_incarnation.update(until_s)
+            for incarnation in ended:
+                self._cold_until_s_by_incarnation.pop(incarnation, None)
 
     def retry_after_s(self, service: str, upstreams: Collection[entities.Upstream]) -> float:
         """Return when a caller should retry that none of some limited upstreams may serve now.
@@ -82,15 +137,31 @@
         :param service: groups the callers that wait for the same upstreams
         """
         rate_per_s = sum(
-            upstream_limits.instance_rate_per_s(self._state, each.incarnation) for each in upstreams
+            min(
+                upstream_limits.instance_rate_per_s(state, each.incarnation)
+                for state in (self._state, self._cold)
+            )
+            for each in upstreams
         )
         now_s = self._clock.now_s()
+        latest_s = min(now_s + MAX_RETRY_AFTER_S, self._unlimited_from_s(upstreams))
         with self._lock:
             earliest_s = max(now_s, self._next_return_s_by_service.get(service, now_s))
-            return_s = min(earliest_s + 1.0 / rate_per_s, now_s + MAX_RETRY_AFTER_S)
+            return_s = max(now_s, min(earliest_s + 1.0 / rate_per_s, latest_s))
             self._next_return_s_by_service[service] = return_s
         return (return_s - now_s) * (1.0 + RETRY_SPREAD_SHARE * self._random.random())
 
+    def _unlimited_from_s(self, upstreams: Iterable[entities.Upstream]) -> float:
+        """Return when the first of some upstreams is limited no longer, infinite if unknown."""
+        return min(
+            (
+                self._cold_until_s_by_incarnation.get(each.incarnation, math.inf)
+                for each in upstreams
+                if self._state.limit_per_s(each.incarnation) is None
+            ),
+            default=math.inf,
+        )
+
     def record_text(self, upstream: entities.Upstream, text: str, asked_s: float) -> None:
         """Record what a response says about the limit of an upstream.
 
@@ -102,10 +173,10 @@
         try:
             limit_per_s = upstream_limits.parse(text) if text else None
         except upstream_limits.LimitError as error:
-            self._log_malformed(upstream, text, str(error))
+            self.log_malformed("upstream_limit_malformed", upstream, text, str(error))
             return
         statement = upstream_limits.Statement(upstream.id, upstream.born_ms, limit_per_s, asked_s)
-        if limit_per_s is None and self.limit_per_s(upstream) is None:
+        if limit_per_s is None and self._state.limit_per_s(upstream.incarnation) is None:
             return
         now_s = self._clock.now_s()
         with self._lock:
@@ -146,15 +217,17 @@
     def set_fleet(self, fleet: upstream_limits.Fleet) -> None:
         """Apply what is known of the instances that share the limits."""
         with self._lock:
-            self._state = upstream_limits.with_fleet(self._state, self._clock.now_s(), fleet)
+            now_s = self._clock.now_s()
+            self._state = upstream_limits.with_fleet(self._state, now_s, fleet)
+            self._cold = upstream_limits.with_fleet(self._cold, now_s, fleet)
 
     def record_sent(self, upstream: entities.Upstream) -> None:
-        """Count a request that is sent to an upstream, if it names a limit."""
+        """Count a request that is sent to an upstream, if it has a limit."""
         if self.limit_per_s(upstream) is not None:
             self._metrics.limited_requests.add(1, {"upstream": upstream.id})
 
     def remove(self, upstream: entities.Upstream) -> None:
-        """Remove what is known of an upstream that has ended."""
+        """Remove the limit that an upstream has named which has ended."""
         with self._lock:
             self._state = upstream_limits.remove(self._state, upstream.incarnation)
 
@@ -185,7 +258,10 @@
         )
         return True
 
-    def _log_malformed(self, upstream: entities.Upstream, text: str, detail: str) -> None:
+    def log_malformed(
+        self, message_type: str, upstream: entities.Upstream, text: str, detail: str
+    ) -> None:
+        """Log an unusable text in a response, once a second for each upstream."""
         now_s = self._clock.now_s()
         with self._lock:
             logged_s = self._malformed_logged_s_by_id.get(upstream.id)
@@ -195,7 +271,7 @@
             if len(self._malformed_logged_s_by_id) > MAX_LOGGED_UPSTREAMS:
                 del self._malformed_logged_s_by_id[next(iter(self._malformed_logged_s_by_id))]
         eliot.log_message(
-            message_type="upstream_limit_malformed",
+            message_type=message_type,
             upstream=upstream.id,
             text=text[:32],
             detail=detail,
