Drop permits of a higher limit with the share of it

Cause: while the limit of an upstream rises, 64 instances share it. If the upstream becomes cold again then, those without a share of the lower limit still had their permits. Change: an instance whose share ends with a lower limit loses its permits, as it does in another fleet. A Retry-After that ends with a cold limit is at least 0.2 s, the interval at which these limits are removed.

--- a/src/carawaydoor/policy/upstream_limits.py
+++ b/src/carawaydoor/policy/upstream_limits.py
@@ -119,7 +119,10 @@
 
 
 def record(state: UpstreamLimits, now_s: float, *statements: Statement) -> UpstreamLimits:
-    """Record statements of different incarnations, unless newer ones are known."""
+    """Record statements of different incarnations, unless newer ones are known.
+
+    An instance that has no share of a lower limit loses its permits, as in another fleet.
+    """
     news = [each for each in statements if _is_news(state, each)]
     if not news:
         return state
@@ -135,7 +138,8 @@
             if statement.limit_per_s is None:
                 permits.pop(incarnation, None)
             elif incarnation in permits:
-                permits[incarnation] = _updated(state, now_s, incarnation)
+                current = _updated(state, now_s, incarnation)
+                permits[incarnation] = _with_rank(state, statement, current, current.rank)
             else:
                 permits[incarnation] = _first_permits(state, now_s, statement)
         statement_by_incarnation[incarnation] = dataclasses.replace(statement, changed_s=changed_s)
@@ -223,8 +227,7 @@
     for incarnation, each in permits.items():
         statement = state.statement_by_incarnation[incarnation]
         rank = _rank(state, statement) if has_other_ranks else each.rank
-        has_share = _share_per_s(state, statement, rank) > 0.0
-        permits[incarnation] = Permits(rank, each.level if has_share else 0.0, now_s)
+        permits[incarnation] = _with_rank(state, statement, each, rank)
     return dataclasses.replace(state, permits_by_incarnation=permits)
 
 
@@ -312,6 +315,12 @@
     return Permits(before.rank, min(most, before.level + gained), now_s)
 
 
+def _with_rank(state: UpstreamLimits, statement: Statement, permits: Permits, rank: int) -> Permits:
+    """Return permits that have just been updated as they hold at a rank and for a statement."""
+    has_share = _share_per_s(state, statement, rank) > 0.0
+    return Permits(rank, permits.level if has_share else 0.0, permits.updated_s)
+
+
 def _usable_per_s(state: UpstreamLimits, statement: Statement) -> float:
     assert statement.limit_per_s is not None
     return state.sharing.usable_per_s(statement.limit_per_s, state.fleet)
--- a/src/carawaydoor/serving/upstream_limiter.py
+++ b/src/carawaydoor/serving/upstream_limiter.py
@@ -26,6 +26,8 @@
 MAX_LOGGED_UPSTREAMS: Final = 1024
 # Longest delay of a refused caller; callers of one service get successive times to retry.
 MAX_RETRY_AFTER_S: Final = 10.0
+# The limits of cold upstreams are removed at intervals of this length.
+MIN_RETRY_AFTER_S: Final = 0.2
 # Delays vary by this part, so that callers refused by several instances don't return together.
 RETRY_SPREAD_SHARE: Final = 0.25
 
@@ -147,7 +149,7 @@
         latest_s = min(now_s + MAX_RETRY_AFTER_S, self._unlimited_from_s(upstreams))
         with self._lock:
             earliest_s = max(now_s, self._next_return_s_by_service.get(service, now_s))
-            return_s = max(now_s, min(earliest_s + 1.0 / rate_per_s, latest_s))
+            return_s = min(earliest_s + 1.0 / rate_per_s, max(latest_s, now_s + MIN_RETRY_AFTER_S))
             self._next_return_s_by_service[service] = return_s
         return (return_s - now_s) * (1.0 + RETRY_SPREAD_SHARE * self._random.random())
 
--- a/tests/policy/test_cold_upstreams.py
+++ b/tests/policy/test_cold_upstreams.py
@@ -192,6 +192,18 @@
     assert upstream_limits.take(state, 10.0, UPSTREAM)[1] is False
 
 
+def test_permits_of_a_higher_limit_are_lost_with_the_share():
+    """An upstream may become cold again while its limit rises and 64 instances share it."""
+    states = SlicedFleet(89).states
+    for at_s, limit_per_s in ((2.0, 144.0), (5.0, 18.0)):
+        statement = upstream_limits.Statement(*UPSTREAM, limit_per_s, at_s)
+        states = {
+            key: upstream_limits.record(each, at_s, statement) for key, each in states.items()
+        }
+    taken = sum(upstream_limits.take(each, 5.0, UPSTREAM)[1] for each in states.values())
+    assert 18 <= taken <= BOUND
+
+
 def test_instance_alone_takes_a_part():
     """It may be cut off from a fleet that it never heard of."""
     fleet = upstream_limits.Fleet(("i-0",), 1.0 / 8.0, True, ("i-0",))
