Examine only limited upstreams for their permits

Cause: while any upstream has a limit, each choice asked for the permits of all upstreams. Cold periods are common where upstreams start often. Change: only upstreams with a limit are examined, and the share of an instance is kept with its permits in place of being computed each time.

--- a/src/carawaydoor/policy/upstream_limits.py
+++ b/src/carawaydoor/policy/upstream_limits.py
@@ -80,9 +80,11 @@
     """Requests that this instance may send to an upstream.
 
     :ivar rank: place of this instance in the order of those that share the limit
+    :ivar share_per_s: rate at which this instance may send, zero if it has no share
     """
 
     rank: int
+    share_per_s: float
     level: float
     updated_s: float
 
@@ -160,9 +162,8 @@
 def _first_permits(state: UpstreamLimits, now_s: float, statement: Statement) -> Permits:
     """Return permits that come up one after the other at the instances that share a limit."""
     rank = _rank(state, statement)
-    has_share = _share_per_s(state, statement, rank) > 0.0
-    level = rank / _sharing_instances(state, statement) if has_share else 0.0
-    return Permits(rank, level, now_s)
+    level = rank / _sharing_instances(state, statement)
+    return _with_rank(state, statement, Permits(rank, 0.0, level, now_s), rank)
 
 
 def record_shared(
@@ -262,8 +263,7 @@
     missing = 1.0 - ROUNDING_TOLERANCE - current.level
     if missing <= 0.0:
         return 0.0
-    share_per_s = _share_per_s(state, statement, current.rank)
-    return missing / share_per_s if share_per_s else math.inf
+    return missing / current.share_per_s if current.share_per_s else math.inf
 
 
 def instance_rate_per_s(state: UpstreamLimits, incarnation: entities.Incarnation) -> float:
@@ -308,17 +308,17 @@
 def _updated(state: UpstreamLimits, now_s: float, incarnation: entities.Incarnation) -> Permits:
     """Return the permits for an upstream with those that have come up since the last change."""
     before = state.permits_by_incarnation[incarnation]
-    statement = state.statement_by_incarnation[incarnation]
-    share_per_s = _share_per_s(state, statement, before.rank)
-    gained = share_per_s * max(0.0, now_s - before.updated_s)
-    most = state.sharing.max_saved(share_per_s)
-    return Permits(before.rank, min(most, before.level + gained), now_s)
+    gained = before.share_per_s * max(0.0, now_s - before.updated_s)
+    most = state.sharing.max_saved(before.share_per_s)
+    level = min(most, before.level + gained)
+    return Permits(before.rank, before.share_per_s, level, now_s)
 
 
 def _with_rank(state: UpstreamLimits, statement: Statement, permits: Permits, rank: int) -> Permits:
     """Return permits that have just been updated as they hold at a rank and for a statement."""
-    has_share = _share_per_s(state, statement, rank) > 0.0
-    return Permits(rank, permits.level if has_share else 0.0, permits.updated_s)
+    share_per_s = _share_per_s(state, statement, rank)
+    level = permits.level if share_per_s > 0.0 else 0.0
+    return Permits(rank, share_per_s, level, permits.updated_s)
 
 
 def _usable_per_s(state: UpstreamLimits, statement: Statement) -> float:
--- a/src/carawaydoor/serving/upstream_limiter.py
+++ b/src/carawaydoor/serving/upstream_limiter.py
@@ -77,9 +77,22 @@
 
     def permitted(self, upstreams: tuple[entities.Upstream, ...]) -> tuple[entities.Upstream, ...]:
         """Return the upstreams to which a request may be sent now."""
-        if not self._state.statement_by_incarnation and not self._cold.statement_by_incarnation:
+        now_s = self._clock.now_s()
+        # Few upstreams have a limit, so these are examined and not all of the list.
+        without_permit = {
+            incarnation
+            for state in (self._state, self._cold)
+            for incarnation in state.statement_by_incarnation
+            if upstream_limits.next_permit_s(state, now_s, incarnation) > 0.0
+        }
+        if not without_permit:
             return upstreams
-        return tuple(each for each in upstreams if self.next_permit_s(each) <= 0.0)
+        ids = {upstream_id for upstream_id, _ in without_permit}
+        return tuple(
+            each
+            for each in upstreams
+            if each.id not in ids or each.incarnation not in without_permit
+        )
 
     def next_permit_s(self, upstream: entities.Upstream) -> float:
         """Return the seconds until a request may be sent, infinite if other instances send all."""
