Release no held memory at an engine that has a limit by then

Cause: an engine may name a limit or become cold between the request to hold memory and its release, and the release may count as a request. Evidence: the new test in test_memory_holds.py failed before.

--- a/src/carawaydoor/serving/memory_holds.py
+++ b/src/carawaydoor/serving/memory_holds.py
@@ -79,6 +79,12 @@
         if hold.is_used:
             return
         hold.is_used = True
+        if self._instance.upstream_limiter.limit_per_s(hold.upstream) is not None:
+            # What the engine still takes is left to the callers.
+            eliot.log_message(
+                message_type="hold_not_released", upstream=hold.upstream.id, detail="limited"
+            )
+            return
         request = self._adapter.encode_hold_release(hold.upstream, hold.id)
         try:
             connection = self._instance.connection_pool.acquire(hold.upstream)
--- a/tests/platform_side/test_memory_holds.py
+++ b/tests/platform_side/test_memory_holds.py
@@ -12,6 +12,7 @@
 
 from carawaydoor.platform import names
 from carawaydoor.policy import entities, load
+from carawaydoor.serving import upstream_limiter
 from tests.platform_side import router_harness
 from tests.platform_side.fake_upstream import Behaviour
 from tests.policy import builders
@@ -120,3 +121,19 @@
     fill(harness, "d")
     harness.stream().read()
     assert decode.holds == []
+
+
+def test_held_memory_is_not_released_at_an_engine_that_has_a_limit_by_then(harness):
+    """The request may count as one of those that the limit allows; the engine does it by itself."""
+    harness.add_upstream("p", PREFILL).behaviours = [Behaviour.HANG]
+    decode = harness.add_upstream("d", DECODE)
+    fill(harness, "d")
+
+    def becomes_cold_and_leaves():
+        upstream = harness.instance.directory.upstream_by_id["d"]
+        cold = upstream_limiter.ColdLimit(upstream, 18.0, harness.clock.now_s() + 3.0)
+        harness.instance.upstream_limiter.set_cold([cold] if decode.holds else [], [])
+        return bool(decode.holds) and bool(harness.upstreams["p"].received)
+
+    harness.stream(is_gone=becomes_cold_and_leaves).read()
+    assert (len(decode.holds), decode.released_holds) == (1, [])
