--- a/tests/platform_side/test_cold_upstreams.py
+++ b/tests/platform_side/test_cold_upstreams.py
@@ -12,7 +12,7 @@
 
 from carawaydoor.fleet import codec
 from carawaydoor.operating import clocks, configuration_source, platform_options
-from carawaydoor.platform import names, store_documents, store_source
+from carawaydoor.platform import names, platform_settings, store_documents, store_source
 from carawaydoor.policy import entities, upstream_directory
 from carawaydoor.serving import upstream_limiter
 from tests.platform_side import router_harness, stored_documents
@@ -209,6 +209,17 @@
     assert rules == {"planner": (0.0, 0.0), "bookings": (3.0, 18.0)}
 
 
+@pytest.mark.parametrize(
+    "lines, expected", [("", (1.5, 5.0)), ("coldOvershoot = 1.2\ncoldSlack = 3", (1.2, 3.0))]
+)
+def test_settings_state_the_bound(tmp_path, lines, expected):
+    path = tmp_path / "settings.toml"
+    text = stored_documents.CASES["settings_text"]
+    path.write_text(text.replace("[bounds]", f"[bounds]\n{lines}"))
+    bounds = platform_settings.read(path).ok.bounds
+    assert (bounds.cold_overshoot, bounds.cold_slack) == expected
+
+
 def test_instance_that_reads_through_a_peer_counts_from_when_it_learned(harness):
     """What a peer passes on are the entries themselves, later than it has read them."""
     document = {**stored_documents.CASES["server"], "service": "bookings", "coldRemainingMs": 2000}
