Tell engines the priority of requests where it differs

Engines admit more urgent requests first and preempt the least urgent ones, but were not told which these are. Prefill and decode calls, also those of continued streams, now have Carawaydoor-Request-Priority if the service has requests of more than one priority, by the configuration. Other services get the same requests as before. The ranks are computed once per configuration.

--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -92,6 +92,8 @@
             headers.append((names.Header.HOLD.value, request.hold))
         if request.backup is not None:
             headers.append((names.Header.KV_BACKUP.value, request.backup.address))
+        if exchange.engine_priority is not None:
+            headers.append((names.Header.PRIORITY.value, str(exchange.engine_priority)))
         if request.last_event_id:
             headers = [each for each in headers if each[0] != names.Header.LAST_EVENT_ID.value]
             headers.append((names.Header.LAST_EVENT_ID.value, request.last_event_id))
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -55,6 +55,7 @@
         assert service is not None
         prompt = exchange.inbound.prompt or DEFAULT_PROMPT
         arrival = self._describe_arrival(exchange)
+        exchange.engine_priority = self._instance.urgency.priority_for_engines(exchange)
         placed = self._placer.place(exchange, service, prompt, arrival)
         if placed is None:
             if not self._placer.may_begin():
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -66,6 +66,7 @@
         if it may begin at any
     :ivar required_version: software version of the upstreams at which the stream may go on, empty
         if it is unknown, None for a stream without events
+    :ivar engine_priority: priority to tell engines, None where all requests have the same
     """
 
     inbound: InboundRequest
@@ -86,6 +87,7 @@
     stream_key: str = ""
     begin_version: str | None = None
     required_version: str | None = None
+    engine_priority: int | None = None
 
     @property
     def max_attempts(self) -> int:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -37,6 +37,7 @@
     upstream_limiter,
     upstream_lists,
     upstream_selection,
+    urgency_state,
 )
 
 # Changed usage is repeated in work reports for this time, in case one of them is lost.
@@ -68,6 +69,7 @@
         budget = response_budget.ResponseBudget(response_budget.total_bytes(options.memory_bytes))
         self.connection_pool = connections.ConnectionPool(clock, budget)
         self.configuration = entities.EMPTY_CONFIGURATION
+        self.urgency: Final = urgency_state.UrgencyState()
         self.freshness = freshness.Freshness()
         self.directory = upstream_directory.EMPTY
         bounds = options.bounds
@@ -195,6 +197,7 @@
                 )
                 return False
             self.configuration = configuration
+            self.urgency.adopt(configuration)
             for peer in self.membership.peer_by_instance.values():
                 # Their reports may have arrived before this instance knew which era it reads.
                 if peer.report is not None:
