Serve waiting generations by rank, punctuality and arrival

All that waited at an instance were woken when work ended, and whichever thread ran first took the room. More urgent ones wait for as long as they can be on time and are told a shorter Retry-After. Services with one priority are served as before.

--- a/src/carawaydoor/policy/capacity_wait.py
+++ b/src/carawaydoor/policy/capacity_wait.py
@@ -3,11 +3,15 @@
 In a burst, prompts arrive faster than generations end, and the KV caches are full for a while.
 Requests that can still meet their latency target go first. A request that was refused before has
 missed its target: it may wait longer, but leaves a reserve of the KV caches to the others.
+
+Where the requests of a service differ in priority, those of one instance are served by rank, then by
+whether they can still be on time, then by arrival.
 """
 
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 from typing import Final
 
 # Time from the end of prefill to the first event: transfer of the KV cache and first decode step.
@@ -24,6 +28,9 @@
 MAX_RETRY_AFTER_SHARE: Final = 0.32
 # A burst is over after this time.
 MAX_RETRY_AFTER_S: Final = 4.0
+# Part of the longest retry delay that even the most urgent rank is told. A caller comes back once
+# only, so it should not do so in the middle of the burst that it was refused in.
+MIN_RETURN_SHARE: Final = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,12 +39,14 @@
 
     :ivar first_sent_s: when the caller sent its first attempt of the request
     :ivar target_s: latency target of the first event, from ``first_sent_s`` on
+    :ivar return_share: part of the longest retry delay that a refused caller is told
     """
 
     received_s: float
     first_sent_s: float
     deadline_s: float
     target_s: float
+    return_share: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,25 +55,75 @@
 
     :ivar until_s: when the wait ends
     :ivar reserve_share: fraction of an engine's KV cache that has to stay free beside the request
+    :ivar is_late: whether it can no longer meet its latency target
     """
 
     until_s: float
     reserve_share: float
+    is_late: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """A generation that has no room yet, in a service whose requests differ in priority.
+
+    :ivar rank: rank of its priority within the service, zero for the most urgent
+    :ivar is_late: whether it can no longer meet its latency target
+    :ivar number: differs for each claim of an instance, and rises with time
+    :ivar tokens: room that it needs in a KV cache
+    :ivar version: software version of the engines that may get it, None for any
+    """
+
+    service: str
+    priority: int
+    rank: int
+    is_late: bool
+    received_s: float
+    number: int
+    tokens: int
+    version: str | None
 
+    @property
+    def order(self) -> tuple[int, bool, float, int]:
+        """Return what claims are sorted by; the lowest one is served first."""
+        return self.rank, self.is_late, self.received_s, self.number
 
-def wait_terms(arrival: Arrival, prefill_s: float) -> WaitTerms:
+
+def is_turn(claim: Claim, waiting: Iterable[Claim]) -> bool:
+    """Return whether a claim may try to get room before those that wait.
+
+    One that is bound to a software version keeps only claims for the same version from trying, since
+    there may be room for the others.
+    """
+    return not any(
+        each.service == claim.service
+        and each.order < claim.order
+        and each.version in (None, claim.version)
+        for each in waiting
+    )
+
+
+def wait_terms(arrival: Arrival, prefill_s: float, is_urgent: bool = False) -> WaitTerms:
     """Return the terms on which a request waits.
 
     :param prefill_s: expected duration of the prefill
+    :param is_urgent: whether the service has less urgent requests; since these are served later, it
+        waits for as long as it can be on time
     """
     last_start_s = arrival.first_sent_s + arrival.target_s - prefill_s - FIRST_STEP_S
     if arrival.received_s > last_start_s:
         until_s = min(arrival.received_s + MAX_LATE_WAIT_S, arrival.deadline_s - LATE_RUN_RESERVE_S)
-        return WaitTerms(until_s, LATE_KV_RESERVE_SHARE)
-    wait_s = arrival.target_s * MAX_WAIT_TARGET_SHARE
-    return WaitTerms(min(last_start_s, arrival.received_s + wait_s), 0.0)
+        return WaitTerms(until_s, LATE_KV_RESERVE_SHARE, True)
+    wait_s = arrival.target_s * (1.0 if is_urgent else MAX_WAIT_TARGET_SHARE)
+    return WaitTerms(min(last_start_s, arrival.received_s + wait_s), 0.0, False)
+
+
+def return_share(rank: int, ranks: int) -> float:
+    """Return the part of the longest retry delay for a rank, so that more urgent ones return first."""
+    return MIN_RETURN_SHARE + (1.0 - MIN_RETURN_SHARE) * (rank + 1) / ranks
 
 
 def retry_after_s(arrival: Arrival, now_s: float) -> float:
     """Return the time after which a caller that is refused for lack of capacity should retry."""
-    return max(0.0, min(MAX_RETRY_AFTER_S, (arrival.deadline_s - now_s) * MAX_RETRY_AFTER_SHARE))
+    longest_s = MAX_RETRY_AFTER_S * arrival.return_share
+    return max(0.0, min(longest_s, (arrival.deadline_s - now_s) * MAX_RETRY_AFTER_SHARE))
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -76,7 +76,11 @@
         )
         target_s = min(route.target_s, route.timeout_s)
         return capacity_wait.Arrival(
-            exchange.received_s, first_sent_s, exchange.deadline_s, target_s
+            exchange.received_s,
+            first_sent_s,
+            exchange.deadline_s,
+            target_s,
+            self._instance.urgency.return_share(exchange),
         )
 
     def _no_room_refusal(
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -11,11 +11,11 @@
 from carawaydoor.policy import capacity_wait, drain, entities, load, memory_hold, placement
 from carawaydoor.serving import (
     connections,
+    generation_queue,
     http_exchange,
     instance_state,
     memory_holds,
     protocol_adapter,
-    sockets,
     upstream_client,
 )
 
@@ -74,21 +74,43 @@
         The connection is made before the prefill, which would be wasted if the decode engine has
         failed.
         """
-        terms = capacity_wait.wait_terms(arrival, placement.decode_engine_prefill_s(prompt))
+        terms = capacity_wait.wait_terms(
+            arrival,
+            placement.decode_engine_prefill_s(prompt),
+            self._instance.urgency.is_urgent(exchange),
+        )
+        with self._instance.urgency.turn(
+            exchange, prompt, terms, self._instance.selector.wake_waiting
+        ) as turn:
+            return self._place_in_turn(exchange, service, prompt, arrival, terms, turn)
+
+    def _place_in_turn(
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        prompt: entities.Prompt,
+        arrival: capacity_wait.Arrival,
+        terms: capacity_wait.WaitTerms,
+        turn: generation_queue.Turn,
+    ) -> PlacedGeneration | None:
         excluded: set[str] = set()
         while self.may_begin():
-            chosen = self._instance.selector.reserve_generation(
-                service,
-                prompt,
-                frozenset(excluded),
-                terms.reserve_share,
-                exchange.permits,
-                exchange.placement_version,
-            )
+            chosen = None
+            if turn.is_next():
+                chosen = self._instance.selector.reserve_generation(
+                    service,
+                    prompt,
+                    frozenset(excluded),
+                    terms.reserve_share,
+                    exchange.permits,
+                    exchange.placement_version,
+                )
             now_s = self._instance.clock.now_s()
             if chosen is not None:
+                turn.record_room()
                 placed = self._connect(exchange, service, prompt, chosen)
                 if placed is None:
+                    turn.record_room_lost()
                     excluded.add(chosen.decode.id)
                     if self._instance.reach.is_cut_off(service.name):
                         return None
@@ -97,35 +119,38 @@
                 if outcome in _PROCEED:
                     self._log_placement(placed, arrival)
                     return placed
+                turn.record_room_lost()
                 if outcome is not protocol_adapter.HoldOutcome.REFUSED:
                     excluded.add(chosen.decode.id)
                 if now_s < terms.until_s and not exchange.inbound.is_gone():
                     continue
-            turned_away_s = self._instance.selector.turned_away_retry_s(
-                service.name, entities.Stage.DECODE
-            )
-            permit_s = self._instance.selector.next_permit_s(service.name, entities.Stage.DECODE)
-            none_in_time = now_s + max(permit_s, turned_away_s or 0.0) >= terms.until_s
-            if (
-                now_s >= terms.until_s
-                or none_in_time
-                or exchange.inbound.is_gone()
-                or self._is_version_unreachable(exchange, service, excluded)
-            ):
-                eliot.log_message(
-                    message_type="generation_not_placed",
-                    request=exchange.inbound.id,
-                    waited_s=round(now_s - exchange.received_s, 3),
-                    late_s=round(exchange.received_s - arrival.first_sent_s, 3),
-                    reserve_share=terms.reserve_share,
-                    load=self._instance.selector.describe_load(),
-                )
+            if self._is_hopeless(exchange, service, terms, excluded):
+                self._log_refusal(exchange, arrival, terms)
                 return None
             self._instance.selector.wait_for_release(
-                min(terms.until_s - now_s, sockets.CALLER_POLL_INTERVAL_S)
+                min(terms.until_s - now_s, turn.retry_interval_s)
             )
         return None
 
+    def _is_hopeless(
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        terms: capacity_wait.WaitTerms,
+        excluded: set[str],
+    ) -> bool:
+        """Return whether a generation without room has to be refused now."""
+        turned_away_s = self._instance.selector.turned_away_retry_s(
+            service.name, entities.Stage.DECODE
+        )
+        permit_s = self._instance.selector.next_permit_s(service.name, entities.Stage.DECODE)
+        earliest_s = self._instance.clock.now_s() + max(permit_s, turned_away_s or 0.0)
+        return (
+            earliest_s >= terms.until_s
+            or exchange.inbound.is_gone()
+            or self._is_version_unreachable(exchange, service, excluded)
+        )
+
     def connect_other_decode(self, placed: PlacedGeneration, excluded: frozenset[str]) -> bool:
         """Reserve and connect to another decode engine; return whether one was found."""
         tried = set(excluded)
@@ -271,3 +296,19 @@
             late_s=round(placed.exchange.received_s - arrival.first_sent_s, 3),
             load=self._instance.selector.describe_load(),
         )
+
+    def _log_refusal(
+        self,
+        exchange: http_exchange.HttpExchange,
+        arrival: capacity_wait.Arrival,
+        terms: capacity_wait.WaitTerms,
+    ) -> None:
+        waited_s = self._instance.clock.now_s() - exchange.received_s
+        eliot.log_message(
+            message_type="generation_not_placed",
+            request=exchange.inbound.id,
+            waited_s=round(waited_s, 3),
+            late_s=round(exchange.received_s - arrival.first_sent_s, 3),
+            reserve_share=terms.reserve_share,
+            load=self._instance.selector.describe_load(),
+        )
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -201,6 +201,11 @@
         with self._lock:
             self._request_ended.wait(timeout_s)
 
+    def wake_waiting(self) -> None:
+        """Wake those that wait until work is released, since it may be the turn of another one."""
+        with self._lock:
+            self._request_ended.notify_all()
+
     def turned_away_retry_s(self, service: str, stage: entities.Stage) -> float | None:
         """Return when to retry if all upstreams of a service and stage want no requests.
 
