Let reports carry the demand for decode memory by priority

How long a generation has to wait depends on what other instances have waiting. Full reports get field 32: by service and priority, the tokens that arrived, found no room and were refused in a second, and those that wait; at most 20 entries. Earlier builds skip it and are read as saying nothing; absurd numbers are ignored one by one.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -12,11 +12,12 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
+import eliot
 from thriftpy2.protocol.cybin import cybin
 from thriftpy2.transport.memory import cymemory
 
 from carawaydoor.fleet import report_structs, reports
-from carawaydoor.policy import load, peer_evidence, strikes
+from carawaydoor.policy import load, peer_evidence, strikes, urgency
 
 AnyReport = reports.Report | reports.WorkReport | reports.OriginReport
 
@@ -139,9 +140,26 @@
         sound_age_s_by_request=dict(report.sound_age_s_by_request),
         ranks_streams=report.ranks_streams,
         bounds_attempts=report.bounds_attempts,
+        demands=_demand_structs(report.demands),
     )
 
 
+def _demand_structs(demands: Iterable[urgency.Demand] | None) -> list[Any] | None:
+    if demands is None:
+        return None
+    return [
+        report_structs.Demand(
+            service_name=each.service,
+            priority=each.priority,
+            arrived_per_s=each.arrived_per_s,
+            short_per_s=each.short_per_s,
+            refused_per_s=each.refused_per_s,
+            waiting_tokens=each.waiting_tokens,
+        )
+        for each in demands
+    ]
+
+
 def decode(content: bytes) -> AnyReport:
     """Decode a report.
 
@@ -258,9 +276,35 @@
         sound_age_s_by_request=message.sound_age_s_by_request or {},
         ranks_streams=bool(message.ranks_streams),
         bounds_attempts=bool(message.bounds_attempts),
+        demands=_demands(message),
     )
 
 
+def _demands(message: Any) -> tuple[urgency.Demand, ...] | None:
+    """Return the demands in a report without those that can't be true."""
+    if message.demands is None:
+        return None
+    demands = tuple(
+        urgency.Demand(
+            each.service_name,
+            each.priority,
+            each.arrived_per_s,
+            each.short_per_s,
+            each.refused_per_s,
+            each.waiting_tokens,
+        )
+        for each in message.demands
+    )
+    plausible = tuple(each for each in demands if urgency.is_plausible(each))
+    if len(plausible) < len(demands):
+        eliot.log_message(
+            message_type="demand_malformed",
+            peer=message.instance,
+            ignored=len(demands) - len(plausible),
+        )
+    return plausible[: urgency.MAX_REPORTED]
+
+
 def _required_text(value: object) -> str:
     if not isinstance(value, str) or not value:
         raise CodecError("a required name is missing or not a string")
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -8,6 +8,11 @@
 struct Limit { 1: string upstream, 2: i64 born_ms, 3: double per_s, 4: double age_s }
 // An upstream that the sender could not reach; age_s since the latest failure.
 struct Failure { 1: string upstream, 2: i64 born_ms, 3: double age_s, 4: double for_s }
+// Tokens of prompts of a priority, over the last two seconds and waiting now.
+struct Demand {
+  1: string service_name, 2: i32 priority, 3: double arrived_per_s, 4: double short_per_s,
+  5: double refused_per_s, 6: double waiting_tokens
+}
 struct Report {
   1: string instance, 2: string host, 3: string domain, 4: i64 incarnation, 5: i64 sequence,
   6: double sent_s, 7: bool leaving, 8: i64 revision, 9: double proof_age_s,
@@ -20,7 +25,8 @@
   24: map<string, double> turned_away_s_by_upstream,
   25: map<string, i64> leaving_born_ms_by_upstream, 26: list<Failure> failures,
   27: list<string> cut_off_services, 28: map<string, double> sound_age_s_by_request,
-  29: bool ranks_streams, 30: bool bounds_attempts
+  29: bool ranks_streams, 30: bool bounds_attempts,
+  32: list<Demand> demands
 }
 struct WorkReport {
   1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream,
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any, Final
 
 from thriftpy2 import thrift
@@ -16,16 +17,20 @@
 _I64: Final = thrift.TType.I64
 
 
-def _declare(name: str, *fields: tuple[Any, ...]) -> Any:
+def _declare(
+    name: str, *fields: tuple[Any, ...], further: Mapping[int, tuple[Any, ...]] | None = None
+) -> Any:
     """Return a struct class; the fields have the ids 1, 2, and so on.
 
     :param fields: type code, name and, for a container or struct, the type of its content
+    :param further: fields whose ids don't follow, by id
     """
+    field_by_id = {**dict(enumerate(fields, start=1)), **(further or {})}
     spec = {
         number: (code, field, *content, False)
-        for number, (code, field, *content) in enumerate(fields, start=1)
+        for number, (code, field, *content) in field_by_id.items()
     }
-    defaults = [(field, None) for _, field, *_ in fields]
+    defaults = [(field, None) for _, field, *_ in field_by_id.values()]
     attributes = {"thrift_spec": spec, "default_spec": defaults, "__module__": __name__}
     return thrift.TPayloadMeta(name, (thrift.TPayload,), attributes)
 
@@ -54,6 +59,15 @@
 Failure: Final = _declare(
     "Failure", (_STRING, "upstream"), (_I64, "born_ms"), (_DOUBLE, "age_s"), (_DOUBLE, "for_s")
 )
+Demand: Final = _declare(
+    "Demand",
+    (_STRING, "service_name"),
+    (_I32, "priority"),
+    (_DOUBLE, "arrived_per_s"),
+    (_DOUBLE, "short_per_s"),
+    (_DOUBLE, "refused_per_s"),
+    (_DOUBLE, "waiting_tokens"),
+)
 _WORK_BY_UPSTREAM: Final = _map("work_by_upstream", (_STRING, (thrift.TType.STRUCT, Work)))
 Report: Final = _declare(
     "Report",
@@ -87,6 +101,7 @@
     _amounts("sound_age_s_by_request"),
     (_BOOL, "ranks_streams"),
     (_BOOL, "bounds_attempts"),
+    further={32: (thrift.TType.LIST, "demands", (thrift.TType.STRUCT, Demand))},
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from carawaydoor.policy import load, peer_evidence, strikes
+from carawaydoor.policy import load, peer_evidence, strikes, urgency
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +136,8 @@
         earlier releases don't say
     :ivar bounds_attempts: whether the sender bounds the attempts of a request that an instance passes
         on to it; earlier releases don't say
+    :ivar demands: demand for decode memory of services whose requests differ in priority, None from
+        earlier releases, which don't say
     """
 
     contact: Contact
@@ -167,6 +169,7 @@
     sound_age_s_by_request: Mapping[str, float] = dataclasses.field(default_factory=dict)
     ranks_streams: bool = False
     bounds_attempts: bool = False
+    demands: tuple[urgency.Demand, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/policy/urgency.py
+++ b/src/carawaydoor/policy/urgency.py
@@ -1,4 +1,4 @@
-"""Ranks the priorities of the requests of a service.
+"""Ranks the priorities of the requests of a service, and describes the demand of each.
 
 Only services with requests of more than one priority have ranks; the others are served without regard
 to urgency.
@@ -7,18 +7,96 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Mapping
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from carawaydoor.policy import entities
 
 # Engines accept priorities from 0, the most urgent, to this one.
 MAX_ENGINE_PRIORITY: Final = 9
+# Demands in one report: all ten priorities of two services, in some 2 kB.
+MAX_REPORTED: Final = 20
+# No fleet of 12,000 engines gets as much in a second, so that a larger number is an error.
+MAX_PLAUSIBLE_TOKENS: Final = 1e10
 
 # The priorities of a service in ascending order, so that the index of one is its rank.
 Priorities = tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Demand of one priority for the decode memory of a service, in tokens.
+
+    :ivar arrived_per_s: requests that arrived, over the last seconds
+    :ivar short_per_s: those of them that found no room at their first try
+    :ivar refused_per_s: those of them that were refused for lack of room
+    :ivar waiting_tokens: requests that wait for room now
+    """
+
+    service: str
+    priority: int
+    arrived_per_s: float = 0.0
+    short_per_s: float = 0.0
+    refused_per_s: float = 0.0
+    waiting_tokens: float = 0.0
+
+    @property
+    def amounts(self) -> tuple[float, float, float, float]:
+        """Return all amounts in the order of their fields."""
+        return self.arrived_per_s, self.short_per_s, self.refused_per_s, self.waiting_tokens
+
+
+def is_plausible(demand: Demand) -> bool:
+    """Return whether a demand that a peer reports can be true."""
+    return (
+        isinstance(demand.service, str)
+        and isinstance(demand.priority, int)
+        and all(
+            isinstance(each, float) and 0.0 <= each <= MAX_PLAUSIBLE_TOKENS
+            for each in demand.amounts
+        )
+    )
+
+
+def to_report(demands: Iterable[Demand]) -> tuple[Demand, ...]:
+    """Return the demands that fit into a report; those that met lack of room come first."""
+    present = [each for each in demands if any(each.amounts)]
+    present.sort(key=lambda each: (-each.short_per_s, -each.arrived_per_s))
+    return tuple(present[:MAX_REPORTED])
+
+
+def total(demands: Iterable[Demand], factor: float = 1.0) -> tuple[Demand, ...]:
+    """Return the sum of demands by service and priority, times a factor."""
+    amounts_by_key: dict[tuple[str, int], Sequence[float]] = collections.defaultdict(
+        lambda: (0.0,) * 4
+    )
+    for each in demands:
+        key = each.service, each.priority
+        amounts_by_key[key] = [
+            a + b for a, b in zip(amounts_by_key[key], each.amounts, strict=True)
+        ]
+    return tuple(
+        Demand(service, priority, *(factor * each for each in amounts))
+        for (service, priority), amounts in amounts_by_key.items()
+    )
+
+
+def by_rank(service: str, priorities: Priorities, demands: Iterable[Demand]) -> tuple[Demand, ...]:
+    """Return the demand of each rank of a service.
+
+    Peers may know priorities that are not listed here, since their configuration may be another one.
+    """
+    of_service = [
+        dataclasses.replace(each, priority=priorities[rank(priorities, each.priority)])
+        for each in demands
+        if each.service == service
+    ]
+    nothing = [Demand(service, each) for each in priorities]
+    return tuple(sorted(total([*nothing, *of_service]), key=lambda each: each.priority))
+
+
 def priority_of(route: entities.Route, workspace: entities.Workspace | None) -> int:
     """Return the priority of a request; zero is the most urgent."""
     if workspace is not None and workspace.priority is not None:
--- a/tests/policy/test_report_structs.py
+++ b/tests/policy/test_report_structs.py
@@ -17,6 +17,7 @@
     "Crash",
     "Limit",
     "Failure",
+    "Demand",
     "Report",
     "WorkReport",
     "Origin",
