Refuse generations without prospect of room at once

In a burst, requests waited for up to 2.5 s and were refused at the end. Where requests differ in priority, the time until room is expected is now estimated by Little's law from the known work and the measured length of generations, less what more urgent requests bring, against what waits ahead at this instance and at others. If it is after the end of the wait, the caller is refused at once. generation_not_placed gains rank and prospect_s; outcomes and waits are counted by rank.

--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -34,6 +34,15 @@
             "carawaydoor_memory_holds",
             "Engines asked to hold memory for a generation, by service and outcome.",
         )
+        self.ranked_generations: Final = exporter.create_counter(
+            "carawaydoor_ranked_generations",
+            "Generations of services whose requests differ in priority, by service, rank and outcome.",
+        )
+        self.room_wait_seconds: Final = exporter.create_histogram(
+            "carawaydoor_room_wait_seconds",
+            "s",
+            "Time until a generation had room or was refused, by service, rank and outcome.",
+        )
         self.stream_ends: Final = exporter.create_counter(
             "carawaydoor_stream_ends",
             "Streams whose upstream ended them, by framing and whether inside an event.",
--- a/src/carawaydoor/policy/capacity_wait.py
+++ b/src/carawaydoor/policy/capacity_wait.py
@@ -31,6 +31,14 @@
 # Part of the longest retry delay that even the most urgent rank is told. A caller comes back once
 # only, so it should not do so in the middle of the burst that it was refused in.
 MIN_RETURN_SHARE: Final = 0.5
+# Assumed length of a generation until some have ended here.
+DEFAULT_GENERATION_S: Final = 2.5
+# Weight of the newest generation in the mean length: an instance sees a few a second, and the mix of
+# lengths changes within tens of seconds.
+NEWEST_LENGTH_WEIGHT: Final = 0.05
+# Part of the freed memory that is expected to reach a rank, whatever more urgent ranks bring: they
+# are refused too, and each rank keeps a minimum.
+MIN_FREED_SHARE: Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +111,67 @@
     )
 
 
+def tokens_ahead(claim: Claim, waiting: Iterable[Claim]) -> int:
+    """Return the room needed by the claims that are served before one."""
+    return sum(
+        each.tokens
+        for each in waiting
+        if each.service == claim.service and each.order < claim.order
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GenerationLength:
+    """Mean time for which generations take up memory.
+
+    :ivar token_s: moving average of tokens times seconds
+    :ivar tokens: moving average of tokens
+    """
+
+    token_s: float
+    tokens: float
+
+    @property
+    def mean_s(self) -> float:
+        """Return the mean time, in which large generations count more."""
+        return self.token_s / self.tokens
+
+
+def with_length(
+    length: GenerationLength | None, tokens: int, duration_s: float
+) -> GenerationLength:
+    """Return the mean after one more generation.
+
+    :param tokens: memory that the generation took up
+    :param duration_s: time from its placement to its end
+    """
+    tokens = max(1, tokens)
+    if length is None:
+        length = GenerationLength(DEFAULT_GENERATION_S * tokens, tokens)
+    weight = NEWEST_LENGTH_WEIGHT
+    return GenerationLength(
+        length.token_s * (1.0 - weight) + tokens * duration_s * weight,
+        length.tokens * (1.0 - weight) + tokens * weight,
+    )
+
+
+def prospect_s(
+    freed_per_s: float, more_urgent_per_s: float, ahead_tokens: float, tokens: int
+) -> float:
+    """Return the time in seconds after which room is expected for a generation that found none.
+
+    :param freed_per_s: tokens a second that all instances together free
+    :param more_urgent_per_s: tokens a second of more urgent requests that arrive
+    :param ahead_tokens: room needed by requests that wait and are served before
+    :param tokens: room that the generation needs
+    :return: zero if nothing is known of the memory in use
+    """
+    if freed_per_s <= 0.0:
+        return 0.0
+    left_per_s = max(freed_per_s - more_urgent_per_s, freed_per_s * MIN_FREED_SHARE)
+    return (ahead_tokens + tokens) / left_per_s
+
+
 def wait_terms(arrival: Arrival, prefill_s: float, is_urgent: bool = False) -> WaitTerms:
     """Return the terms on which a request waits.
 
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -79,9 +79,7 @@
             placement.decode_engine_prefill_s(prompt),
             self._instance.urgency.is_urgent(exchange),
         )
-        with self._instance.urgency.turn(
-            exchange, prompt, terms, self._instance.selector.wake_waiting
-        ) as turn:
+        with self._instance.urgency.turn(exchange, prompt, terms) as turn:
             return self._place_in_turn(exchange, service, prompt, arrival, terms, turn)
 
     def _place_in_turn(
@@ -101,7 +99,7 @@
                     service,
                     prompt,
                     frozenset(excluded),
-                    terms.reserve_share,
+                    turn.reserve_share(),
                     exchange.permits,
                     exchange.placement_version,
                 )
@@ -117,6 +115,7 @@
                     continue
                 outcome = self._take_hold(placed)
                 if outcome in _PROCEED:
+                    turn.record_placed()
                     self._log_placement(placed, arrival)
                     return placed
                 turn.record_room_lost()
@@ -124,8 +123,10 @@
                     excluded.add(chosen.decode.id)
                 if now_s < terms.until_s and not exchange.inbound.is_gone():
                     continue
-            if self._is_hopeless(exchange, service, terms, excluded):
-                self._log_refusal(exchange, arrival, terms)
+            turn.record_no_room()
+            if self._is_hopeless(exchange, service, terms, turn, excluded):
+                turn.record_refused()
+                self._log_refusal(exchange, arrival, turn)
                 return None
             self._instance.selector.wait_for_release(
                 min(terms.until_s - now_s, turn.retry_interval_s)
@@ -137,6 +138,7 @@
         exchange: http_exchange.HttpExchange,
         service: entities.Service,
         terms: capacity_wait.WaitTerms,
+        turn: generation_queue.Turn,
         excluded: set[str],
     ) -> bool:
         """Return whether a generation without room has to be refused now."""
@@ -144,7 +146,8 @@
             service.name, entities.Stage.DECODE
         )
         permit_s = self._instance.selector.next_permit_s(service.name, entities.Stage.DECODE)
-        earliest_s = self._instance.clock.now_s() + max(permit_s, turned_away_s or 0.0)
+        now_s = self._instance.clock.now_s()
+        earliest_s = now_s + max(permit_s, turned_away_s or 0.0, turn.prospect_s())
         return (
             earliest_s >= terms.until_s
             or exchange.inbound.is_gone()
@@ -301,7 +304,7 @@
         self,
         exchange: http_exchange.HttpExchange,
         arrival: capacity_wait.Arrival,
-        terms: capacity_wait.WaitTerms,
+        turn: generation_queue.Turn,
     ) -> None:
         waited_s = self._instance.clock.now_s() - exchange.received_s
         eliot.log_message(
@@ -309,6 +312,8 @@
             request=exchange.inbound.id,
             waited_s=round(waited_s, 3),
             late_s=round(exchange.received_s - arrival.first_sent_s, 3),
-            reserve_share=terms.reserve_share,
+            rank=turn.rank,
+            reserve_share=round(turn.reserve_share(), 4),
+            prospect_s=round(turn.prospect_s(), 3),
             load=self._instance.selector.describe_load(),
         )
--- a/src/carawaydoor/serving/generation_queue.py
+++ b/src/carawaydoor/serving/generation_queue.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import abc
-import contextlib
 import itertools
 import threading
-from collections.abc import Callable, Iterator
 from typing import Final
 
 from carawaydoor.policy import capacity_wait
@@ -34,10 +32,10 @@
         with self._lock:
             self._claim_by_number[claim.number] = claim
 
-    def remove(self, claim: capacity_wait.Claim) -> None:
-        """Remove a claim that has found room or is given up."""
+    def remove(self, claim: capacity_wait.Claim) -> bool:
+        """Remove a claim that has found room or is given up; return whether it was there."""
         with self._lock:
-            self._claim_by_number.pop(claim.number, None)
+            return self._claim_by_number.pop(claim.number, None) is not None
 
     def waiting(self) -> tuple[capacity_wait.Claim, ...]:
         """Return all claims."""
@@ -49,69 +47,77 @@
     """Says when one generation may try to get room, and on which terms.
 
     :ivar retry_interval_s: longest time between two tries
+    :ivar rank: rank of its priority, None where all requests of the service have the same
     """
 
     retry_interval_s: float
+    rank: int | None
 
     @abc.abstractmethod
     def is_next(self) -> bool:
         """Return whether the generation may try to get room now."""
 
+    @abc.abstractmethod
+    def reserve_share(self) -> float:
+        """Return the fraction of an engine's KV cache that has to stay free beside the request."""
+
+    @abc.abstractmethod
+    def prospect_s(self) -> float:
+        """Return the time in seconds after which room is expected, zero if that is unknown."""
+
     @abc.abstractmethod
     def record_room(self) -> None:
         """Let those behind try, since room was found for this generation."""
 
     @abc.abstractmethod
     def record_room_lost(self) -> None:
-        """Wait again, since the engine could not be used after all."""
+        """Keep those behind waiting again, since the engine could not be used after all."""
+
+    @abc.abstractmethod
+    def record_no_room(self) -> None:
+        """Count the generation as one that met lack of room."""
+
+    @abc.abstractmethod
+    def record_placed(self) -> None:
+        """Count the generation as placed on an engine that has room."""
+
+    @abc.abstractmethod
+    def record_refused(self) -> None:
+        """Count the generation as refused for lack of room."""
 
 
 class FreeTurn(Turn):
     """The turn of a generation whose service has requests of one priority only."""
 
     retry_interval_s = sockets.CALLER_POLL_INTERVAL_S
+    rank = None
+
+    def __init__(self, terms: capacity_wait.WaitTerms) -> None:
+        self._terms = terms
 
     def is_next(self) -> bool:
         """Return that it may always try."""
         return True
 
+    def reserve_share(self) -> float:
+        """Return the reserve of late requests."""
+        return self._terms.reserve_share
+
+    def prospect_s(self) -> float:
+        """Return that nothing is expected."""
+        return 0.0
+
     def record_room(self) -> None:
         """Do nothing, since no other generation waits for this one."""
 
     def record_room_lost(self) -> None:
         """Do nothing, since no other generation waits for this one."""
 
+    def record_no_room(self) -> None:
+        """Do nothing, since demand is not counted."""
 
-class RankedTurn(Turn):
-    """The turn of a generation by the order of its claim."""
-
-    retry_interval_s = RETRY_INTERVAL_S
-
-    def __init__(
-        self, queue: GenerationQueue, claim: capacity_wait.Claim, wake_waiting: Callable[[], None]
-    ) -> None:
-        self._queue = queue
-        self._claim = claim
-        self._wake_waiting = wake_waiting
-
-    @contextlib.contextmanager
-    def queued(self) -> Iterator[Turn]:
-        """Keep the claim in the queue until the generation has room or is refused."""
-        self._queue.add(self._claim)
-        try:
-            yield self
-        finally:
-            self.record_room()
+    def record_placed(self) -> None:
+        """Do nothing, since demand is not counted."""
 
-    def is_next(self) -> bool:
-        """Return whether no other claim for the same engines comes first."""
-        return capacity_wait.is_turn(self._claim, self._queue.waiting())
-
-    def record_room(self) -> None:
-        """Remove the claim and wake those behind it."""
-        self._queue.remove(self._claim)
-        self._wake_waiting()
-
-    def record_room_lost(self) -> None:
-        """Put the claim back at its place."""
-        self._queue.add(self._claim)
+    def record_refused(self) -> None:
+        """Do nothing, since demand is not counted."""
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -69,7 +69,6 @@
         budget = response_budget.ResponseBudget(response_budget.total_bytes(options.memory_bytes))
         self.connection_pool = connections.ConnectionPool(clock, budget)
         self.configuration = entities.EMPTY_CONFIGURATION
-        self.urgency: Final = urgency_state.UrgencyState()
         self.freshness = freshness.Freshness()
         self.directory = upstream_directory.EMPTY
         bounds = options.bounds
@@ -128,6 +127,13 @@
             self.upstream_limiter,
             self.reach,
         )
+        self.urgency: Final = urgency_state.UrgencyState(
+            clock,
+            metrics,
+            lambda: self.membership,
+            self.selector,
+            lambda: self.directory.upstream_by_id.values(),
+        )
 
     @property
     def is_draining(self) -> bool:
@@ -388,6 +394,7 @@
                 ),
                 failures=self.selector.failures_to_report(),
                 cut_off_services=tuple(self.reach.cut_off_services()),
+                demands=self.urgency.demands_to_report(),
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
--- a/src/carawaydoor/serving/urgency_state.py
+++ b/src/carawaydoor/serving/urgency_state.py
@@ -1,24 +1,72 @@
-"""The priorities of requests at one instance, and the order of those that wait."""
+"""The priorities of requests at one instance, their demand for decode memory, and their order."""
 
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable, Mapping
+import dataclasses
+import threading
+from collections.abc import Callable, Collection, Iterator, Mapping
+from typing import Final
 
-from carawaydoor.policy import capacity_wait, entities, urgency
-from carawaydoor.serving import generation_queue, http_exchange
+from carawaydoor.fleet import gossip, peer_demand
+from carawaydoor.operating import clocks, platform_metrics
+from carawaydoor.policy import capacity_wait, entities, health, urgency
+from carawaydoor.serving import (
+    demand_counter,
+    generation_queue,
+    http_exchange,
+    upstream_selection,
+)
+
+# What peers report is summed again after this time: often enough beside reports that are a second old,
+# and rare beside requests.
+MAX_VIEW_AGE_S: Final = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _View:
+    """What an instance knows of the demand for the decode memory of a service.
+
+    :ivar elsewhere: demand at all peers, by rank
+    :ivar fleet: demand at all instances, by rank
+    :ivar freed_per_s: tokens a second that all generations together free
+    """
+
+    at_s: float
+    elsewhere: tuple[urgency.Demand, ...]
+    fleet: tuple[urgency.Demand, ...]
+    freed_per_s: float
 
 
 class UrgencyState:
     """Knows which services have requests of more than one priority, and queues these requests."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        metrics: platform_metrics.Metrics,
+        membership: Callable[[], gossip.Membership],
+        selector: upstream_selection.UpstreamSelector,
+        upstreams: Callable[[], Collection[entities.Upstream]],
+    ) -> None:
+        self.queue = generation_queue.GenerationQueue()
+        self.counter = demand_counter.DemandCounter()
+        self._clock = clock
+        self._metrics = metrics
+        self._membership = membership
+        self._selector = selector
+        self._upstreams = upstreams
+        self._lock = threading.Lock()
         self._priorities_by_service: Mapping[str, urgency.Priorities] = {}
-        self._queue = generation_queue.GenerationQueue()
+        self._length_by_service: dict[str, capacity_wait.GenerationLength] = {}
+        self._view_by_service: dict[str, _View] = {}
 
     def adopt(self, configuration: entities.Configuration) -> None:
         """Use the priorities of a new configuration."""
-        self._priorities_by_service = urgency.priorities_by_service(configuration)
+        priorities = urgency.priorities_by_service(configuration)
+        with self._lock:
+            self._priorities_by_service = priorities
+            self._view_by_service = {}
 
     def priority_for_engines(self, exchange: http_exchange.HttpExchange) -> int | None:
         """Return the priority to tell engines, None if all requests of the service have the same."""
@@ -39,20 +87,20 @@
         rank = urgency.rank(priorities, _priority(exchange))
         return capacity_wait.return_share(rank, len(priorities))
 
+    def demands_to_report(self) -> tuple[urgency.Demand, ...]:
+        """Return the demand at this instance, to tell peers."""
+        return urgency.to_report(self._own_demands())
+
     def turn(
         self,
         exchange: http_exchange.HttpExchange,
         prompt: entities.Prompt,
         terms: capacity_wait.WaitTerms,
-        wake_waiting: Callable[[], None],
     ) -> contextlib.AbstractContextManager[generation_queue.Turn]:
-        """Queue a generation until it has room or is refused.
-
-        :param wake_waiting: wakes the generations that wait for work to end
-        """
+        """Queue a generation until it has room or is refused."""
         priorities, service = self._priorities(exchange), exchange.service
         if not priorities or service is None:
-            return contextlib.nullcontext(generation_queue.FreeTurn())
+            return contextlib.nullcontext(generation_queue.FreeTurn(terms))
         priority = _priority(exchange)
         claim = capacity_wait.Claim(
             service.name,
@@ -60,11 +108,103 @@
             urgency.rank(priorities, priority),
             terms.is_late,
             exchange.received_s,
-            self._queue.next_number(),
+            self.queue.next_number(),
             prompt.mean_kv_tokens,
             exchange.placement_version,
         )
-        return generation_queue.RankedTurn(self._queue, claim, wake_waiting).queued()
+        return RankedTurn(self, exchange, service, claim, terms).queued()
+
+    def is_least_urgent(self, claim: capacity_wait.Claim) -> bool:
+        """Return whether the service of a claim has no less urgent requests."""
+        return claim.rank >= len(self._priorities_by_service.get(claim.service, ())) - 1
+
+    def prospect_s(self, service: entities.Service, claim: capacity_wait.Claim) -> float:
+        """Return the time in seconds after which room is expected, zero if that is unknown.
+
+        Of the requests of the same rank that wait elsewhere, half are taken to be served before.
+        """
+        view = self._view(service)
+        more_urgent = view.fleet[: claim.rank]
+        elsewhere = view.elsewhere[: claim.rank + 1]
+        ahead = sum(each.waiting_tokens for each in elsewhere)
+        if len(elsewhere) > claim.rank:
+            ahead -= elsewhere[claim.rank].waiting_tokens / 2.0
+        return capacity_wait.prospect_s(
+            view.freed_per_s,
+            sum(each.arrived_per_s for each in more_urgent),
+            ahead + capacity_wait.tokens_ahead(claim, self.queue.waiting()),
+            claim.tokens,
+        )
+
+    def wake_waiting(self) -> None:
+        """Wake the generations that wait for room."""
+        self._selector.wake_waiting()
+
+    def count(self, claim: capacity_wait.Claim, event: demand_counter.Event) -> None:
+        """Count what happens to a generation."""
+        self.counter.record(claim, event, self._clock.now_s())
+
+    def record_outcome(self, claim: capacity_wait.Claim, received_s: float, outcome: str) -> None:
+        """Count how the search for room ended in the metrics."""
+        labels = {"service": claim.service, "rank": str(claim.rank), "outcome": outcome}
+        self._metrics.ranked_generations.add(1, labels)
+        self._metrics.room_wait_seconds.record(self._clock.now_s() - received_s, labels)
+
+    def record_end_later(
+        self, exchange: http_exchange.HttpExchange, claim: capacity_wait.Claim
+    ) -> None:
+        """Measure the length of a placed generation when it ends."""
+        exchange.cleanup.callback(self._record_end, exchange, claim, self._clock.now_s())
+
+    def _record_end(
+        self, exchange: http_exchange.HttpExchange, claim: capacity_wait.Claim, placed_s: float
+    ) -> None:
+        if exchange.required_version is None:
+            # It had no event, so that its length says nothing.
+            return
+        duration_s = self._clock.now_s() - placed_s
+        with self._lock:
+            self._length_by_service[claim.service] = capacity_wait.with_length(
+                self._length_by_service.get(claim.service), claim.tokens, duration_s
+            )
+
+    def _own_demands(self) -> tuple[urgency.Demand, ...]:
+        return self.counter.demands(self.queue.waiting(), self._clock.now_s())
+
+    def _view(self, service: entities.Service) -> _View:
+        now_s = self._clock.now_s()
+        view = self._view_by_service.get(service.name)
+        if view is None or now_s - view.at_s >= MAX_VIEW_AGE_S:
+            priorities = self._priorities_by_service.get(service.name, ())
+            of_peers = peer_demand.total(self._membership(), now_s)
+            view = _View(
+                now_s,
+                urgency.by_rank(service.name, priorities, of_peers),
+                urgency.by_rank(service.name, priorities, (*of_peers, *self._own_demands())),
+                self._freed_per_s(service, now_s),
+            )
+            with self._lock:
+                self._view_by_service[service.name] = view
+        return view
+
+    def _freed_per_s(self, service: entities.Service, now_s: float) -> float:
+        """Return the tokens a second that all generations of a service free, by Little's law."""
+        spec = service.engine_spec
+        if spec is None:
+            return 0.0
+        upstream_load, upstream_health = self._selector.load, self._selector.health
+        used = sum(
+            (
+                spec.kv_tokens
+                if health.is_full(upstream_health, now_s, each.id)
+                else min(spec.kv_tokens, upstream_load.at(each.id).tokens)
+            )
+            for each in self._upstreams()
+            if each.service == service.name and each.stage is entities.Stage.DECODE
+        )
+        length = self._length_by_service.get(service.name)
+        mean_s = capacity_wait.DEFAULT_GENERATION_S if length is None else length.mean_s
+        return used / max(mean_s, MAX_VIEW_AGE_S)
 
     def _priorities(self, exchange: http_exchange.HttpExchange) -> urgency.Priorities:
         """Return the priorities of the service of a request, empty if there is only one."""
@@ -72,6 +212,77 @@
         return () if service is None else self._priorities_by_service.get(service.name, ())
 
 
+class RankedTurn(generation_queue.Turn):
+    """The turn of a generation by the order of its claim."""
+
+    retry_interval_s = generation_queue.RETRY_INTERVAL_S
+
+    def __init__(
+        self,
+        state: UrgencyState,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        claim: capacity_wait.Claim,
+        terms: capacity_wait.WaitTerms,
+    ) -> None:
+        self.rank = claim.rank
+        self._state = state
+        self._exchange = exchange
+        self._service = service
+        self._claim = claim
+        self._terms = terms
+        self._was_short = False
+
+    @contextlib.contextmanager
+    def queued(self) -> Iterator[generation_queue.Turn]:
+        """Keep the claim in the queue until the generation has room or is refused."""
+        self._state.count(self._claim, demand_counter.Event.ARRIVED)
+        self._state.queue.add(self._claim)
+        try:
+            yield self
+        finally:
+            self.record_room()
+
+    def is_next(self) -> bool:
+        """Return whether no other claim for the same engines comes first."""
+        return capacity_wait.is_turn(self._claim, self._state.queue.waiting())
+
+    def reserve_share(self) -> float:
+        """Return the reserve of late requests, which more urgent ones don't leave to less urgent ones."""
+        return self._terms.reserve_share if self._state.is_least_urgent(self._claim) else 0.0
+
+    def prospect_s(self) -> float:
+        """Return the expected time by the demand at all instances."""
+        return self._state.prospect_s(self._service, self._claim)
+
+    def record_room(self) -> None:
+        """Remove the claim and wake those behind it."""
+        if self._state.queue.remove(self._claim):
+            self._state.wake_waiting()
+
+    def record_room_lost(self) -> None:
+        """Put the claim back at its place."""
+        self._state.queue.add(self._claim)
+
+    def record_no_room(self) -> None:
+        """Count the first time."""
+        if not self._was_short:
+            self._was_short = True
+            self._state.count(self._claim, demand_counter.Event.SHORT)
+
+    def record_placed(self) -> None:
+        """Count the generation as placed and have its length measured."""
+        outcome = "placed_after_wait" if self._was_short else "placed"
+        self._state.record_outcome(self._claim, self._exchange.received_s, outcome)
+        self._state.record_end_later(self._exchange, self._claim)
+
+    def record_refused(self) -> None:
+        """Count the generation as refused unless its caller has gone."""
+        if not self._exchange.inbound.is_gone():
+            self._state.count(self._claim, demand_counter.Event.REFUSED)
+            self._state.record_outcome(self._claim, self._exchange.received_s, "refused")
+
+
 def _priority(exchange: http_exchange.HttpExchange) -> int:
     assert exchange.route is not None
     return urgency.priority_of(exchange.route, exchange.workspace)
--- a/tests/policy/test_capacity_wait.py
+++ b/tests/policy/test_capacity_wait.py
@@ -75,3 +75,22 @@
     assert capacity_wait.is_turn(claim(2, 1, service="other"), [claim(1)])
     assert not capacity_wait.is_turn(claim(2, 1, version="v1"), first)
     assert not capacity_wait.is_turn(claim(2, 1, version="v1"), [claim(1)])
+
+
+def test_prospect_is_worse_for_less_urgent_requests():
+    prospects_s = [
+        capacity_wait.prospect_s(100_000.0, more_urgent, ahead, 5000)
+        for more_urgent, ahead in [(0.0, 0.0), (50_000.0, 20_000.0), (200_000.0, 20_000.0)]
+    ]
+    assert prospects_s == [0.05, 0.5, 2.5]
+
+
+def test_nothing_is_refused_early_while_nothing_is_known_of_the_memory():
+    assert capacity_wait.prospect_s(0.0, 0.0, 1e6, 5000) == 0.0
+
+
+def test_mean_length_follows_generations():
+    length = None
+    for _ in range(100):
+        length = capacity_wait.with_length(length, 5000, 1.0)
+    assert abs(length.mean_s - 1.0) < 0.02
