--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from carawaydoor.policy import load, peer_evidence, strikes
+from carawaydoor.policy import load, peer_evidence, strikes, urgency
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,6 +137,8 @@
     :ivar bounds_attempts: whether the sender bounds the attempts of a request that an instance passes
         on to it; earlier releases don't say
     :ivar reads_compressed: whether the sender reads compressed reports; earlier releases don't say
+    :ivar demands: demand for decode memory of services whose requests differ in priority, None from
+        earlier releases, which don't say
     """
 
     contact: Contact
@@ -169,6 +171,7 @@
     ranks_streams: bool = False
     bounds_attempts: bool = False
     reads_compressed: bool = False
+    demands: tuple[urgency.Demand, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -55,6 +55,7 @@
         assert service is not None
         prompt = exchange.inbound.prompt or DEFAULT_PROMPT
         arrival = self._describe_arrival(exchange)
+        exchange.engine_priority = self._instance.urgency.priority_for_engines(exchange)
         placed = self._placer.place(exchange, service, prompt, arrival)
         if placed is None:
             if not self._placer.may_begin():
@@ -75,7 +76,11 @@
         )
         target_s = min(route.target_s, route.timeout_s)
         return capacity_wait.Arrival(
-            exchange.received_s, first_sent_s, exchange.deadline_s, target_s
+            exchange.received_s,
+            first_sent_s,
+            exchange.deadline_s,
+            target_s,
+            self._instance.urgency.return_share(exchange),
         )
 
     def _no_room_refusal(
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -39,6 +39,7 @@
     upstream_limiter,
     upstream_lists,
     upstream_selection,
+    urgency_state,
 )
 
 # Changed usage is repeated in work reports for this time, in case one of them is lost.
@@ -135,6 +136,13 @@
             self.upstream_limiter,
             self.reach,
         )
+        self.urgency: Final = urgency_state.UrgencyState(
+            clock,
+            metrics,
+            lambda: self.membership,
+            self.selector,
+            lambda: self.directory.upstream_by_id.values(),
+        )
 
     @property
     def is_draining(self) -> bool:
@@ -204,6 +212,7 @@
                 )
                 return False
             self.configuration = configuration
+            self.urgency.adopt(configuration)
             for peer in self.membership.peer_by_instance.values():
                 # Their reports may have arrived before this instance knew which era it reads.
                 if peer.report is not None:
@@ -396,6 +405,7 @@
                 ),
                 failures=self.selector.failures_to_report(),
                 cut_off_services=tuple(self.reach.cut_off_services()),
+                demands=self.urgency.demands_to_report(),
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
