Send nothing to evacuated failure domains

Cause: operators evacuate a failure domain with the store item op/evacuate/ZONE; requests went on being sent there. Change: the store source delivers evacuations in full reads and changes, also to followers. Choices leave evacuated upstreams out; the client and the connection check again before sending, so that requests that were placed earlier go elsewhere. KV caches there are not fetched, nor copied to. With no upstream left, a request is refused at once (evacuated, 503). Changes are logged and counted, and /status shows them.

--- a/src/carawaydoor/operating/configuration_source.py
+++ b/src/carawaydoor/operating/configuration_source.py
@@ -26,12 +26,14 @@
     :ivar revision: revision of the source up to which this update is complete
     :ivar configuration_revision: revision of the newest configuration, even if it can't be
         decoded; zero if there is no new one
+    :ivar is_evacuated_by_domain: evacuated failure domains; false for one that no longer is
     """
 
     configuration: entities.Configuration | None
     upstream_by_id: Mapping[str, entities.Upstream | None]
     revision: int
     configuration_revision: int = 0
+    is_evacuated_by_domain: Mapping[str, bool] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -44,6 +44,10 @@
         self.peer_datagrams: Final = exporter.create_counter(
             "carawaydoor_peer_datagrams", "Datagrams between instances, by direction."
         )
+        self.evacuations: Final = exporter.create_counter(
+            "carawaydoor_evacuations",
+            "Changes of evacuated failure domains, by change: given, kept or taken_back.",
+        )
         self.answer_seconds: Final = exporter.create_histogram(
             "carawaydoor_answer_seconds", "s", "Time to the end of an answer."
         )
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -98,6 +98,17 @@
             "revision": configuration.revision,
             "proven_age_s": round(instance.proof_age_s(), 3),
         },
+        "evacuated": [
+            {
+                "domain": each.domain,
+                "age_s": round(now_s - each.since_s, 3),
+                "origin": each.origin.value,
+                "kept_s": (
+                    None if each.kept_until_s is None else round(each.kept_until_s - now_s, 3)
+                ),
+            }
+            for each in instance.evacuation.current.by_domain.values()
+        ],
         "upstreams": [
             {
                 "id": each.id,
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -9,7 +9,7 @@
 
 from carawaydoor.fleet import source_relay
 from carawaydoor.operating import clocks, configuration_source
-from carawaydoor.policy import source_position, source_reading, upstream_directory
+from carawaydoor.policy import evacuation, source_position, source_reading, upstream_directory
 from carawaydoor.serving import instance_state
 
 # The source responds to a watch after this fraction of the stable window even if nothing has
@@ -127,6 +127,7 @@
         is_recovering = relayed.steady_s < upstream_directory.REAPPEARANCE_GRACE_S
         if is_recovering and None in update.upstream_by_id.values():
             self._instance.source.mark_recovering()
+        self._apply_evacuations(update, evacuation.Origin.PEER)
         self._apply_configuration(update)
         if update.upstream_by_id:
             self._instance.update_directory(
@@ -151,6 +152,11 @@
         update = self._source.read(READ_TIMEOUT_S)
         self._record_recovery()
         is_restored = self._record_restore(update.revision)
+        # Before the rest, so that no request goes to an upstream that must not get any.
+        evacuated = frozenset(update.is_evacuated_by_domain)
+        self._instance.evacuation.apply(
+            evacuation.Snapshot(evacuated, evacuation.Origin.STORE, is_restored)
+        )
         self._apply_configuration(update)
         upstream_by_id = {
             key: each for key, each in update.upstream_by_id.items() if each is not None
@@ -169,7 +175,12 @@
         update = self._source.watch(revision, watch_s, watch_s + RESPONSE_MARGIN_S)
         self._record_recovery()
         self._instance.source.mark_used()
-        is_unchanged = not update.upstream_by_id and not update.configuration_revision
+        is_unchanged = (
+            not update.upstream_by_id
+            and not update.configuration_revision
+            and not update.is_evacuated_by_domain
+        )
+        self._apply_evacuations(update, evacuation.Origin.STORE)
         self._apply_configuration(update)
         if update.upstream_by_id:
             self._instance.update_directory(
@@ -187,6 +198,13 @@
             self._stop_requested.wait(delay_s)
         return self._instance.source.revision
 
+    def _apply_evacuations(
+        self, update: configuration_source.SourceUpdate, origin: evacuation.Origin
+    ) -> None:
+        if update.is_evacuated_by_domain:
+            changes = evacuation.Changes(update.is_evacuated_by_domain, origin)
+            self._instance.evacuation.apply(changes)
+
     def _apply_configuration(self, update: configuration_source.SourceUpdate) -> None:
         if update.configuration is not None:
             self._instance.adopt(update.configuration)
--- a/src/carawaydoor/operating/stage_balancer.py
+++ b/src/carawaydoor/operating/stage_balancer.py
@@ -45,6 +45,7 @@
         if (
             self._instance.selector.turned_away.remaining_s(upstream) > 0.0
             or self._instance.upstream_limiter.limit_per_s(upstream) is not None
+            or self._instance.evacuation.is_evacuated(upstream)
         ):
             # What it still takes is left to the callers.
             return
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -99,4 +99,6 @@
 STORE_WATCH_PATH: Final = "/carawaydoor/kv-watch"
 CONFIGURATION_KEY: Final = "op/config"
 SERVERS_PREFIX: Final = "servers/"
+# Followed by the name of a failure domain; the key alone says that it is evacuated.
+EVACUATION_PREFIX: Final = "op/evacuate/"
 SETTINGS_VARIABLE: Final = "CARAWAYDOOR_SETTINGS"
--- a/src/carawaydoor/platform/store_source.py
+++ b/src/carawaydoor/platform/store_source.py
@@ -10,7 +10,7 @@
 import eliot
 
 from carawaydoor.operating import configuration_source, platform_options
-from carawaydoor.platform import names, store_client, store_documents
+from carawaydoor.platform import field_types, names, store_client, store_documents
 from carawaydoor.policy import entities
 
 # Removed keys are kept for instances that were last up to date before; one that was so earlier reads
@@ -109,6 +109,7 @@
         _decode_upstreams(batch.items),
         batch.revision,
         max((each.revision for each in configuration_items), default=0),
+        _decode_evacuations(batch.items),
     )
 
 
@@ -138,6 +139,23 @@
     return upstream_by_id
 
 
+def _decode_evacuations(items: Iterable[configuration_source.SourceItem]) -> dict[str, bool]:
+    """Return whether failure domains are evacuated; any value of their items means that they are."""
+    is_evacuated_by_domain: dict[str, bool] = {}
+    for item in items:
+        if not item.key.startswith(names.EVACUATION_PREFIX):
+            continue
+        domain = item.key.removeprefix(names.EVACUATION_PREFIX)
+        if not 0 < len(domain) <= field_types.MAX_NAME_LENGTH:
+            # Upstreams without a failure domain have the empty name; nobody means all of them.
+            eliot.log_message(
+                message_type="evacuation_malformed", revision=item.revision, length=len(domain)
+            )
+            continue
+        is_evacuated_by_domain[domain] = item.value is not None
+    return is_evacuated_by_domain
+
+
 def decode_upstream(
     server_id: str, item: configuration_source.SourceItem
 ) -> entities.Upstream | None:
--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -47,6 +47,10 @@
     """The host refused the connection: no process listens, so the upstream has ended."""
 
 
+class EvacuatedError(NotSentError):
+    """The failure domain of the upstream was evacuated before the request was sent."""
+
+
 class ConnectionLostError(UpstreamConnectionError):
     """The connection failed after the request was sent; the request may have run."""
 
@@ -105,6 +109,7 @@
     ) -> UpstreamResponse:
         """Send a request and return the response, whose body has not been read yet.
 
+        :raises EvacuatedError: if the upstream must get no request any more
         :raises ConnectionLostError: if the connection fails
         :raises MalformedResponseError: if the response violates HTTP
         :raises WaitAbortedError: if the wait limit is reached
@@ -112,6 +117,8 @@
         self._socket.wait_limit = wait_limit
         self._socket.readable_bytes = MAX_HEAD_BYTES
         wait_limit.next_wait_s()
+        if not self._pool.may_send(self.upstream):
+            raise EvacuatedError(f"failure domain {self.upstream.domain} is evacuated")
         sent_s = self._pool.clock.now_s()
         is_first, self._has_carried_any = not self._has_carried_any, True
         self._carried_ids.append(request.request_id)
@@ -261,6 +268,7 @@
     """Idle connections by upstream.
 
     :ivar budget: the memory that responses may take
+    :ivar may_send: returns whether any request may be sent to an upstream now
     :ivar on_request: called before any request is sent
     :ivar on_response: called with each response to any request, as soon as its headers are there
     """
@@ -271,6 +279,7 @@
         self.budget: Final = budget or response_budget.ResponseBudget(
             response_budget.MAX_TOTAL_BYTES
         )
+        self.may_send: Callable[[entities.Upstream], bool] = _allow_request
         self.on_request: RequestCallback = _ignore_request
         self.on_response: ResponseCallback = _ignore_response
         self.clock: Final = clock
@@ -352,6 +361,11 @@
             newest.connection.close()
 
 
+def _allow_request(_: entities.Upstream) -> bool:
+    """Allow any request, as the default callback."""
+    return True
+
+
 def _ignore_request(_: entities.Upstream) -> None:
     """Do nothing, as the default callback."""
 
--- /dev/null
+++ b/src/carawaydoor/serving/evacuation_state.py
@@ -0,0 +1,140 @@
+"""The evacuated failure domains that an instance knows, and what follows for its upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Callable
+from typing import Final
+
+import eliot
+
+from carawaydoor.operating import clocks, platform_metrics
+from carawaydoor.policy import (
+    capacity_wait,
+    entities,
+    evacuation,
+    stream_versions,
+    upstream_directory,
+)
+from carawaydoor.serving import connections, http_exchange, refusals
+
+
+class EvacuationState:
+    """Holds the evacuations of one instance.
+
+    :param directory: returns the known upstreams, with those of evacuated failure domains
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        metrics: platform_metrics.Metrics,
+        lock: threading.RLock,
+        pool: connections.ConnectionPool,
+        directory: Callable[[], upstream_directory.Directory],
+    ) -> None:
+        self._clock: Final = clock
+        self._metrics: Final = metrics
+        self._lock: Final = lock
+        self._pool: Final = pool
+        self._directory: Final = directory
+        self._state = evacuation.NONE
+        # The inputs and the result of the latest filtering of a directory.
+        self._remaining = (evacuation.NONE, upstream_directory.EMPTY, upstream_directory.EMPTY)
+        pool.may_send = lambda upstream: not self.is_evacuated(upstream)
+
+    @property
+    def current(self) -> evacuation.Evacuations:
+        """The evacuations as they are known now."""
+        return self._state
+
+    def apply(self, message: evacuation.Message) -> None:
+        """Apply what the store or a peer says, and act on the changes."""
+        with self._lock:
+            self._state, effects = evacuation.step(self._state, self._clock.now_s(), message)
+        for effect in effects:
+            if isinstance(effect, evacuation.Given):
+                # Their requests have ended; new ones go elsewhere.
+                for each in self._directory().upstream_by_id.values():
+                    if each.domain == effect.evacuation.domain:
+                        self._pool.close_idle(each)
+            self._record(effect)
+
+    def expire(self) -> None:
+        """Apply the changes that result from the passing of time."""
+        if not self._state.by_domain:
+            return
+        self.apply(evacuation.Tick())
+        directory = self._directory()
+        if not directory.revision:
+            return
+        known = {each.domain for each in directory.upstream_by_id.values()}
+        with self._lock:
+            self._state, unknown = evacuation.note_unknown(self._state, known)
+        for domain in unknown:
+            eliot.log_message(message_type="evacuation_of_unknown_domain", domain=domain[:200])
+
+    def is_evacuated(self, upstream: entities.Upstream) -> bool:
+        """Return whether an upstream must get no request because of its failure domain."""
+        return upstream.domain in self._state.by_domain
+
+    def remaining(self) -> upstream_directory.Directory:
+        """Return the directory without the upstreams of evacuated failure domains."""
+        state, directory = self._state, self._directory()
+        if not state.by_domain:
+            return directory
+        known_state, known_directory, result = self._remaining
+        if known_state is not state or known_directory is not directory:
+            upstreams = evacuation.remaining(state, directory.upstream_by_id.values())
+            result = dataclasses.replace(
+                directory, upstream_by_id={each.id: each for each in upstreams}
+            )
+            self._remaining = state, directory, result
+        return result
+
+    def refusal(
+        self, exchange: http_exchange.HttpExchange, stage: entities.Stage
+    ) -> refusals.Refusal | None:
+        """Return the refusal of a request whose service has only evacuated upstreams, else None.
+
+        :param stage: stage of the upstreams that the request needs
+        """
+        service, version = exchange.service, exchange.placement_version
+        if service is None or not self._state.by_domain:
+            return None
+        staying = [
+            each
+            for each in self._directory().upstream_by_id.values()
+            if each.service == service.name
+            and each.stage is stage
+            and not each.is_leaving
+            and stream_versions.matches(each, version)
+        ]
+        if not staying or evacuation.remaining(self._state, staying):
+            return None
+        left_s = exchange.deadline_s - self._clock.now_s()
+        retry_after_s = min(evacuation.RETRY_AFTER_S, left_s * capacity_wait.MAX_RETRY_AFTER_SHARE)
+        detail = f"all upstreams of service {service.name} are in evacuated failure domains"
+        return refusals.Refusal(refusals.Reason.EVACUATED, detail, max(0.0, retry_after_s))
+
+    def _record(self, effect: evacuation.Effect) -> None:
+        match effect:
+            case evacuation.Given():
+                change = "given"
+            case evacuation.TakenBack():
+                change = "taken_back"
+            case evacuation.Kept():
+                change = "kept"
+        each, now_s = effect.evacuation, self._clock.now_s()
+        self._metrics.evacuations.add(1, {"change": change})
+        kept_s = None if each.kept_until_s is None else round(each.kept_until_s - now_s, 3)
+        eliot.log_message(
+            message_type=f"evacuation_{change}",
+            domain=each.domain[:200],
+            origin=each.origin.value,
+            age_s=round(now_s - each.since_s, 3),
+            kept_s=kept_s,
+            revision=self._directory().revision,
+            upstreams_left=len(self.remaining().upstream_by_id),
+        )
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -59,7 +59,7 @@
         if placed is None:
             if not self._placer.may_begin():
                 return expression.Error(request_filters.leaving_refusal())
-            return expression.Error(self._no_room_refusal(service, arrival))
+            return expression.Error(self._no_room_refusal(exchange, service, arrival))
         try:
             kv_source = self._prefill(placed)
         except upstream_client.CallError as error:
@@ -79,8 +79,14 @@
         )
 
     def _no_room_refusal(
-        self, service: entities.Service, arrival: capacity_wait.Arrival
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        arrival: capacity_wait.Arrival,
     ) -> refusals.Refusal:
+        evacuated = self._instance.evacuation.refusal(exchange, entities.Stage.DECODE)
+        if evacuated is not None:
+            return evacuated
         turned_away_s = self._instance.selector.turned_away_retry_s(
             service.name, entities.Stage.DECODE
         )
@@ -156,6 +162,7 @@
                     )
                 )
             backup = self._reserve_backup(placed)
+            kv_source = self._usable_kv_source(placed, kv_source)
             try:
                 opened = self._send_decode(placed, kv_source, backup)
             except upstream_client.CallError as error:
@@ -169,7 +176,7 @@
                 refusal = plain_handler.refusal_for(error, placed.decode)
                 if error.failure.did_not_run:
                     refusal = self._no_room_refusal(
-                        placed.service, self._describe_arrival(exchange)
+                        exchange, placed.service, self._describe_arrival(exchange)
                     )
                 if not self._may_retry(placed, error) or not self._placer.connect_other_decode(
                     placed, frozenset(excluded)
@@ -240,6 +247,21 @@
         )
         return self._client.send(exchange, request, connection=placed.connection)
 
+    def _usable_kv_source(
+        self, placed: generation_placement.PlacedGeneration, kv_source: str
+    ) -> str:
+        """Return the location of the KV cache, empty if its engine must not be asked for it."""
+        prefill = placed.chosen.prefill
+        if not kv_source or prefill is None or not self._instance.evacuation.is_evacuated(prefill):
+            return kv_source
+        eliot.log_message(
+            message_type="kv_cache_evacuated",
+            request=placed.exchange.inbound.id,
+            upstream=prefill.id,
+            domain=prefill.domain,
+        )
+        return ""
+
     def _use_hold(self, placed: generation_placement.PlacedGeneration) -> str:
         """Return the id of the memory held at the decode engine, which one offer uses up."""
         hold = placed.hold
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -77,6 +77,7 @@
         terms = capacity_wait.wait_terms(arrival, placement.decode_engine_prefill_s(prompt))
         excluded: set[str] = set()
         while self.may_begin():
+            self._client.update_begin_version(exchange)
             chosen = self._instance.selector.reserve_generation(
                 service,
                 prompt,
@@ -111,6 +112,7 @@
                 or none_in_time
                 or exchange.inbound.is_gone()
                 or self._is_version_unreachable(exchange, service, excluded)
+                or self._instance.evacuation.refusal(exchange, entities.Stage.DECODE) is not None
             ):
                 eliot.log_message(
                     message_type="generation_not_placed",
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -29,6 +29,7 @@
 from carawaydoor.serving import (
     connections,
     crash_guard,
+    evacuation_state,
     reachability,
     response_budget,
     source_state,
@@ -108,8 +109,13 @@
             lambda: self.membership,
             self.update_directory,
         )
+        self.evacuation: Final = evacuation_state.EvacuationState(
+            clock, metrics, self._lock, self.connection_pool, lambda: self.directory
+        )
         self.reach: Final = reachability.Reachability(
-            clock, self.connection_pool, lambda: self.directory.upstream_by_id.values()
+            clock,
+            self.connection_pool,
+            lambda: self.evacuation.remaining().upstream_by_id.values(),
         )
         self.selector = upstream_selection.UpstreamSelector(
             options.domain,
@@ -117,7 +123,9 @@
             metrics,
             self._lock,
             lambda: upstream_directory.usable(
-                self.directory, clock.now_s(), options.bounds.drain_s - LAST_USE_MARGIN_S
+                self.evacuation.remaining(),
+                clock.now_s(),
+                options.bounds.drain_s - LAST_USE_MARGIN_S,
             ),
             lambda: self.membership,
             lambda service: fleet_retry_budget.requests_per_s(
@@ -467,6 +475,7 @@
     def expire(self) -> None:
         """Apply the changes that result from the passing of time."""
         self.update_directory(upstream_directory.Tick())
+        self.evacuation.expire()
         with self._lock:
             now_s = self.clock.now_s()
             self.membership, effects = gossip.expire(self.membership, now_s)
--- a/src/carawaydoor/serving/origin_inference.py
+++ b/src/carawaydoor/serving/origin_inference.py
@@ -6,7 +6,7 @@
 
 from carawaydoor.fleet import gossip
 from carawaydoor.operating import configuration_source
-from carawaydoor.policy import entities, stream_ranking, stream_versions
+from carawaydoor.policy import entities, evacuation, stream_ranking, stream_versions
 from carawaydoor.serving import http_exchange, instance_state, stream_origins
 
 
@@ -48,7 +48,7 @@
         window = self._window(exchange, route)
         log = instance.changes_beside(current)
         past = None if log.known_since_s <= window.listed_since_s else instance.lists.past()
-        key = exchange.stream_key if self._can_rank(exchange, route) else ""
+        key = exchange.stream_key if self._can_rank(exchange, route, window) else ""
         origins = set()
         for name in {each.service for each in route.shares}:
             service = instance.configuration.service_by_name.get(name)
@@ -64,10 +64,16 @@
             origins.add(stream_versions.Origin(name, version))
         return frozenset(origins)
 
-    def _can_rank(self, exchange: http_exchange.HttpExchange, route: entities.Route) -> bool:
+    def _can_rank(
+        self,
+        exchange: http_exchange.HttpExchange,
+        route: entities.Route,
+        window: stream_ranking.Window,
+    ) -> bool:
         """Return whether the rank of the stream decided where it began.
 
-        Instances of an earlier release place streams without it.
+        Instances of an earlier release place streams without it, and upstreams that were evacuated
+        are not ranked.
         """
         return (
             bool(exchange.inbound.resumes)
@@ -75,6 +81,9 @@
             and len({each.service for each in route.shares}) == 1
             and gossip.all_rank_streams(self._instance.membership)
             and not self._instance.is_without_peers()
+            and not evacuation.was_active_since(
+                self._instance.evacuation.current, window.listed_since_s
+            )
         )
 
     def _window(
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -61,6 +61,7 @@
             is_retry = exchange.attempts > 0
             if is_retry and not self._instance.may_retry(exchange.inbound.id, service.name):
                 break
+            self._client.update_begin_version(exchange)
             upstream = self._instance.selector.reserve_plain(
                 service.name, frozenset(excluded), exchange.permits, exchange.placement_version
             )
@@ -96,6 +97,8 @@
         if refusal.did_not_run and limited_s is not None:
             detail = f"the limits of the upstreams of service {service.name} leave none"
             refusal = refusals.Refusal(refusals.Reason.LIMITED, detail, limited_s)
+        if refusal.did_not_run:
+            refusal = self._instance.evacuation.refusal(exchange, entities.Stage.NONE) or refusal
         return expression.Error(refusal)
 
     def _attempt(
@@ -188,6 +191,8 @@
             reason = refusals.Reason.NO_UPSTREAM
         case upstream_client.Failure.LIMITED:
             reason = refusals.Reason.LIMITED
+        case upstream_client.Failure.EVACUATED:
+            reason = refusals.Reason.EVACUATED
         case upstream_client.Failure.REJECTED | upstream_client.Failure.TURNED_AWAY:
             reason = refusals.Reason.UPSTREAM_FULL
         case upstream_client.Failure.SILENT:
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -32,6 +32,7 @@
     UPSTREAM_SILENT = "upstream-silent"
     CALLER_GONE = "caller-gone"
     INTERNAL = "internal"
+    EVACUATED = "evacuated"
 
 
 class Status(enum.IntEnum):
@@ -71,6 +72,7 @@
     Reason.UPSTREAM_SILENT: Status.GATEWAY_TIMEOUT,
     Reason.CALLER_GONE: Status.GATEWAY_TIMEOUT,
     Reason.INTERNAL: Status.INTERNAL_ERROR,
+    Reason.EVACUATED: Status.UNAVAILABLE,
 }
 
 
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -208,7 +208,14 @@
         if service is not None and self._instance.reach.is_cut_off(service.name):
             # The caller can take the stream up by a peer.
             return False
-        return self._backup is not None or (route is not None and self._may_rerun(route))
+        return self._usable_backup() is not None or (route is not None and self._may_rerun(route))
+
+    def _usable_backup(self) -> entities.Upstream | None:
+        """Return the engine with the copy of the KV cache unless it is evacuated."""
+        backup = self._backup
+        if backup is None or self._instance.evacuation.is_evacuated(backup):
+            return None
+        return backup
 
     def _is_suspended(self) -> bool:
         suspended_s = self._instance.crash_guard.suspended_for_s(
@@ -277,7 +284,7 @@
 
     def _continue_once(self) -> _Source | None:
         """Offer the stream to the engine with the copy of its KV cache, then to another one."""
-        backup = self._backup
+        backup = self._usable_backup()
         if backup is not None and not stream_versions.matches(
             backup, self._exchange.placement_version
         ):
--- a/src/carawaydoor/serving/stream_resumption.py
+++ b/src/carawaydoor/serving/stream_resumption.py
@@ -57,6 +57,11 @@
             )
         exchange.service, exchange.required_version = service, origin.version
         if not self._instance.selector.serves_version(service.name, origin.version):
+            evacuated = self._instance.evacuation.refusal(
+                exchange, entities.stage_of_streams(service)
+            )
+            if evacuated is not None:
+                return expression.Error(evacuated)
             return _refuse(
                 refusals.Reason.STREAM_LOST,
                 f"no upstream of {service.name} has version {origin.version!r}",
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -40,6 +40,7 @@
     SILENT = "silent"
     ABANDONED = "abandoned"
     CALLER_GONE = "caller_gone"
+    EVACUATED = "evacuated"
 
     @property
     def did_not_run(self) -> bool:
@@ -49,7 +50,12 @@
     @property
     def was_not_sent(self) -> bool:
         """Whether no byte of the request was sent."""
-        return self in (Failure.NOT_SENT, Failure.TURNED_AWAY, Failure.LIMITED)
+        return self in (
+            Failure.NOT_SENT,
+            Failure.TURNED_AWAY,
+            Failure.LIMITED,
+            Failure.EVACUATED,
+        )
 
 
 _OUTCOME_BY_FAILURE = {
@@ -142,6 +148,7 @@
 
         :raises CallError: if none can be established
         """
+        self._check_eligible(exchange, upstream)
         if self._instance.selector.turned_away.remaining_s(upstream) > 0.0:
             detail = "it wants no requests for a while"
             raise self._call_error(exchange, upstream, Failure.TURNED_AWAY, detail)
@@ -153,11 +160,26 @@
                 self._record_ended(exchange, upstream)
             raise self._call_error(exchange, upstream, Failure.NOT_SENT, error) from error
 
+    def _check_eligible(
+        self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
+    ) -> None:
+        """Raise an error if an upstream that was chosen earlier must get no request now.
+
+        :raises CallError: if its failure domain was evacuated
+        """
+        if self._instance.evacuation.is_evacuated(upstream):
+            detail = f"failure domain {upstream.domain} is evacuated"
+            raise self._call_error(exchange, upstream, Failure.EVACUATED, detail)
+
     def _record_ended(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
     ) -> None:
         """Let a stream begin at any version if all upstreams of its version have ended."""
         exchange.ended_upstreams.add(upstream.id)
+        self.update_begin_version(exchange)
+
+    def update_begin_version(self, exchange: http_exchange.HttpExchange) -> None:
+        """Let a stream begin at any version if its own has no upstream any more."""
         version, service = exchange.begin_version, exchange.service
         if version is None or service is None:
             return
@@ -182,14 +204,20 @@
         :param wait_limit: limit on each wait, None for the deadline and the caller's disconnect
         :raises CallError: if no genuine response arrives
         """
-        encoded = self._adapter.encode_request(exchange, request)
         deadline_s = exchange.deadline_s if attempt_deadline_s is None else attempt_deadline_s
         if wait_limit is None:
             wait_limit = sockets.CallerWaitLimit(
                 self._instance.clock, deadline_s, exchange.inbound.is_gone
             )
+        if request.backup is not None and self._instance.evacuation.is_evacuated(request.backup):
+            # Chosen before its failure domain was evacuated.
+            request = dataclasses.replace(request, backup=None)
+        encoded = self._adapter.encode_request(exchange, request)
         if connection is None:
             connection = self.connect(exchange, request.upstream)
+        elif self._instance.evacuation.is_evacuated(request.upstream):
+            connection.close()
+            self._check_eligible(exchange, request.upstream)
         elif self._instance.selector.turned_away.remaining_s(request.upstream) > 0.0:
             # It has turned away another request since the connection was made.
             connection.close()
@@ -285,7 +313,8 @@
 
     def _wants_no_requests(self, upstream: entities.Upstream) -> bool:
         return (
-            self._instance.selector.turned_away.remaining_s(upstream) > 0.0
+            self._instance.evacuation.is_evacuated(upstream)
+            or self._instance.selector.turned_away.remaining_s(upstream) > 0.0
             or self._instance.upstream_limiter.limit_per_s(upstream) is not None
         )
 
@@ -295,7 +324,7 @@
         """Release the KV cache of a prompt that no engine will fetch.
 
         A failure is only logged, since the engine soon drops the cache by itself. For the same
-        reason, nothing is sent to an engine that rejects requests or names a limit.
+        reason, nothing is sent to an engine that is evacuated, rejects requests or names a limit.
         """
         if self._wants_no_requests(upstream):
             return
@@ -370,6 +399,8 @@
             return Failure.ABANDONED
         case sockets.DeadlineExceededError() | sockets.StreamStalledError():
             return Failure.SILENT
+        case connections.EvacuatedError():
+            return Failure.EVACUATED
         case connections.NotSentError():
             return Failure.NOT_SENT
         case connections.MalformedResponseError() | sockets.TooManyBytesError():
--- a/tests/platform_side/fake_store.py
+++ b/tests/platform_side/fake_store.py
@@ -8,6 +8,7 @@
 import http.server
 import json
 import threading
+import time
 import urllib.parse
 
 from carawaydoor.platform import names
@@ -41,6 +42,8 @@
 
     def __init__(self, port: int = 0) -> None:
         self.mode = Mode.GOOD
+        # Seconds for which each response is held back.
+        self.delay_s = 0.0
         self.calls = 0
         self.revision = 1
         self.era: int | None = None
@@ -183,6 +186,7 @@
         self._send(200, content)
 
     def _send(self, status: int, content: bytes) -> None:
+        time.sleep(self.server.store.delay_s)
         self.send_response(status)
         self.send_header("Content-Length", str(len(content)))
         if self.server.store.era is not None:
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -123,13 +123,16 @@
         stage: entities.Stage = entities.Stage.NONE,
         events: int = 5,
         version: str = "v1",
+        domain: str = "a",
     ) -> fake_upstream.FakeUpstream:
         """Start a fake upstream and add it to the instance's directory."""
         upstream = fake_upstream.FakeUpstream(events)
         self.upstreams[name] = upstream
         service = "bookings" if stage is entities.Stage.NONE else "planner"
         address = f"127.0.0.1:{upstream.port}"
-        entry = builders.upstream(name, service, stage, address=address, version=version)
+        entry = builders.upstream(
+            name, service, stage, domain=domain, address=address, version=version
+        )
         self.instance.update_directory(upstream_directory.Changes({name: entry}, 1))
         return upstream
 
--- /dev/null
+++ b/tests/platform_side/test_evacuation_source.py
@@ -0,0 +1,132 @@
+"""Instances learn of evacuations from the store, however it is disturbed, or from peers that read it."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from carawaydoor.operating import source_watcher
+from carawaydoor.platform import names
+from carawaydoor.policy import evacuation
+from tests.platform_side import router_harness
+from tests.platform_side.fake_store import Mode
+from tests.platform_side.stored_documents import put_server, wait_until
+from tests.platform_side.test_source_relay import follower  # noqa: F401
+from tests.platform_side.test_store import instance_watching, store_source_for
+
+KEY = f"{names.EVACUATION_PREFIX}a"
+# The settings' evacuationMs.
+EVACUATION_S = 5.0
+
+
+def domains(instance):
+    return sorted(instance.evacuation.current.by_domain)
+
+
+@pytest.mark.parametrize("value", [{}, {"x": 1}, b"\x00\xff", b""])
+def test_key_says_that_a_failure_domain_is_evacuated(store, value):
+    """Read whole, as a change, and taken back; the value has no meaning."""
+    store.put(KEY, value)
+    source = store_source_for(store)
+    update = source.read(1.0)
+    assert update.is_evacuated_by_domain == {"a": True}
+    assert update.configuration is not None and len(update.upstream_by_id) == 7
+    store.put(f"{names.EVACUATION_PREFIX}b", value)
+    store.delete(KEY)
+    changes = source.watch(update.revision, 1.0, 2.0)
+    assert changes.is_evacuated_by_domain == {"a": False, "b": True}
+
+
+@pytest.mark.parametrize("domain", ["", "x" * 2000])
+def test_absurd_failure_domains_are_ignored(store, domain):
+    """Upstreams without a failure domain have the empty name; the first would evacuate them all."""
+    store.put(f"{names.EVACUATION_PREFIX}{domain}", {})
+    update = store_source_for(store).read(1.0)
+    assert update.is_evacuated_by_domain == {} and len(update.upstream_by_id) == 7
+
+
+def test_evacuation_is_known_before_the_first_request(store, monkeypatch):
+    """Failure: an instance that starts sends requests into a failure domain that is evacuated."""
+    store.put(KEY, {})
+    with router_harness.running() as harness:
+        instance, known = harness.instance, []
+        monkeypatch.setattr(instance, "adopt", lambda _: known.append(domains(instance)))
+        monkeypatch.setattr(instance, "update_directory", lambda _: known.append(domains(instance)))
+        watcher = source_watcher.SourceWatcher(instance, store_source_for(store), harness.clock)
+        watcher._read()
+        assert known[:1] == [["a"]] and known[-1] == ["a"]
+
+
+def test_evacuation_is_given_taken_back_and_given_again_while_the_store_is_slow(store):
+    with instance_watching(store) as instance:
+        store.delay_s = 0.5
+        for is_given in (True, False, True):
+            began_s = time.monotonic()
+            if is_given:
+                store.put(KEY, {})
+            else:
+                store.delete(KEY)
+            wait_until(lambda: domains(instance) == (["a"] if is_given else []))  # noqa: B023
+            assert time.monotonic() - began_s < EVACUATION_S
+        for _ in range(3):
+            store.delete(KEY)
+            store.put(KEY, {})
+        store.put(f"{names.EVACUATION_PREFIX}b", {})
+        wait_until(lambda: domains(instance) == ["a", "b"])
+
+
+def test_evacuation_stays_in_force_during_an_outage_and_ends_after_it(store):
+    store.put(KEY, {})
+    with instance_watching(store) as instance:
+        store.mode = Mode.RESET
+        put_server(store, 1)
+        wait_until(lambda: instance.directory.is_store_unavailable)
+        assert domains(instance) == ["a"]
+        store.delete(KEY)
+        store.drop_history()
+        store.mode = Mode.GOOD
+        wait_until(lambda: domains(instance) == [])
+
+
+@pytest.mark.parametrize("is_written_again", [True, False])
+def test_evacuation_that_a_restored_store_lacks_is_kept_for_the_operator_to_write(
+    store, is_written_again
+):
+    store.era = 3
+    with instance_watching(store) as instance:
+        copy = store.copy()
+        store.put(KEY, {})
+        wait_until(lambda: domains(instance) == ["a"])
+        store.restore(copy)
+        put_server(store, 1)
+        wait_until(lambda: instance.evacuation.current.grace_until_s > 0.0)
+        seen = instance.clock.now_s()
+        while instance.clock.now_s() < seen + 1.0:
+            instance.expire()
+            assert domains(instance) == ["a"]
+            time.sleep(0.05)
+        if is_written_again:
+            store.put(KEY, {})
+            wait_until(lambda: instance.evacuation.current.by_domain["a"].kept_until_s is None)
+        while instance.clock.now_s() < seen + evacuation.RESTORE_GRACE_S + 0.1:
+            time.sleep(0.05)
+        instance.expire()
+        assert domains(instance) == (["a"] if is_written_again else [])
+
+
+def test_follower_learns_of_an_evacuation_alone_through_its_reader(follower, store):  # noqa: F811
+    """Failure: a change without configuration or upstreams is not passed on."""
+    instance = follower.follower
+    for is_given in (True, False):
+        if is_given:
+            store.put(KEY, b"\xff")
+        else:
+            store.delete(KEY)
+        expected = ["a"] if is_given else []
+        wait_until(lambda: domains(follower.reader) == expected)  # noqa: B023
+        follower.hear_of_the_domain()
+        wait_until(lambda: domains(instance) == expected)  # noqa: B023
+        if is_given:
+            assert instance.evacuation.current.by_domain["a"].origin is evacuation.Origin.PEER
+    assert instance.source.steady_s() == 0.0
