Learn of evacuations from peers where the store can't tell

Cause: an instance that starts on a copy of the store, or to which the store does not respond, could send requests into a failure domain that its peers knew as evacuated. Change: instances serve their set of evacuated failure domains to peers. One that starts on a store that was ever restored keeps what a peer knows for the grace; one without the store asks a peer that knows a newer position. Evidence: test_evacuation.py and test_evacuation_source.py of both test directories, and the tests of the store, the relay and gossip pass.

--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -337,12 +337,20 @@
 
 def live_peers_in_domain(state: Membership, now_s: float, domain: str) -> tuple[Peer, ...]:
     """Return the peers of a failure domain that report and are not leaving."""
+    return tuple(
+        each
+        for each in live_peers(state, now_s)
+        if each.report is not None and each.report.domain == domain
+    )
+
+
+def live_peers(state: Membership, now_s: float) -> tuple[Peer, ...]:
+    """Return the peers that report and are not leaving."""
     live_since_s = now_s - silence_timeout_s(state)
     return tuple(
         each
         for each in state.peer_by_instance.values()
         if each.report is not None
-        and each.report.domain == domain
         and not each.report.is_leaving
         and each.last_report_s >= live_since_s
     )
--- a/src/carawaydoor/fleet/source_relay.py
+++ b/src/carawaydoor/fleet/source_relay.py
@@ -9,6 +9,7 @@
 import base64
 import dataclasses
 import json
+from collections.abc import Mapping
 from typing import Annotated, Final
 
 import pydantic
@@ -17,12 +18,14 @@
 from carawaydoor.operating import configuration_source
 
 CHANGES_PATH: Final = "/source/changes"
+EVACUATIONS_PATH: Final = "/source/evacuations"
 # Both instances are in one failure domain, so a longer silence means that the other one has failed.
 TIMEOUT_S: Final = 0.5
 _OK_STATUS: Final = 200
 
 
 _Position = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
+_Domain = Annotated[str, pydantic.Field(min_length=1, max_length=1000)]
 _Seconds = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
 
 
@@ -35,6 +38,13 @@
     items: list[tuple[str, str | None, _Position]]
 
 
+class _Evacuations(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    revision: _Position
+    domains: list[_Domain]
+
+
 class RelayError(Exception):
     """The other instance gave no valid response, or doesn't know what has changed."""
 
@@ -52,6 +62,36 @@
     steady_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedEvacuations:
+    """All evacuated failure domains as another instance knows them.
+
+    :ivar revision: position up to which the other instance knows the content of the source
+    """
+
+    domains: frozenset[str]
+    revision: int
+
+
+def encode_evacuations(relayed: RelayedEvacuations) -> bytes:
+    """Encode the response to a request for evacuations."""
+    document = {"revision": relayed.revision, "domains": sorted(relayed.domains)}
+    return json.dumps(document).encode()
+
+
+def fetch_evacuations(host: str, port: int) -> RelayedEvacuations:
+    """Ask another instance for all evacuated failure domains.
+
+    :raises RelayError: if it gives no valid response
+    """
+    content = _get(host, port, EVACUATIONS_PATH, {})
+    try:
+        document = _Evacuations.model_validate_json(content)
+    except pydantic.ValidationError as error:
+        raise RelayError(f"malformed response: {error!r}") from error
+    return RelayedEvacuations(frozenset(document.domains), document.revision)
+
+
 def encode(relayed: RelayedChanges) -> bytes:
     """Encode the response to a request for changes."""
     document = {
@@ -94,10 +134,14 @@
 
     :raises RelayError: if it doesn't know them or gives no valid response
     """
+    return decode(_get(host, port, CHANGES_PATH, {"after": after}))
+
+
+def _get(host: str, port: int, path: str, query: Mapping[str, object]) -> bytes:
     try:
-        status, content = peer_http.get(host, port, CHANGES_PATH, {"after": after}, TIMEOUT_S)
+        status, content = peer_http.get(host, port, path, query, TIMEOUT_S)
     except peer_http.PeerError as error:
         raise RelayError(str(error)) from error
     if status != _OK_STATUS:
         raise RelayError(f"status {status}")
-    return decode(content)
+    return content
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -58,6 +58,8 @@
         match environ["PATH_INFO"]:
             case source_relay.CHANGES_PATH:
                 return self._send_changes(query.get("after", [""])[0], start_response)
+            case source_relay.EVACUATIONS_PATH:
+                return self._send_evacuations(start_response)
             case origin_query.ORIGIN_PATH:
                 return self._send_origin(query.get("key", [""])[0], start_response)
             case _:
@@ -70,6 +72,16 @@
         content = origin_query.encode(origin)
         return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, content)
 
+    def _send_evacuations(self, start_response: Any) -> Iterable[bytes]:
+        # Taken before the content, which is then at least as new.
+        revision = self._instance.source.revision
+        if not revision:
+            return _respond(start_response, "410 Gone", TEXT_CONTENT_TYPE, b"")
+        domains = frozenset(self._instance.evacuation.current.by_domain)
+        relayed = source_relay.RelayedEvacuations(domains, revision)
+        content = source_relay.encode_evacuations(relayed)
+        return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, content)
+
     def _send_changes(self, after: str, start_response: Any) -> Iterable[bytes]:
         # Taken before the content, which is then at least as new as this proof.
         proof_age_s = self._instance.proof_age_s()
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -8,7 +8,7 @@
 import eliot
 
 from carawaydoor.fleet import source_relay
-from carawaydoor.operating import clocks, configuration_source
+from carawaydoor.operating import clocks, configuration_source, peer_evacuations
 from carawaydoor.policy import evacuation, source_position, source_reading, upstream_directory
 from carawaydoor.serving import instance_state
 
@@ -53,6 +53,7 @@
         self._instance = instance
         self._source = source
         self._clock = clock
+        self._peer_evacuations = peer_evacuations.PeerEvacuations(instance, clock)
         self._era: int | None = None
         # None while the source responds. The first read counts as the end of an outage.
         self._unreachable_since_s: float | None = clock.now_s()
@@ -86,6 +87,7 @@
                 revision = 0
             except configuration_source.SourceError as error:
                 self._record_outage(error)
+                self._peer_evacuations.hear_during_outage(revision)
                 self._stop_requested.wait(RETRY_DELAY_S)
             except Exception:
                 eliot.write_traceback()
@@ -151,12 +153,15 @@
         requested_s = self._clock.now_s()
         update = self._source.read(READ_TIMEOUT_S)
         self._record_recovery()
+        is_first = self._era is None
         is_restored = self._record_restore(update.revision)
         # Before the rest, so that no request goes to an upstream that must not get any.
         evacuated = frozenset(update.is_evacuated_by_domain)
         self._instance.evacuation.apply(
             evacuation.Snapshot(evacuated, evacuation.Origin.STORE, is_restored)
         )
+        if is_first:
+            self._peer_evacuations.hear_at_start(update.revision, self._stop_requested)
         self._apply_configuration(update)
         upstream_by_id = {
             key: each for key, each in update.upstream_by_id.items() if each is not None
--- a/src/carawaydoor/policy/evacuation.py
+++ b/src/carawaydoor/policy/evacuation.py
@@ -79,12 +79,19 @@
     origin: Origin = Origin.STORE
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeardAtStart:
+    """What a peer knows as this instance first reads a store that may be a copy without them."""
+
+    domains: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed, so that kept evacuations may end."""
 
 
-Message = Snapshot | Changes | Tick
+Message = Snapshot | Changes | HeardAtStart | Tick
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +133,12 @@
         case Changes(is_evacuated_by_domain, origin):
             given = {key for key, value in is_evacuated_by_domain.items() if value}
             return _apply(state, now_s, origin, given, is_evacuated_by_domain.keys() - given)
+        case HeardAtStart(domains):
+            heard = domains - state.by_domain.keys()
+            state = dataclasses.replace(state, grace_until_s=now_s + RESTORE_GRACE_S)
+            state, added_effects = _apply(state, now_s, Origin.PEER, heard, ())
+            state, kept_effects = _apply(state, now_s, Origin.PEER, (), (), heard)
+            return state, (*added_effects, *kept_effects)
         case Tick():
             due = {
                 key
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -511,6 +511,13 @@
         """Return whether this instance knows of no peer, though there should be some."""
         return self._has_seeds_beside_itself() and not self.membership.peer_by_instance
 
+    def is_without_heard_peers(self) -> bool:
+        """Return whether this instance has heard no peer, though there should be some."""
+        peers = self.membership.peer_by_instance.values()
+        if not peers:
+            return self._has_seeds_beside_itself()
+        return all(each.report is None for each in peers)
+
     def _has_seeds_beside_itself(self) -> bool:
         return any(each.host != self.options.peer_host for each in self.options.seeds)
 
--- a/src/carawaydoor/serving/source_state.py
+++ b/src/carawaydoor/serving/source_state.py
@@ -91,6 +91,16 @@
         }
         return tuple(host_by_instance[each] for each in self.readers() if each in host_by_instance)
 
+    def informed_hosts(self, after: int) -> tuple[str, ...]:
+        """Return the hosts of live peers that know the source beyond a position, newest first."""
+        peers = gossip.live_peers(self._membership(), self._clock.now_s())
+        informed = [
+            (each.report.source_revision, each.report.domain == self._domain, each.contact.host)
+            for each in peers
+            if each.report is not None and each.report.source_revision > after
+        ]
+        return tuple(host for _, _, host in sorted(informed, reverse=True))
+
     def has_followers(self) -> bool:
         """Return whether instances of this failure domain rely on others to read the source."""
         return source_reading.has_followers(len(self.domain_peers()) + 1)
--- a/tests/platform_side/test_evacuation_source.py
+++ b/tests/platform_side/test_evacuation_source.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 
 import pytest
 
-from carawaydoor.operating import source_watcher
-from carawaydoor.platform import names
+from carawaydoor.fleet import codec, source_relay
+from carawaydoor.operating import platform_options, probe_app, source_watcher
+from carawaydoor.platform import names, store_source
 from carawaydoor.policy import evacuation
+from carawaydoor.serving import http_servers
 from tests.platform_side import router_harness
 from tests.platform_side.fake_store import Mode
 from tests.platform_side.stored_documents import put_server, wait_until
 from tests.platform_side.test_source_relay import follower  # noqa: F401
 from tests.platform_side.test_store import instance_watching, store_source_for
+from tools import local_cluster
 
 KEY = f"{names.EVACUATION_PREFIX}a"
 # The settings' evacuationMs.
@@ -130,3 +134,67 @@
         if is_given:
             assert instance.evacuation.current.by_domain["a"].origin is evacuation.Origin.PEER
     assert instance.source.steady_s() == 0.0
+
+
+@pytest.fixture
+def informed_peer():
+    """Provide a function that has an instance hear a peer which knows failure domain a as evacuated."""
+    with contextlib.ExitStack() as stack:
+        peer = stack.enter_context(router_harness.running(instance="peer")).instance
+        (port,) = local_cluster.free_ports(1)
+        address = platform_options.Address("127.0.0.2", port)
+        app = probe_app.RelayApp(peer, store_source.StoreSource(peer.options.store))
+        server = http_servers.OperatorServer(app, (address,))
+        server.start()
+        stack.callback(server._server.close)
+        peer.options = router_harness.example_options(
+            instance="peer", peer_host=address.host, first_port=port
+        )
+        peer.evacuation.apply(evacuation.Changes({"a": True}))
+
+        def tell(instance, revision):
+            peer.source.revision = revision
+            instance.options = router_harness.example_options(first_port=port)
+            instance.handle_report(codec.decode(codec.encode(peer.compose_report()[0])))
+
+        yield tell
+
+
+def test_instance_that_starts_on_a_restored_copy_hears_of_evacuations_from_peers(
+    store, informed_peer
+):
+    """Failure: it used the failure domain until the operator had written the item again."""
+    store.era = 1
+    with router_harness.running() as harness:
+        informed_peer(harness.instance, 1)
+        watcher = source_watcher.SourceWatcher(
+            harness.instance, store_source_for(store), harness.clock
+        )
+        watcher._read()
+        assert domains(harness.instance) == ["a"]
+        assert harness.instance.evacuation.current.by_domain["a"].kept_until_s is not None
+
+
+def test_instance_without_the_store_hears_of_evacuations_from_peers_that_reach_it(
+    store, informed_peer
+):
+    with instance_watching(store) as instance:
+        store.mode = Mode.BUSY
+        put_server(store, 1)
+        wait_until(lambda: instance.directory.is_store_unavailable)
+        informed_peer(instance, instance.source.revision)
+        time.sleep(0.6)
+        assert domains(instance) == [], "a peer that knows no more is not asked"
+        informed_peer(instance, instance.source.revision + 1)
+        wait_until(lambda: domains(instance) == ["a"])
+        store.mode = Mode.GOOD
+        put_server(store, 2)
+        wait_until(lambda: not instance.directory.is_store_unavailable)
+        assert len(instance.directory.upstream_by_id) == 7
+
+
+@pytest.mark.parametrize("content", [b"", b"[]", b'{"revision": 1}', b'{"domains": [""]}'])
+def test_malformed_evacuations_of_a_peer_are_an_error(monkeypatch, content):
+    monkeypatch.setattr(source_relay.peer_http, "get", lambda *_: (200, content))
+    with pytest.raises(source_relay.RelayError):
+        source_relay.fetch_evacuations("h", 1)
--- a/tests/policy/test_evacuation.py
+++ b/tests/policy/test_evacuation.py
@@ -102,3 +102,15 @@
     ]
     assert {each.domain for each in chosen} == {"b", "c"}
     assert max(chosen.count(each) for each in left) < 200 / 3
+
+
+def test_evacuation_that_peers_know_is_kept_by_an_instance_that_starts_on_a_copy():
+    messages = (
+        (1.0, read("b", is_restored=False)),
+        (1.0, evacuation.HeardAtStart(frozenset("ab"))),
+        (1.1, read("b")),
+    )
+    state, changes = run(*messages)
+    assert changes == ["Given b", "Given a", "Kept a"]
+    state, _ = evacuation.step(state, 1.0 + GRACE_S, evacuation.Tick())
+    assert list(state.by_domain) == ["b"]
