--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -56,6 +56,10 @@
         self.cold_periods: Final = exporter.create_counter(
             "carawaydoor_cold_periods", "Upstreams found cold, by service and source."
         )
+        self.evacuations: Final = exporter.create_counter(
+            "carawaydoor_evacuations",
+            "Changes of evacuated failure domains, by change: given, kept or taken_back.",
+        )
         self.answer_seconds: Final = exporter.create_histogram(
             "carawaydoor_answer_seconds", "s", "Time to the end of an answer."
         )
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -58,6 +58,8 @@
         match environ["PATH_INFO"]:
             case source_relay.CHANGES_PATH:
                 return self._send_changes(query.get("after", [""])[0], start_response)
+            case source_relay.EVACUATIONS_PATH:
+                return self._send_evacuations(start_response)
             case origin_query.ORIGIN_PATH:
                 return self._send_origin(query.get("key", [""])[0], start_response)
             case _:
@@ -70,6 +72,16 @@
         content = origin_query.encode(origin)
         return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, content)
 
+    def _send_evacuations(self, start_response: Any) -> Iterable[bytes]:
+        # Taken before the content, which is then at least as new.
+        revision = self._instance.source.revision
+        if not revision:
+            return _respond(start_response, "410 Gone", TEXT_CONTENT_TYPE, b"")
+        domains = frozenset(self._instance.evacuation.current.by_domain)
+        relayed = source_relay.RelayedEvacuations(domains, revision)
+        content = source_relay.encode_evacuations(relayed)
+        return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, content)
+
     def _send_changes(self, after: str, start_response: Any) -> Iterable[bytes]:
         # Taken before the content, which is then at least as new as this proof.
         proof_age_s = self._instance.proof_age_s()
@@ -98,6 +110,17 @@
             "revision": configuration.revision,
             "proven_age_s": round(instance.proof_age_s(), 3),
         },
+        "evacuated": [
+            {
+                "domain": each.domain,
+                "age_s": round(now_s - each.since_s, 3),
+                "origin": each.origin.value,
+                "kept_s": (
+                    None if each.kept_until_s is None else round(each.kept_until_s - now_s, 3)
+                ),
+            }
+            for each in instance.evacuation.current.by_domain.values()
+        ],
         "upstreams": [
             {
                 "id": each.id,
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -8,8 +8,8 @@
 import eliot
 
 from carawaydoor.fleet import source_relay
-from carawaydoor.operating import clocks, configuration_source
-from carawaydoor.policy import source_position, source_reading, upstream_directory
+from carawaydoor.operating import clocks, configuration_source, peer_evacuations
+from carawaydoor.policy import evacuation, source_position, source_reading, upstream_directory
 from carawaydoor.serving import instance_state
 
 # The source responds to a watch after this fraction of the stable window even if nothing has
@@ -53,6 +53,7 @@
         self._instance = instance
         self._source = source
         self._clock = clock
+        self._peer_evacuations = peer_evacuations.PeerEvacuations(instance, clock)
         self._era: int | None = None
         # None while the source responds. The first read counts as the end of an outage.
         self._unreachable_since_s: float | None = clock.now_s()
@@ -86,6 +87,7 @@
                 revision = 0
             except configuration_source.SourceError as error:
                 self._record_outage(error)
+                self._peer_evacuations.hear_during_outage(revision)
                 self._stop_requested.wait(RETRY_DELAY_S)
             except Exception:
                 eliot.write_traceback()
@@ -127,6 +129,7 @@
         is_recovering = relayed.steady_s < upstream_directory.REAPPEARANCE_GRACE_S
         if is_recovering and None in update.upstream_by_id.values():
             self._instance.source.mark_recovering()
+        self._apply_evacuations(update, evacuation.Origin.PEER)
         self._apply_configuration(update)
         if update.upstream_by_id:
             self._instance.update_directory(
@@ -150,7 +153,15 @@
         requested_s = self._clock.now_s()
         update = self._source.read(READ_TIMEOUT_S)
         self._record_recovery()
+        is_first = self._era is None
         is_restored = self._record_restore(update.revision)
+        # Before the rest, so that no request goes to an upstream that must not get any.
+        evacuated = frozenset(update.is_evacuated_by_domain)
+        self._instance.evacuation.apply(
+            evacuation.Snapshot(evacuated, evacuation.Origin.STORE, is_restored)
+        )
+        if is_first:
+            self._peer_evacuations.hear_at_start(update.revision, self._stop_requested)
         self._apply_configuration(update)
         upstream_by_id = {
             key: each for key, each in update.upstream_by_id.items() if each is not None
@@ -169,7 +180,12 @@
         update = self._source.watch(revision, watch_s, watch_s + RESPONSE_MARGIN_S)
         self._record_recovery()
         self._instance.source.mark_used()
-        is_unchanged = not update.upstream_by_id and not update.configuration_revision
+        is_unchanged = (
+            not update.upstream_by_id
+            and not update.configuration_revision
+            and not update.is_evacuated_by_domain
+        )
+        self._apply_evacuations(update, evacuation.Origin.STORE)
         self._apply_configuration(update)
         if update.upstream_by_id:
             self._instance.update_directory(
@@ -187,6 +203,13 @@
             self._stop_requested.wait(delay_s)
         return self._instance.source.revision
 
+    def _apply_evacuations(
+        self, update: configuration_source.SourceUpdate, origin: evacuation.Origin
+    ) -> None:
+        if update.is_evacuated_by_domain:
+            changes = evacuation.Changes(update.is_evacuated_by_domain, origin)
+            self._instance.evacuation.apply(changes)
+
     def _apply_configuration(self, update: configuration_source.SourceUpdate) -> None:
         if update.configuration is not None:
             self._instance.adopt(update.configuration)
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -60,7 +60,7 @@
         if placed is None:
             if not self._placer.may_begin():
                 return expression.Error(request_filters.leaving_refusal())
-            return expression.Error(self._no_room_refusal(service, arrival))
+            return expression.Error(self._no_room_refusal(exchange, service, arrival))
         try:
             kv_source = self._prefill(placed)
         except upstream_client.CallError as error:
@@ -84,15 +84,24 @@
         )
 
     def _no_room_refusal(
-        self, service: entities.Service, arrival: capacity_wait.Arrival
+        self,
+        exchange: http_exchange.HttpExchange,
+        service: entities.Service,
+        arrival: capacity_wait.Arrival,
     ) -> refusals.Refusal:
+        not_eligible = self._instance.eligibility.refusal(exchange, entities.Stage.DECODE)
+        if not_eligible is not None:
+            return not_eligible
+        regions = exchange.allowed_regions
         turned_away_s = self._instance.selector.turned_away_retry_s(
-            service.name, entities.Stage.DECODE
+            service.name, entities.Stage.DECODE, regions
         )
         if turned_away_s is not None:
             detail = f"all decode engines of service {service.name} turn requests away"
             return refusals.Refusal(refusals.Reason.TURNED_AWAY, detail, turned_away_s)
-        limited_s = self._instance.selector.limited_retry_s(service.name, entities.Stage.DECODE)
+        limited_s = self._instance.selector.limited_retry_s(
+            service.name, entities.Stage.DECODE, regions
+        )
         if limited_s is not None:
             detail = f"the limits of the decode engines of service {service.name} leave none"
             return refusals.Refusal(refusals.Reason.LIMITED, detail, limited_s)
@@ -161,6 +170,7 @@
                     )
                 )
             backup = self._reserve_backup(placed)
+            kv_source = self._usable_kv_source(placed, kv_source)
             try:
                 opened = self._send_decode(placed, kv_source, backup)
             except upstream_client.CallError as error:
@@ -174,7 +184,7 @@
                 refusal = plain_handler.refusal_for(error, placed.decode)
                 if error.failure.did_not_run:
                     refusal = self._no_room_refusal(
-                        placed.service, self._describe_arrival(exchange)
+                        exchange, placed.service, self._describe_arrival(exchange)
                     )
                 if not self._may_retry(placed, error) or not self._placer.connect_other_decode(
                     placed, frozenset(excluded)
@@ -208,7 +218,7 @@
         self, placed: generation_placement.PlacedGeneration
     ) -> entities.Upstream | None:
         backup = self._instance.selector.reserve_backup(
-            placed.service, placed.prompt, placed.decode
+            placed.service, placed.prompt, placed.decode, placed.exchange.allowed_regions
         )
         if backup is not None:
             backup_work = load.Work(0, placed.prompt.mean_kv_tokens)
@@ -245,6 +255,26 @@
         )
         return self._client.send(exchange, request, connection=placed.connection)
 
+    def _usable_kv_source(
+        self, placed: generation_placement.PlacedGeneration, kv_source: str
+    ) -> str:
+        """Return the location of the KV cache, empty if its engine must not be asked for it."""
+        prefill = placed.chosen.prefill
+        if not kv_source or prefill is None:
+            return kv_source
+        obstacle = self._instance.eligibility.obstacle(placed.exchange, prefill)
+        if obstacle is None:
+            return kv_source
+        eliot.log_message(
+            message_type="kv_cache_not_used",
+            request=placed.exchange.inbound.id,
+            upstream=prefill.id,
+            domain=prefill.domain,
+            obstacle=obstacle.value,
+        )
+        self._release_kv_later(placed, kv_source)
+        return ""
+
     def _use_hold(self, placed: generation_placement.PlacedGeneration) -> str:
         """Return the id of the memory held at the decode engine, which one offer uses up."""
         hold = placed.hold
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -93,6 +93,7 @@
     ) -> PlacedGeneration | None:
         excluded: set[str] = set()
         while self.may_begin():
+            self._client.update_begin_version(exchange)
             chosen = None
             if turn.is_next():
                 chosen = self._instance.selector.reserve_generation(
@@ -102,6 +103,7 @@
                     turn.reserve_share(),
                     exchange.permits,
                     exchange.placement_version,
+                    exchange.allowed_regions,
                 )
             now_s = self._instance.clock.now_s()
             if chosen is not None:
@@ -142,16 +144,20 @@
         excluded: set[str],
     ) -> bool:
         """Return whether a generation without room has to be refused now."""
+        regions = exchange.allowed_regions
         turned_away_s = self._instance.selector.turned_away_retry_s(
-            service.name, entities.Stage.DECODE
+            service.name, entities.Stage.DECODE, regions
+        )
+        permit_s = self._instance.selector.next_permit_s(
+            service.name, entities.Stage.DECODE, regions
         )
-        permit_s = self._instance.selector.next_permit_s(service.name, entities.Stage.DECODE)
         now_s = self._instance.clock.now_s()
         earliest_s = now_s + max(permit_s, turned_away_s or 0.0, turn.prospect_s())
         return (
             earliest_s >= terms.until_s
             or exchange.inbound.is_gone()
             or self._is_version_unreachable(exchange, service, excluded)
+            or self._instance.eligibility.refusal(exchange, entities.Stage.DECODE) is not None
         )
 
     def connect_other_decode(self, placed: PlacedGeneration, excluded: frozenset[str]) -> bool:
@@ -164,6 +170,7 @@
                 frozenset(tried),
                 placed.exchange.permits,
                 placed.exchange.placement_version,
+                placed.exchange.allowed_regions,
             )
             if decode is None:
                 return False
@@ -238,7 +245,9 @@
         return (
             bool(unreachable)
             and version is not None
-            and not self._instance.selector.serves_version(service.name, version, unreachable)
+            and not self._instance.selector.serves_version(
+                service.name, version, unreachable, exchange.allowed_regions
+            )
         )
 
     def _connect(
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -31,11 +31,13 @@
     cold_limits,
     connections,
     crash_guard,
+    evacuation_state,
     reachability,
     response_budget,
     source_state,
     stream_origins,
     stream_slots,
+    upstream_eligibility,
     upstream_limiter,
     upstream_lists,
     upstream_selection,
@@ -118,8 +120,20 @@
             lambda: self.membership,
             self.update_directory,
         )
+        self.evacuation: Final = evacuation_state.EvacuationState(
+            clock, metrics, self._lock, self.connection_pool, lambda: self.directory
+        )
+        self.eligibility: Final = upstream_eligibility.UpstreamEligibility(
+            clock,
+            self.evacuation,
+            lambda: self.directory,
+            lambda: self.configuration,
+            lambda: self.options,
+        )
         self.reach: Final = reachability.Reachability(
-            clock, self.connection_pool, lambda: self.directory.upstream_by_id.values()
+            clock,
+            self.connection_pool,
+            lambda: self.evacuation.remaining().upstream_by_id.values(),
         )
         self.selector = upstream_selection.UpstreamSelector(
             options.domain,
@@ -127,7 +141,9 @@
             metrics,
             self._lock,
             lambda: upstream_directory.usable(
-                self.directory, clock.now_s(), options.bounds.drain_s - LAST_USE_MARGIN_S
+                self.evacuation.remaining(),
+                clock.now_s(),
+                options.bounds.drain_s - LAST_USE_MARGIN_S,
             ),
             lambda: self.membership,
             lambda service: fleet_retry_budget.requests_per_s(
@@ -135,6 +151,7 @@
             ),
             self.upstream_limiter,
             self.reach,
+            lambda: self.options.region_by_domain,
         )
         self.urgency: Final = urgency_state.UrgencyState(
             clock,
@@ -225,6 +242,7 @@
             routes=sum(len(each) for each in configuration.routes_by_host.values()),
             keys=len(configuration.workspace_by_key),
         )
+        self.eligibility.log_unknown_regions(configuration)
         return True
 
     def confirm_revision(self, revision: int, proven_s: float) -> None:
@@ -488,6 +506,7 @@
     def expire(self) -> None:
         """Apply the changes that result from the passing of time."""
         self.update_directory(upstream_directory.Tick())
+        self.evacuation.expire()
         with self._lock:
             now_s = self.clock.now_s()
             self.membership, effects = gossip.expire(self.membership, now_s)
@@ -526,6 +545,13 @@
         """Return whether this instance knows of no peer, though there should be some."""
         return self._has_seeds_beside_itself() and not self.membership.peer_by_instance
 
+    def is_without_heard_peers(self) -> bool:
+        """Return whether this instance has heard no peer, though there should be some."""
+        peers = self.membership.peer_by_instance.values()
+        if not peers:
+            return self._has_seeds_beside_itself()
+        return all(each.report is None for each in peers)
+
     def _has_seeds_beside_itself(self) -> bool:
         return any(each.host != self.options.peer_host for each in self.options.seeds)
 
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -32,6 +32,8 @@
     UPSTREAM_SILENT = "upstream-silent"
     CALLER_GONE = "caller-gone"
     INTERNAL = "internal"
+    EVACUATED = "evacuated"
+    REGION_NOT_ALLOWED = "region-not-allowed"
 
 
 class Status(enum.IntEnum):
@@ -71,6 +73,8 @@
     Reason.UPSTREAM_SILENT: Status.GATEWAY_TIMEOUT,
     Reason.CALLER_GONE: Status.GATEWAY_TIMEOUT,
     Reason.INTERNAL: Status.INTERNAL_ERROR,
+    Reason.EVACUATED: Status.UNAVAILABLE,
+    Reason.REGION_NOT_ALLOWED: Status.UNAVAILABLE,
 }
 
 
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -19,6 +19,7 @@
     response_budget,
     retry_delay,
     sockets,
+    upstream_eligibility,
 )
 
 MIN_FAILURE_STATUS = 500
@@ -40,6 +41,8 @@
     SILENT = "silent"
     ABANDONED = "abandoned"
     CALLER_GONE = "caller_gone"
+    EVACUATED = "evacuated"
+    NOT_ALLOWED = "not_allowed"
 
     @property
     def did_not_run(self) -> bool:
@@ -49,7 +52,13 @@
     @property
     def was_not_sent(self) -> bool:
         """Whether no byte of the request was sent."""
-        return self in (Failure.NOT_SENT, Failure.TURNED_AWAY, Failure.LIMITED)
+        return self in (
+            Failure.NOT_SENT,
+            Failure.TURNED_AWAY,
+            Failure.LIMITED,
+            Failure.EVACUATED,
+            Failure.NOT_ALLOWED,
+        )
 
 
 _OUTCOME_BY_FAILURE = {
@@ -61,6 +70,11 @@
     Failure.SILENT: health.Outcome.SILENT,
 }
 
+_FAILURE_BY_OBSTACLE = {
+    upstream_eligibility.Obstacle.EVACUATED: Failure.EVACUATED,
+    upstream_eligibility.Obstacle.REGION: Failure.NOT_ALLOWED,
+}
+
 
 class CallError(Exception):
     """A call gave no response for the caller."""
@@ -143,6 +157,7 @@
 
         :raises CallError: if none can be established
         """
+        self._check_eligible(exchange, upstream)
         if self._instance.selector.turned_away.remaining_s(upstream) > 0.0:
             detail = "it wants no requests for a while"
             raise self._call_error(exchange, upstream, Failure.TURNED_AWAY, detail)
@@ -154,16 +169,32 @@
                 self._record_ended(exchange, upstream)
             raise self._call_error(exchange, upstream, Failure.NOT_SENT, error) from error
 
+    def _check_eligible(
+        self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
+    ) -> None:
+        """Raise an error if an upstream that was chosen earlier must get no request now.
+
+        :raises CallError: if its failure domain was evacuated, or its region is not allowed any more
+        """
+        obstacle = self._instance.eligibility.obstacle(exchange, upstream)
+        if obstacle is not None:
+            detail = f"failure domain {upstream.domain}: {obstacle.value}"
+            raise self._call_error(exchange, upstream, _FAILURE_BY_OBSTACLE[obstacle], detail)
+
     def _record_ended(
         self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
     ) -> None:
         """Let a stream begin at any version if all upstreams of its version have ended."""
         exchange.ended_upstreams.add(upstream.id)
+        self.update_begin_version(exchange)
+
+    def update_begin_version(self, exchange: http_exchange.HttpExchange) -> None:
+        """Let a stream begin at any version if its own has no upstream any more."""
         version, service = exchange.begin_version, exchange.service
         if version is None or service is None:
             return
         if not self._instance.selector.serves_version(
-            service.name, version, exchange.ended_upstreams
+            service.name, version, exchange.ended_upstreams, exchange.allowed_regions
         ):
             exchange.begin_version = None
 
@@ -183,14 +214,21 @@
         :param wait_limit: limit on each wait, None for the deadline and the caller's disconnect
         :raises CallError: if no genuine response arrives
         """
-        encoded = self._adapter.encode_request(exchange, request)
         deadline_s = exchange.deadline_s if attempt_deadline_s is None else attempt_deadline_s
         if wait_limit is None:
             wait_limit = sockets.CallerWaitLimit(
                 self._instance.clock, deadline_s, exchange.inbound.is_gone
             )
+        eligibility = self._instance.eligibility
+        if request.backup is not None and eligibility.obstacle(exchange, request.backup):
+            # Chosen before its failure domain was evacuated or its region excluded.
+            request = dataclasses.replace(request, backup=None)
+        encoded = self._adapter.encode_request(exchange, request)
         if connection is None:
             connection = self.connect(exchange, request.upstream)
+        elif eligibility.obstacle(exchange, request.upstream):
+            connection.close()
+            self._check_eligible(exchange, request.upstream)
         elif self._instance.selector.turned_away.remaining_s(request.upstream) > 0.0:
             # It has turned away another request since the connection was made.
             connection.close()
@@ -286,7 +324,8 @@
 
     def _wants_no_requests(self, upstream: entities.Upstream) -> bool:
         return (
-            self._instance.selector.turned_away.remaining_s(upstream) > 0.0
+            self._instance.evacuation.is_evacuated(upstream)
+            or self._instance.selector.turned_away.remaining_s(upstream) > 0.0
             or self._instance.upstream_limiter.limit_per_s(upstream) is not None
         )
 
@@ -296,7 +335,7 @@
         """Release the KV cache of a prompt that no engine will fetch.
 
         A failure is only logged, since the engine soon drops the cache by itself. For the same
-        reason, nothing is sent to an engine that rejects requests or names a limit.
+        reason, nothing is sent to an engine that is evacuated, rejects requests or names a limit.
         """
         if self._wants_no_requests(upstream):
             return
@@ -371,6 +410,8 @@
             return Failure.ABANDONED
         case sockets.DeadlineExceededError() | sockets.StreamStalledError():
             return Failure.SILENT
+        case connections.EvacuatedError():
+            return Failure.EVACUATED
         case connections.NotSentError():
             return Failure.NOT_SENT
         case connections.MalformedResponseError() | sockets.TooManyBytesError():
