--- a/src/carawaydoor/serving/connections.py
+++ b/src/carawaydoor/serving/connections.py
@@ -32,6 +32,8 @@
 # Ids that a connection remembers; a request is only repeated within seconds.
 MAX_KNOWN_IDS: Final = 64
 
+# Some servers add a date of their own before that of the application.
+_LAST_ONE_COUNTS: Final = frozenset({"date"})
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*(\d{1,6})(?!\d)")
 
 
@@ -382,7 +384,8 @@
     value_by_name: dict[str, str] = {}
     for name, value in headers:
         key = name.lower()
-        value_by_name[key] = f"{value_by_name[key]}, {value}" if key in value_by_name else value
+        is_repeated = key in value_by_name and key not in _LAST_ONE_COUNTS
+        value_by_name[key] = f"{value_by_name[key]}, {value}" if is_repeated else value
     return value_by_name
 
 
