Promise nothing in a refusal after an attempt that may have run

Cause: when a read's first attempt broke off and the second one was not sent, the refusal was a 503, which promises that the request has not run. An evacuation between the choice and the sending made this more likely. Change: the refusal of an attempt that may have run is kept. Evidence: the new test failed before (503 in place of 502); test_plain.py passes.

--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -75,7 +75,9 @@
             try:
                 response = self._attempt(exchange, route, service, upstream)
             except upstream_client.CallError as error:
-                refusal = refusal_for(error, upstream)
+                if refusal.did_not_run:
+                    # A later attempt does not undo an earlier one that may have run.
+                    refusal = refusal_for(error, upstream)
                 if error.failure.was_not_sent:
                     exchange.permits.give_back(upstream)
                     if self._instance.reach.is_cut_off(service.name):
--- a/tests/platform_side/test_evacuation.py
+++ b/tests/platform_side/test_evacuation.py
@@ -29,15 +29,15 @@
     harness.instance.evacuation.apply(evacuation.Changes({domain: is_evacuated}))
 
 
-def evacuate_after(harness, monkeypatch, owner, name):
-    """Evacuate failure domain a as soon as a method of the request path has returned."""
+def evacuate_after(harness, monkeypatch, owner, name, domain="a"):
+    """Evacuate a failure domain as soon as a method of the request path has returned."""
     original = getattr(owner, name)
 
     def then_evacuate(*args, **kwargs):
         try:
             return original(*args, **kwargs)
         finally:
-            evacuate(harness)
+            evacuate(harness, domain=domain)
 
     monkeypatch.setattr(owner, name, then_evacuate)
 
@@ -234,3 +234,20 @@
     types = [each["message_type"] for each in logged]
     assert types.count("evacuation_given") == 2
     assert types.count("evacuation_of_unknown_domain") == 1
+
+
+def test_refusal_after_an_attempt_that_may_have_run_does_not_promise_otherwise(
+    harness, monkeypatch
+):
+    """Failure: the second attempt was not sent, so that the refusal said that the request did not run."""
+    near, far = harness.add_upstream("u"), harness.add_upstream("v", domain="b")
+    near.behaviours = [Behaviour.RESET]
+
+    def may_retry(*_):
+        evacuate_after(harness, monkeypatch, harness.instance.selector, "reserve_plain", "b")
+        return True
+
+    monkeypatch.setattr(harness.instance, "may_retry", may_retry)
+    response = harness.call("/safe/1").read()
+    assert (len(near.received), len(far.received)) == (1, 0)
+    assert response.status == 502
