Keep the source's thread alive whatever peers say of evacuations

Cause: an error while a peer was asked during an outage would have ended the thread, found by reading. Change: errors are logged, and peers are asked once a second at most. Upstreams in allowed regions are found by their failure domains. Evidence: test_evacuation_source.py, test_allowed_regions.py and the tests of the store pass.

--- a/src/carawaydoor/operating/peer_evacuations.py
+++ b/src/carawaydoor/operating/peer_evacuations.py
@@ -17,6 +17,8 @@
 # Longest wait of an instance that has started for the first report of a peer, some rounds of them.
 PEER_WAIT_S: Final = 1.0
 PEER_POLL_INTERVAL_S: Final = 0.02
+# Bounds the calls and the log lines while peers give no valid response, as those of earlier releases.
+ASK_INTERVAL_S: Final = 1.0
 
 
 class PeerEvacuations:
@@ -27,12 +29,15 @@
         self._clock = clock
         self._wait_until_s = clock.now_s() + PEER_WAIT_S
         self._heard_revision = 0
+        self._asked_s = float("-inf")
 
     def hear_during_outage(self, revision: int) -> None:
         """Apply what a peer knows that has read the source since this instance did.
 
         :param revision: position up to which this instance has read the source itself
         """
+        if self._clock.now_s() - self._asked_s < ASK_INTERVAL_S:
+            return
         known = max(revision, self._heard_revision)
         heard = self._ask(known)
         if heard is None or heard.revision <= known:
@@ -56,7 +61,10 @@
             self._instance.evacuation.apply(evacuation.HeardAtStart(heard.domains))
 
     def _ask(self, after: int) -> source_relay.RelayedEvacuations | None:
-        for host in self._instance.source.informed_hosts(after)[:MAX_PEERS]:
+        hosts = self._instance.source.informed_hosts(after)[:MAX_PEERS]
+        if hosts:
+            self._asked_s = self._clock.now_s()
+        for host in hosts:
             try:
                 return source_relay.fetch_evacuations(host, self._instance.options.first_port)
             except source_relay.RelayError as error:
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -87,13 +87,20 @@
                 revision = 0
             except configuration_source.SourceError as error:
                 self._record_outage(error)
-                self._peer_evacuations.hear_during_outage(revision)
+                self._hear_evacuations(revision)
                 self._stop_requested.wait(RETRY_DELAY_S)
             except Exception:
                 eliot.write_traceback()
                 revision = 0
                 self._stop_requested.wait(RETRY_DELAY_S)
 
+    def _hear_evacuations(self, revision: int) -> None:
+        try:
+            self._peer_evacuations.hear_during_outage(revision)
+        except Exception:
+            # What a peer says must not end the thread that reads the source.
+            eliot.write_traceback()
+
     def _reads_source(self) -> bool:
         if self._clock.now_s() < self._self_reading_until_s:
             return True
@@ -161,6 +168,7 @@
             evacuation.Snapshot(evacuated, evacuation.Origin.STORE, is_restored)
         )
         if is_first:
+            # If this fails, the next read finds the era known and goes on without peers.
             self._peer_evacuations.hear_at_start(update.revision, self._stop_requested)
         self._apply_configuration(update)
         upstream_by_id = {
--- a/src/carawaydoor/policy/allowed_regions.py
+++ b/src/carawaydoor/policy/allowed_regions.py
@@ -53,7 +53,11 @@
     upstreams: Iterable[entities.Upstream],
 ) -> tuple[entities.Upstream, ...]:
     """Return the upstreams at which a request may run."""
-    return tuple(each for each in upstreams if allows(regions, region_by_domain, each.domain))
+    if regions is None:
+        return tuple(upstreams)
+    # There are few failure domains and many upstreams.
+    domains = {domain for domain, region in region_by_domain.items() if region in regions}
+    return tuple(each for each in upstreams if each.domain in domains)
 
 
 def allows_peer(
