--- a/tests/caller.py
+++ b/tests/caller.py
@@ -42,13 +42,16 @@
     running: local_cluster.LocalCluster
     instance: str = "oc-i1"
     workspace: str = "head-office"
+    timeout_s: float = 60.0
 
     def open(
         self, method: str, path: str, body: bytes | None, **headers: str
     ) -> http.client.HTTPConnection:
         """Send a request and return the connection, from which the response can be read."""
         port = self.running.ports_by_instance[self.instance].caller
-        connection = http.client.HTTPConnection(local_cluster.LOOPBACK, port, timeout=60.0)
+        connection = http.client.HTTPConnection(
+            local_cluster.LOOPBACK, port, timeout=self.timeout_s
+        )
         all_headers = {key.replace("_", "-"): value for key, value in headers.items()}
         if self.workspace:
             all_headers.setdefault(
--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -47,6 +47,7 @@
     :param source: checkout whose daemon the instances run, None for this checkout
     :param partition_domain: failure domain that can be partitioned; its traffic with the other
         domains and with the platform passes a relay
+    :param instance_settings: settings of all instances that differ from the defaults
     :ivar directory: temporary directory of settings, configuration, logs and loads
     """
 
@@ -56,8 +57,10 @@
         platform_lag_s: float = 0.0,
         source: pathlib.Path | None = None,
         partition_domain: str = "",
+        instance_settings: dict[str, int] | None = None,
     ) -> None:
         self.deployment = deployment
+        self._instance_settings = instance_settings or {}
         self._source = source
         self._partition_domain = partition_domain
         self._relay_port_by_target_port: dict[int, int] = {}
@@ -212,6 +215,7 @@
                 for name, each in self.ports_by_instance.items()
                 if name != instance
             ],
+            **self._instance_settings,
         }
         path.write_text(yaml.safe_dump(settings))
         environment = dict(os.environ)
--- a/tools/soak/soak_environment.py
+++ b/tools/soak/soak_environment.py
@@ -30,6 +30,7 @@
 CAPPED_RATE_PER_S: Final = 20.0
 CAPPED_BURST: Final = 20.0
 MEMORY_MB: Final = 300
+DESCRIPTORS: Final = 1000
 KEY_WITHDRAWAL_BOUND_S: Final = 5.0
 DRAIN_BOUND_S: Final = 2.0
 # Imported by the instances at their start.
@@ -54,7 +55,7 @@
 ready = "{host}:{ready}"
 [limits]
 memoryMb = {memory}
-fileDescriptors = 1000
+fileDescriptors = {descriptors}
 [bounds]
 graceS = {grace}
 [platform]
@@ -97,6 +98,7 @@
                 ready=READINESS_PORT,
                 grace=SHUTDOWN_GRACE_S,
                 memory=MEMORY_MB,
+                descriptors=DESCRIPTORS,
                 store=store_port,
             )
         )
@@ -111,6 +113,13 @@
             text.replace(f"memoryMb = {MEMORY_MB}", f"memoryMb = {memory_mb}")
         )
 
+    def limit_descriptors(self, count: int) -> None:
+        """State another limit of file descriptors in the settings; it is not enforced."""
+        text = self._settings_path.read_text()
+        self._settings_path.write_text(
+            text.replace(f"fileDescriptors = {DESCRIPTORS}", f"fileDescriptors = {count}")
+        )
+
     def start(self) -> None:
         """Start the process."""
         process_environment = {
