Bound the memory and connections of unfinished requests together

Cause: each request was bounded by itself: up to 512 KB in memory and the rest in a temporary file, for callers at 4 MiB and for peers at 1 GiB. Connections that sent nothing more kept their places, heads had no time limit, and the listener for peers stopped accepting at 100 connections of callers. Change: one budget of bytes for the requests of both listeners, taken from the memory beyond the process itself beside the one for responses. Small requests keep a quarter. Stopped requests give up their memory, longest idle first, with 503. Bodies are held in one buffer that is read without a copy. A full listener closes the connection that is idle longest. Bodies of exactly maxBodyBytes are accepted, and framing of chunks does not count. Refusals don't wait for a thread, and drop 4 MiB for 2 s of what follows.

--- a/src/carawaydoor/operating/daemon_metrics.py
+++ b/src/carawaydoor/operating/daemon_metrics.py
@@ -33,6 +33,10 @@
             "carawaydoor_requests", "Requests that ended, by route and outcome."
         )
         self.refusals: Final = exporter.create_counter("carawaydoor_refusals", "Refusals, by kind.")
+        self.request_limits: Final = exporter.create_counter(
+            "carawaydoor_request_limits",
+            "Requests not received and connections closed, by the limit that took effect.",
+        )
         self.tokens: Final = exporter.create_counter(
             "carawaydoor_tokens", "Tokens used, by workspace."
         )
--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -23,6 +23,10 @@
         self.refusals: Final = exporter.create_counter(
             "carawaydoor_refusals", "Answers of the router's own, by reason."
         )
+        self.request_limits: Final = exporter.create_counter(
+            "carawaydoor_request_limits",
+            "Requests not received and connections closed, by the limit that took effect.",
+        )
         self.upstream_calls: Final = exporter.create_counter(
             "carawaydoor_upstream_calls", "Calls to upstreams, by service and outcome."
         )
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -92,6 +92,7 @@
         "ready": instance.is_ready,
         "leaving": instance.is_draining,
         "requests_at_work": instance.active_requests,
+        "request_bytes_held": instance.request_budget.held_bytes,
         "response_bytes_held": instance.connection_pool.budget.held_bytes,
         "configuration": {
             "version": configuration.version,
--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -70,6 +70,10 @@
             return expression.Error(refusals.Refusal(refusals.Reason.MALFORMED, str(error)))
         return expression.Ok(inbound)
 
+    def request_id(self, environ: Mapping[str, Any]) -> str:
+        """Return the id of the request in a WSGI environment, empty for one without an id."""
+        return _header_text(environ, names.Header.REQUEST_ID) or ""
+
     def encode_request(
         self, exchange: http_exchange.HttpExchange, request: protocol_adapter.UpstreamRequest
     ) -> protocol_adapter.EncodedRequest:
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -29,7 +29,14 @@
     stage_balancer,
 )
 from carawaydoor.platform import http_adapter, names, platform_settings, store_lists, store_source
-from carawaydoor.serving import caller_app, http_servers, instance_state, peer_app
+from carawaydoor.serving import (
+    caller_app,
+    http_servers,
+    instance_state,
+    peer_app,
+    request_limits,
+    unread_refusals,
+)
 
 # Port of /metrics and /status; also named in deploy/system.toml.
 METRICS_PORT: Final = 9464
@@ -81,6 +88,12 @@
             caller_app.CallerApp(self._instance, adapter),
             options,
             lambda: self._instance.is_draining,
+            request_limits.RequestGuard(
+                clock,
+                self._instance.request_budget,
+                unread_refusals.RefusalFormatter(adapter, self._instance.metrics.refusals),
+                request_limits.LimitRecorder(clock, self._instance.metrics.request_limits),
+            ),
         )
         self._stage_balancer = stage_balancer.StageBalancer(self._instance, adapter)
         metrics_address = platform_options.Address(options.ready.host, METRICS_PORT)
--- a/src/carawaydoor/policy/strikes.py
+++ b/src/carawaydoor/policy/strikes.py
@@ -42,11 +42,15 @@
 EMPTY = Strikes({})
 
 
-def fingerprint(workspace: str, body: bytes) -> str:
-    """Return the fingerprint of a request of a workspace."""
+def fingerprint(workspace: str, *parts: bytes) -> str:
+    """Return the fingerprint of a request of a workspace.
+
+    :param parts: content of the request, which is not copied
+    """
     digest = hashlib.blake2b(workspace.encode(), digest_size=16)
     digest.update(b"\x00")
-    digest.update(body)
+    for each in parts:
+        digest.update(each)
     return digest.hexdigest()
 
 
--- a/src/carawaydoor/serving/http_servers.py
+++ b/src/carawaydoor/serving/http_servers.py
@@ -13,7 +13,7 @@
 
 from carawaydoor.operating import platform_options
 from carawaydoor.policy import entities
-from carawaydoor.serving import caller_channel
+from carawaydoor.serving import bounded_channel, caller_channel, request_limits
 
 WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
@@ -21,8 +21,14 @@
 MAX_CALLER_THREADS: Final = 72
 # Enough for the load of a calm moment; more are started when all are busy.
 INITIAL_CALLER_THREADS: Final = 4
-# Part of the file descriptors; the rest is for upstreams and peers.
+# Part of the file descriptors; the rest is for upstreams, the store and readiness checks.
 CALLER_CONNECTION_SHARE: Final = 0.5
+# Peers keep a few connections each, and only while they reach no upstream.
+PEER_CONNECTION_SHARE: Final = 0.125
+# Of the sender, the time left and the attempts.
+MAX_ADDED_HEADER_BYTES: Final = 1024
+# Checks and operators send no bodies.
+MAX_OPERATOR_REQUEST_BYTES: Final = 16_384
 LISTEN_BACKLOG: Final = 1024
 # Added to the configured idle timeout, so that a request sent just before it is still served.
 IDLE_TIMEOUT_SLACK_S: Final = 5.0
@@ -43,12 +49,12 @@
         return head
 
 
-class _Channel(caller_channel.Channel):
+class _Channel(bounded_channel.Channel):
     task_class = _Task
 
     def readable(self) -> bool:
         """Return whether more of a request may be read."""
-        return not self.server.has_stopped_reading and bool(super().readable())
+        return not self.server.has_stopped_reading and super().readable()
 
     def handle_read(self) -> None:
         """Read a part of a request, unless reading was stopped since the poll began."""
@@ -56,6 +62,37 @@
             super().handle_read()
 
 
+class _Server(bounded_channel.Server):
+    """A listener of an instance.
+
+    :ivar has_stopped_reading: whether no request is read any more
+    :ivar polls: number of polls that have begun
+    """
+
+    channel_class = _Channel
+
+    def __init__(self, is_draining: Callable[[], bool], **arguments: Any) -> None:
+        self.is_draining = is_draining
+        self.has_stopped_reading = False
+        self.polls = 0
+        super().__init__(
+            backlog=LISTEN_BACKLOG,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
+            cleanup_interval=CLEANUP_INTERVAL_S,
+            outbuf_high_watermark=MAX_BUFFERED_RESPONSE_BYTES,
+            send_bytes=1,
+            ident=None,
+            clear_untrusted_proxy_headers=False,
+            **arguments,
+        )
+
+    def readable(self) -> bool:
+        """Return whether a connection may be accepted; called at the beginning of each poll."""
+        self.polls += 1
+        return super().readable()
+
+
 class GrowingDispatcher(waitress.task.ThreadedTaskDispatcher):  # type: ignore[misc]
     """Starts threads when they are needed, up to a limit, and keeps them."""
 
@@ -76,66 +113,60 @@
 
 
 class CallerServer:
-    """Accepts callers and runs the application in a thread pool."""
+    """Accepts callers and runs the application in a thread pool.
+
+    :param guard: bounds the requests; None for one without a form of its refusals
+    """
 
     def __init__(
-        self, app: WsgiApp, options: platform_options.Options, is_draining: Callable[[], bool]
+        self,
+        app: WsgiApp,
+        options: platform_options.Options,
+        is_draining: Callable[[], bool],
+        guard: request_limits.RequestGuard | None = None,
     ) -> None:
         # The application already logs what waitress would report.
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
-        self._server = waitress.server.create_server(
-            app,
-            map={},
-            _dispatcher=GrowingDispatcher(INITIAL_CALLER_THREADS, MAX_CALLER_THREADS),
-            host=options.front.host,
-            port=options.front.port,
-            backlog=LISTEN_BACKLOG,
-            channel_request_lookahead=1,
-            connection_limit=int(options.max_descriptors * CALLER_CONNECTION_SHARE),
-            asyncore_use_poll=True,
-            cleanup_interval=CLEANUP_INTERVAL_S,
-            outbuf_high_watermark=MAX_BUFFERED_RESPONSE_BYTES,
-            send_bytes=1,
-            ident=None,
-            clear_untrusted_proxy_headers=False,
-        )
-        self._servers = [self._server]
+        self._guard = guard or request_limits.create_guard(options.memory_bytes)
+        self._max_connections = options.max_descriptors
+        self._dispatcher = GrowingDispatcher(INITIAL_CALLER_THREADS, MAX_CALLER_THREADS)
         self._is_draining = is_draining
-        self._prepare(self._server)
-        self._polls = 0
-        self._count_polls()
-        self.apply_limits(entities.Limits())
+        self._limits = entities.Limits()
+        self._map: dict[int, Any] = {}
+        self._server = self._listen(app, options.front, CALLER_CONNECTION_SHARE)
+        self._servers = [self._server]
+        self.apply_limits(self._limits)
 
     def listen_to_peers(self, app: WsgiApp, address: platform_options.Address) -> None:
         """Serve other instances too, with the same threads."""
-        server = waitress.server.create_server(
-            app,
-            map=self._server._map,
-            _dispatcher=self._server.task_dispatcher,
+        self._servers.append(self._listen(app, address, PEER_CONNECTION_SHARE))
+        self.apply_limits(self._limits)
+
+    def _listen(self, app: WsgiApp, address: platform_options.Address, share: float) -> _Server:
+        return _Server(
+            self._is_draining,
+            app=app,
+            guard=self._guard,
+            max_connections=int(self._max_connections * share),
+            dispatcher=self._dispatcher,
+            map=self._map,
             host=address.host,
             port=address.port,
-            backlog=LISTEN_BACKLOG,
-            channel_request_lookahead=1,
-            asyncore_use_poll=True,
-            outbuf_high_watermark=MAX_BUFFERED_RESPONSE_BYTES,
-            send_bytes=1,
-            ident=None,
-            clear_untrusted_proxy_headers=False,
         )
-        self._prepare(server)
-        self._servers.append(server)
-
-    def _prepare(self, server: Any) -> None:
-        server.channel_class = _Channel
-        server.is_draining = self._is_draining
-        server.has_stopped_reading = False
 
     def apply_limits(self, limits: entities.Limits) -> None:
         """Apply new limits on the size of requests and on idle time."""
-        adjustments = self._server.adj
-        adjustments.max_request_header_size = limits.max_header_bytes
-        adjustments.max_request_body_size = limits.max_body_bytes
-        adjustments.channel_timeout = limits.idle_timeout_s + IDLE_TIMEOUT_SLACK_S
+        self._limits = limits
+        for each in self._servers:
+            # Peers add headers to the requests that they pass on.
+            added_bytes = 0 if each is self._server else MAX_ADDED_HEADER_BYTES
+            each.set_limits(
+                limits.max_header_bytes + added_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_s,
+            )
+            each.adj.channel_timeout = limits.idle_timeout_s + IDLE_TIMEOUT_SLACK_S
+        self._guard.check_body_limit(limits.max_body_bytes)
 
     def wait_until_read(self, timeout_s: float) -> None:
         """Wait until everything that callers have sent so far was read.
@@ -143,9 +174,9 @@
         :param timeout_s: longest wait in seconds
         """
         # The poll that is under way may have begun before; the one after it sees all that was sent.
-        until_polls = self._polls + 2
+        until_polls = self._server.polls + 2
         deadline_s = time.monotonic() + timeout_s
-        while self._polls < until_polls and time.monotonic() < deadline_s:
+        while self._server.polls < until_polls and time.monotonic() < deadline_s:
             self._server.pull_trigger()
             time.sleep(POLL_CHECK_INTERVAL_S)
 
@@ -163,16 +194,6 @@
             for each in tuple(server.active_channels.values())
         )
 
-    def _count_polls(self) -> None:
-        is_readable = self._server.readable
-
-        def readable() -> bool:
-            self._polls += 1
-            return bool(is_readable())
-
-        # Called once at the beginning of each poll.
-        self._server.readable = readable
-
     def start(self) -> None:
         """Start to accept callers."""
         threading.Thread(target=self._server.run, name="callers", daemon=True).start()
@@ -184,7 +205,14 @@
     def __init__(self, app: WsgiApp, addresses: Iterable[platform_options.Address]) -> None:
         listen = " ".join(str(each) for each in addresses)
         self._server = waitress.server.create_server(
-            app, map={}, listen=listen, threads=1, asyncore_use_poll=True, ident=None
+            app,
+            map={},
+            listen=listen,
+            threads=1,
+            asyncore_use_poll=True,
+            ident=None,
+            max_request_header_size=MAX_OPERATOR_REQUEST_BYTES,
+            max_request_body_size=MAX_OPERATOR_REQUEST_BYTES,
         )
 
     def start(self) -> None:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -30,6 +30,7 @@
     connections,
     crash_guard,
     reachability,
+    request_budget,
     response_budget,
     source_state,
     stream_origins,
@@ -67,6 +68,9 @@
         self.metrics = metrics
         budget = response_budget.ResponseBudget(response_budget.total_bytes(options.memory_bytes))
         self.connection_pool = connections.ConnectionPool(clock, budget)
+        self.request_budget: Final = request_budget.RequestBudget(
+            request_budget.total_bytes(options.memory_bytes)
+        )
         self.configuration = entities.EMPTY_CONFIGURATION
         self.freshness = freshness.Freshness()
         self.directory = upstream_directory.EMPTY
--- a/src/carawaydoor/serving/protocol_adapter.py
+++ b/src/carawaydoor/serving/protocol_adapter.py
@@ -142,6 +142,10 @@
     ) -> expression.Result[http_exchange.InboundRequest, refusals.Refusal]:
         """Return the request in a WSGI environment, or a refusal if it is malformed."""
 
+    @abc.abstractmethod
+    def request_id(self, environ: Mapping[str, Any]) -> str:
+        """Return the id of the request in a WSGI environment, empty for one without an id."""
+
     @abc.abstractmethod
     def encode_request(
         self, exchange: http_exchange.HttpExchange, request: UpstreamRequest
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -32,6 +32,9 @@
     UPSTREAM_SILENT = "upstream-silent"
     CALLER_GONE = "caller-gone"
     INTERNAL = "internal"
+    HEAD_TOO_LARGE = "head-too-large"
+    BODY_TOO_LARGE = "body-too-large"
+    NO_MEMORY = "no-memory"
 
 
 class Status(enum.IntEnum):
@@ -40,7 +43,9 @@
     BAD_REQUEST = 400
     UNAUTHORIZED = 401
     NOT_FOUND = 404
+    BODY_TOO_LARGE = 413
     TOO_MANY_REQUESTS = 429
+    HEAD_TOO_LARGE = 431
     INTERNAL_ERROR = 500
     BAD_GATEWAY = 502
     UNAVAILABLE = 503
@@ -71,6 +76,9 @@
     Reason.UPSTREAM_SILENT: Status.GATEWAY_TIMEOUT,
     Reason.CALLER_GONE: Status.GATEWAY_TIMEOUT,
     Reason.INTERNAL: Status.INTERNAL_ERROR,
+    Reason.HEAD_TOO_LARGE: Status.HEAD_TOO_LARGE,
+    Reason.BODY_TOO_LARGE: Status.BODY_TOO_LARGE,
+    Reason.NO_MEMORY: Status.UNAVAILABLE,
 }
 
 
--- a/src/carawaydoor/serving/request_filters.py
+++ b/src/carawaydoor/serving/request_filters.py
@@ -130,7 +130,7 @@
         inbound = exchange.inbound
         request_line = f"{inbound.method} {inbound.target}\n".encode()
         exchange.fingerprint = strikes.fingerprint(
-            exchange.workspace_name, request_line + inbound.body
+            exchange.workspace_name, request_line, inbound.body
         )
         suspended_s = self._instance.crash_guard.suspended_for_s(
             exchange.fingerprint, exchange.shared_parts
