Bound the requests of the project's own interface, and describe the limits

Cause: carawaydoord accepted bodies of four times max_body_bytes, each by itself, and stopped accepting when its connections were taken by requests without an end. Change: the same listener and budget as on the platform, with settings memory_mb and header_timeout_s; refusals are problem documents as before.

--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -13,6 +13,7 @@
 import cyclopts
 import eliot
 import waitress.server
+import waitress.task
 
 from carawaydoor import release
 from carawaydoor.coordination import (
@@ -23,7 +24,13 @@
     ownership,
     trace,
 )
-from carawaydoor.interface import api_app, instance_context, request_monitor, run_once_executor
+from carawaydoor.interface import (
+    api_app,
+    instance_context,
+    request_monitor,
+    run_once_executor,
+    unread_refusals,
+)
 from carawaydoor.links import peer_client, peer_listener
 from carawaydoor.operating import (
     audit,
@@ -34,7 +41,7 @@
     operator_app,
 )
 from carawaydoor.publishing import platform_client, watchers
-from carawaydoor.serving import caller_channel
+from carawaydoor.serving import bounded_channel, request_budget, request_limits
 
 CORE_TICK_INTERVAL_S: Final = 0.1
 # Maximum time for which a thread holds the interpreter lock while others wait for it.
@@ -44,9 +51,13 @@
 DRAIN_NOTICE_S: Final = 0.6
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 DRAIN_TIMEOUT_S: Final = 120.0
-# The server's own limits are higher than the configured ones, so that the application refuses an
-# oversized request with its own problem document.
-SERVER_LIMIT_FACTOR: Final = 4
+# The application applies the configured limit to the headers alone, without the request line.
+HEADER_LIMIT_FACTOR: Final = 4
+# Connections of callers that wait or are kept open; a new one takes the place of an idle one.
+CONNECTIONS_PER_THREAD: Final = 4
+# Operators send no bodies.
+MAX_OPERATOR_REQUEST_BYTES: Final = 16_384
+_BYTES_PER_MB: Final = 1_000_000
 
 app = cyclopts.App(name="carawaydoord", version=release.VERSION, help=__doc__)
 
@@ -129,20 +140,43 @@
         return core_state.create(member, secrets.token_bytes(32))
 
     def _create_caller_server(self) -> Any:
-        server = waitress.server.create_server(
-            api_app.ApiApp(self._context, self._request_monitor),
-            host=self._options.host,
-            port=self._options.caller_port,
-            threads=self._options.threads,
+        options, context = self._options, self._context
+        # More than one whole request for each thread would only wait.
+        total_bytes = min(
+            request_budget.total_bytes(options.memory_mb * _BYTES_PER_MB),
+            options.threads
+            * (options.max_body_bytes + HEADER_LIMIT_FACTOR * options.max_header_bytes),
+        )
+        guard = request_limits.RequestGuard(
+            context.clock,
+            request_budget.RequestBudget(total_bytes),
+            unread_refusals.RefusalFormatter(
+                options.max_header_bytes, options.max_body_bytes, context.metrics.refusals
+            ),
+            request_limits.LimitRecorder(context.clock, context.metrics.request_limits),
+        )
+        guard.check_body_limit(options.max_body_bytes)
+        dispatcher = waitress.task.ThreadedTaskDispatcher()
+        dispatcher.set_thread_count(options.threads)
+        server = bounded_channel.Server(
+            api_app.ApiApp(context, self._request_monitor),
+            guard,
+            CONNECTIONS_PER_THREAD * options.threads,
+            dispatcher,
+            {},
+            host=options.host,
+            port=options.caller_port,
             channel_request_lookahead=1,
-            connection_limit=4 * self._options.threads,
-            max_request_header_size=SERVER_LIMIT_FACTOR * self._options.max_header_bytes,
-            max_request_body_size=SERVER_LIMIT_FACTOR * self._options.max_body_bytes,
+            asyncore_use_poll=True,
             send_bytes=1,
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
-        server.channel_class = caller_channel.Channel
+        server.set_limits(
+            HEADER_LIMIT_FACTOR * options.max_header_bytes,
+            options.max_body_bytes,
+            options.header_timeout_s,
+        )
         return server
 
     def _create_operator_server(self) -> Any:
@@ -151,6 +185,8 @@
             host=self._options.host,
             port=self._options.operator_port,
             threads=OPERATOR_THREADS,
+            max_request_header_size=MAX_OPERATOR_REQUEST_BYTES,
+            max_request_body_size=MAX_OPERATOR_REQUEST_BYTES,
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
--- a/src/carawaydoor/interface/api_app.py
+++ b/src/carawaydoor/interface/api_app.py
@@ -26,13 +26,13 @@
     routing,
     service_handler,
     suspension,
+    unread_refusals,
 )
 from carawaydoor.serving import response_body
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
-REQUEST_ID_HEADER: Final = "X-Request-Id"
 # Applies until a route is selected; the route then sets its own deadline.
 DEFAULT_TIMEOUT_S: Final = 60.0
 
@@ -133,7 +133,7 @@
         )
 
     def _extra_headers(self, exchange: request_exchange.Exchange) -> list[tuple[str, str]]:
-        headers = [(REQUEST_ID_HEADER, exchange.id)]
+        headers = [(unread_refusals.REQUEST_ID_HEADER, exchange.id)]
         route, workspace = exchange.route, exchange.workspace
         if route is not None and route.service is not None and workspace is not None:
             new_key = self._context.issue_idempotency_key(workspace.name)
--- a/src/carawaydoor/interface/problem_document.py
+++ b/src/carawaydoor/interface/problem_document.py
@@ -34,10 +34,15 @@
     body = json.dumps(create_document(refusal, request_id)).encode()
     all_headers = [("Content-Type", CONTENT_TYPE), ("Content-Length", str(len(body))), *headers]
     if refusal.retry_after_s is not None:
-        all_headers.append(("Retry-After", str(max(1, math.ceil(refusal.retry_after_s)))))
+        all_headers.append(("Retry-After", retry_after(refusal)))
     return request_exchange.Response(refusal.status, tuple(all_headers), iter([body]))
 
 
+def retry_after(refusal: errors.Refusal) -> str:
+    """Return the value of the header that says after how many seconds a retry may succeed."""
+    return str(max(1, math.ceil(refusal.retry_after_s or 0.0)))
+
+
 def create_event(refusal: errors.Refusal, request_id: str) -> bytes:
     """Return the server-sent event that ends a failed stream."""
     return (
--- a/src/carawaydoor/operating/daemon_settings.py
+++ b/src/carawaydoor/operating/daemon_settings.py
@@ -29,6 +29,8 @@
     max_model_requests: int = pydantic.Field(default=40, ge=1, le=1000)
     max_body_bytes: int = pydantic.Field(default=1_000_000, ge=1024)
     max_header_bytes: int = pydantic.Field(default=32_768, ge=1024)
+    memory_mb: int = pydantic.Field(default=300, ge=1)
+    header_timeout_s: float = pydantic.Field(default=10.0, gt=0.0, strict=False)
     drain_grace_s: float = pydantic.Field(default=1.0, ge=0.0, strict=False)
     withdrawal_grace_s: float = pydantic.Field(default=3.0, ge=0.0, strict=False)
     log_file: str | None = None
@@ -49,6 +51,8 @@
     :ivar threads: number of threads that serve callers
     :ivar max_model_requests: limit of concurrent model requests; the remaining threads stay free
         for requests to plain services
+    :ivar memory_mb: limit of the memory of the process in MB
+    :ivar header_timeout_s: time in seconds from the first byte of a request's head to its end
     :ivar drain_grace_s: time in seconds after the start of a drain in which new requests are still
         accepted
     :ivar withdrawal_grace_s: time in seconds after the withdrawal of a key until a request that
@@ -68,6 +72,8 @@
     max_model_requests: int
     max_body_bytes: int
     max_header_bytes: int
+    memory_mb: int
+    header_timeout_s: float
     drain_grace_s: float
     withdrawal_grace_s: float
     log_file: str | None
--- a/src/carawaydoor/serving/request_budget.py
+++ b/src/carawaydoor/serving/request_budget.py
@@ -16,9 +16,11 @@
 # Keeps an instance with 600 callers within 150 MB, beside the process itself and their connections.
 MAX_TOTAL_BYTES: Final = 48_000_000
 # Floor for machines whose memory the process alone fills: a large body and the share of small ones.
-MIN_TOTAL_BYTES: Final = 5_600_000
+MIN_TOTAL_BYTES: Final = 5_800_000
 # Ordinary bodies have up to 100,000 bytes, and heads up to 16,384.
 MAX_SMALL_REQUEST_BYTES: Final = 131_072
+# Of the head of a large request, with the overhead of its headers.
+LARGE_HEAD_BYTES: Final = 65_536
 # Part of the whole that only small requests may use.
 SMALL_SHARE: Final = 0.25
 # A request that gains less counts as one that has stopped.
@@ -46,9 +48,9 @@
         return self._held_bytes
 
     @property
-    def max_request_bytes(self) -> int:
-        """Largest request that fits while there is no other."""
-        return self._max_large_bytes
+    def max_body_bytes(self) -> int:
+        """Largest body that fits while there is no other large one."""
+        return self._max_large_bytes - LARGE_HEAD_BYTES
 
     def reserve(self, give_up: Callable[[], None], now_s: float) -> Reservation:
         """Return a reservation for a request of which nothing was received.
--- a/src/carawaydoor/serving/request_limits.py
+++ b/src/carawaydoor/serving/request_limits.py
@@ -123,11 +123,11 @@
 
     def check_body_limit(self, max_body_bytes: int) -> None:
         """Log a configuration that allows bodies for which there is not enough memory."""
-        if max_body_bytes > self.budget.max_request_bytes:
+        if max_body_bytes > self.budget.max_body_bytes:
             eliot.log_message(
                 message_type="body_limit_beyond_memory",
                 max_body_bytes=max_body_bytes,
-                largest_held_bytes=self.budget.max_request_bytes,
+                largest_held_bytes=self.budget.max_body_bytes,
             )
 
 
