--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -34,6 +34,9 @@
     INTERNAL = "internal"
     EVACUATED = "evacuated"
     REGION_NOT_ALLOWED = "region-not-allowed"
+    HEAD_TOO_LARGE = "head-too-large"
+    BODY_TOO_LARGE = "body-too-large"
+    NO_MEMORY = "no-memory"
 
 
 class Status(enum.IntEnum):
@@ -42,7 +45,9 @@
     BAD_REQUEST = 400
     UNAUTHORIZED = 401
     NOT_FOUND = 404
+    BODY_TOO_LARGE = 413
     TOO_MANY_REQUESTS = 429
+    HEAD_TOO_LARGE = 431
     INTERNAL_ERROR = 500
     BAD_GATEWAY = 502
     UNAVAILABLE = 503
@@ -75,6 +80,9 @@
     Reason.INTERNAL: Status.INTERNAL_ERROR,
     Reason.EVACUATED: Status.UNAVAILABLE,
     Reason.REGION_NOT_ALLOWED: Status.UNAVAILABLE,
+    Reason.HEAD_TOO_LARGE: Status.HEAD_TOO_LARGE,
+    Reason.BODY_TOO_LARGE: Status.BODY_TOO_LARGE,
+    Reason.NO_MEMORY: Status.UNAVAILABLE,
 }
 
 
