Leave decode memory free for more urgent ranks over all instances

Between instances, whoever tried first took freed memory, so that a reserve is kept for more urgent ranks: zero without such requests that lately found no room, at most 0.08 of a KV cache, in proportion to what they bring. A rank that is refused far more than all has a part of its requests treated as the most urgent rank. Late requests leave no more free than the next rank does.

--- a/src/carawaydoor/policy/urgency.py
+++ b/src/carawaydoor/policy/urgency.py
@@ -20,6 +20,22 @@
 MAX_REPORTED: Final = 20
 # No fleet of 12,000 engines gets as much in a second, so that a larger number is an error.
 MAX_PLAUSIBLE_TOKENS: Final = 1e10
+# Largest part of a KV cache that is left free for more urgent ranks: about one request of eight. A
+# hold refused by a full engine costs a millisecond, so that there need not be more.
+MAX_RESERVE_SHARE: Final = 0.08
+# Part of more urgent requests without room at their first try up to which nothing is reserved, since
+# these wait for a moment only, and from which the reserve is largest.
+MIN_SHORT_SHARE: Final = 0.1
+MAX_SHORT_SHARE: Final = 0.5
+# The reserve is at most what more urgent requests bring in this time; more would stay unused.
+RESERVE_S: Final = 0.5
+# A rank is served about this part as often as all requests at least, the first number for the most
+# urgent and the second for the least urgent one. The users ask for a quarter, and the measure is late.
+MAX_FLOOR_SHARE: Final = 0.5
+MIN_FLOOR_SHARE: Final = 0.4
+# Promoted part of a rank's requests for each part that is missing to its floor. A larger gain makes
+# the promotion swing within the time that reports take.
+PROMOTION_GAIN: Final = 3.0
 
 # The priorities of a service in ascending order, so that the index of one is its rank.
 Priorities = tuple[int, ...]
@@ -97,6 +113,65 @@
     return tuple(sorted(total([*nothing, *of_service]), key=lambda each: each.priority))
 
 
+def reserve_shares(demand_by_rank: Sequence[Demand], memory_tokens: float) -> tuple[float, ...]:
+    """Return for each rank the part of a KV cache that it leaves free for more urgent ranks.
+
+    It is zero unless more urgent requests have lately found no room, and never falls with the rank.
+
+    :param memory_tokens: size of the KV caches of all decode engines
+    """
+    shares: list[float] = []
+    share = arrived_per_s = short_per_s = 0.0
+    for each in demand_by_rank:
+        shares.append(share)
+        arrived_per_s += each.arrived_per_s
+        short_per_s += each.short_per_s
+        if arrived_per_s > 0.0 and memory_tokens > 0.0:
+            need = _fraction(short_per_s / arrived_per_s, MIN_SHORT_SHARE, MAX_SHORT_SHARE)
+            largest = min(MAX_RESERVE_SHARE, arrived_per_s * RESERVE_S / memory_tokens)
+            share = max(share, need * largest)
+    return tuple(shares)
+
+
+def reserve_of(shares: Sequence[float], rank: int, late_share: float) -> float:
+    """Return the part of a KV cache that has to stay free beside a request.
+
+    More urgent requests don't leave more to those that can be on time than less urgent ones do.
+
+    :param shares: what each rank leaves free
+    :param late_share: what the request leaves free because it is late, zero if it is not
+    """
+    share = max(shares[rank], late_share)
+    return share if rank == len(shares) - 1 else min(share, shares[rank + 1])
+
+
+def promoted_shares(demand_by_rank: Sequence[Demand]) -> tuple[float, ...]:
+    """Return for each rank the part of its requests that is treated as the most urgent rank.
+
+    The floor falls with the rank, so that two ranks at their floors are not served in reverse order.
+    """
+    served = _served_share(demand_by_rank)
+    step = (MAX_FLOOR_SHARE - MIN_FLOOR_SHARE) / max(1, len(demand_by_rank) - 1)
+    shares: list[float] = []
+    for number, each in enumerate(demand_by_rank):
+        floor = (MAX_FLOOR_SHARE - step * number) * served
+        shares.append(max(0.0, min(floor, PROMOTION_GAIN * (floor - _served_share([each])))))
+    return tuple(shares)
+
+
+def _fraction(value: float, low: float, high: float) -> float:
+    """Return where a value lies between two bounds, 0 to 1."""
+    return max(0.0, min(1.0, (value - low) / (high - low)))
+
+
+def _served_share(demands: Sequence[Demand]) -> float:
+    """Return the part of the demand that was not refused lately, one without any demand."""
+    arrived_per_s = sum(each.arrived_per_s for each in demands)
+    if arrived_per_s <= 0.0:
+        return 1.0
+    return max(0.0, 1.0 - sum(each.refused_per_s for each in demands) / arrived_per_s)
+
+
 def priority_of(route: entities.Route, workspace: entities.Workspace | None) -> int:
     """Return the priority of a request; zero is the most urgent."""
     if workspace is not None and workspace.priority is not None:
--- a/src/carawaydoor/serving/urgency_state.py
+++ b/src/carawaydoor/serving/urgency_state.py
@@ -4,10 +4,14 @@
 
 import contextlib
 import dataclasses
+import math
+import random
 import threading
 from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import Final
 
+import eliot
+
 from carawaydoor.fleet import gossip, peer_demand
 from carawaydoor.operating import clocks, platform_metrics
 from carawaydoor.policy import capacity_wait, entities, health, urgency
@@ -21,6 +25,10 @@
 # What peers report is summed again after this time: often enough beside reports that are a second old,
 # and rare beside requests.
 MAX_VIEW_AGE_S: Final = 0.1
+# Shorter means are taken for errors; no generation begins and ends as fast.
+MIN_GENERATION_S: Final = 0.1
+# A change of the reserves is logged at most once in this time.
+MIN_LOG_INTERVAL_S: Final = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,12 +38,21 @@
     :ivar elsewhere: demand at all peers, by rank
     :ivar fleet: demand at all instances, by rank
     :ivar freed_per_s: tokens a second that all generations together free
+    :ivar reserves: part of each KV cache that a rank leaves free for more urgent ones, by rank
+    :ivar promoted: part of the requests that is treated as the most urgent rank, by rank
     """
 
     at_s: float
     elsewhere: tuple[urgency.Demand, ...]
     fleet: tuple[urgency.Demand, ...]
     freed_per_s: float
+    reserves: tuple[float, ...]
+    promoted: tuple[float, ...]
+
+    @property
+    def is_in_force(self) -> bool:
+        """Whether requests are served differently by their rank beside their order."""
+        return any(self.reserves) or any(self.promoted)
 
 
 class UrgencyState:
@@ -60,6 +77,9 @@
         self._priorities_by_service: Mapping[str, urgency.Priorities] = {}
         self._length_by_service: dict[str, capacity_wait.GenerationLength] = {}
         self._view_by_service: dict[str, _View] = {}
+        # Whether reserves were in force when that was last logged, and when.
+        self._change_by_service: dict[str, tuple[bool, float]] = {}
+        self._random = random.Random()
 
     def adopt(self, configuration: entities.Configuration) -> None:
         """Use the priorities of a new configuration."""
@@ -102,21 +122,28 @@
         if not priorities or service is None:
             return contextlib.nullcontext(generation_queue.FreeTurn(terms))
         priority = _priority(exchange)
+        rank = urgency.rank(priorities, priority)
+        is_promoted = self._random.random() < self._view(service).promoted[rank]
         claim = capacity_wait.Claim(
             service.name,
             priority,
-            urgency.rank(priorities, priority),
+            0 if is_promoted else rank,
             terms.is_late,
             exchange.received_s,
             self.queue.next_number(),
             prompt.mean_kv_tokens,
             exchange.placement_version,
         )
-        return RankedTurn(self, exchange, service, claim, terms).queued()
+        return RankedTurn(self, exchange, service, rank, claim, terms).queued()
+
+    def reserve_share(
+        self, service: entities.Service, claim: capacity_wait.Claim, late_share: float
+    ) -> float:
+        """Return the part of a KV cache that has to stay free beside a request.
 
-    def is_least_urgent(self, claim: capacity_wait.Claim) -> bool:
-        """Return whether the service of a claim has no less urgent requests."""
-        return claim.rank >= len(self._priorities_by_service.get(claim.service, ())) - 1
+        :param late_share: what the request leaves free because it is late, zero if it is not
+        """
+        return urgency.reserve_of(self._view(service).reserves, claim.rank, late_share)
 
     def prospect_s(self, service: entities.Service, claim: capacity_wait.Claim) -> float:
         """Return the time in seconds after which room is expected, zero if that is unknown.
@@ -144,9 +171,19 @@
         """Count what happens to a generation."""
         self.counter.record(claim, event, self._clock.now_s())
 
-    def record_outcome(self, claim: capacity_wait.Claim, received_s: float, outcome: str) -> None:
-        """Count how the search for room ended in the metrics."""
-        labels = {"service": claim.service, "rank": str(claim.rank), "outcome": outcome}
+    def record_outcome(
+        self, claim: capacity_wait.Claim, rank: int, received_s: float, outcome: str
+    ) -> None:
+        """Count how the search for room ended in the metrics.
+
+        :param rank: rank of the request's own priority
+        """
+        labels = {
+            "service": claim.service,
+            "rank": str(rank),
+            "promoted": str(claim.rank < rank).lower(),
+            "outcome": outcome,
+        }
         self._metrics.ranked_generations.add(1, labels)
         self._metrics.room_wait_seconds.record(self._clock.now_s() - received_s, labels)
 
@@ -175,36 +212,65 @@
         now_s = self._clock.now_s()
         view = self._view_by_service.get(service.name)
         if view is None or now_s - view.at_s >= MAX_VIEW_AGE_S:
-            priorities = self._priorities_by_service.get(service.name, ())
-            of_peers = peer_demand.total(self._membership(), now_s)
-            view = _View(
-                now_s,
-                urgency.by_rank(service.name, priorities, of_peers),
-                urgency.by_rank(service.name, priorities, (*of_peers, *self._own_demands())),
-                self._freed_per_s(service, now_s),
-            )
+            view = self._compute_view(service, now_s)
             with self._lock:
                 self._view_by_service[service.name] = view
+            self._log_change(service, view)
         return view
 
-    def _freed_per_s(self, service: entities.Service, now_s: float) -> float:
-        """Return the tokens a second that all generations of a service free, by Little's law."""
+    def _compute_view(self, service: entities.Service, now_s: float) -> _View:
+        priorities = self._priorities_by_service.get(service.name, ())
+        of_peers = peer_demand.total(self._membership(), now_s)
+        fleet = urgency.by_rank(service.name, priorities, (*of_peers, *self._own_demands()))
+        memory_tokens, used_tokens = self._memory(service, now_s)
+        length = self._length_by_service.get(service.name)
+        mean_s = capacity_wait.DEFAULT_GENERATION_S if length is None else length.mean_s
+        return _View(
+            now_s,
+            urgency.by_rank(service.name, priorities, of_peers),
+            fleet,
+            # By Little's law.
+            used_tokens / max(mean_s, MIN_GENERATION_S),
+            urgency.reserve_shares(fleet, memory_tokens),
+            urgency.promoted_shares(fleet),
+        )
+
+    def _memory(self, service: entities.Service, now_s: float) -> tuple[int, int]:
+        """Return the size of the KV caches of all decode engines of a service, and what is in use."""
         spec = service.engine_spec
-        if spec is None:
-            return 0.0
+        kv_tokens = 0 if spec is None else spec.kv_tokens
         upstream_load, upstream_health = self._selector.load, self._selector.health
+        engines = [
+            each.id
+            for each in self._upstreams()
+            if each.service == service.name and each.stage is entities.Stage.DECODE
+        ]
         used = sum(
             (
-                spec.kv_tokens
-                if health.is_full(upstream_health, now_s, each.id)
-                else min(spec.kv_tokens, upstream_load.at(each.id).tokens)
+                kv_tokens
+                if health.is_full(upstream_health, now_s, each)
+                else min(kv_tokens, upstream_load.at(each).tokens)
             )
-            for each in self._upstreams()
-            if each.service == service.name and each.stage is entities.Stage.DECODE
+            for each in engines
+        )
+        return kv_tokens * len(engines), used
+
+    def _log_change(self, service: entities.Service, view: _View) -> None:
+        """Log when reserves or promotions come into force and when all have ended."""
+        with self._lock:
+            was_in_force, changed_s = self._change_by_service.get(service.name, (False, -math.inf))
+            if view.is_in_force == was_in_force or view.at_s - changed_s < MIN_LOG_INTERVAL_S:
+                return
+            self._change_by_service[service.name] = view.is_in_force, view.at_s
+        eliot.log_message(
+            message_type="memory_reserve_changed",
+            service=service.name,
+            reserves=[round(each, 4) for each in view.reserves],
+            promoted=[round(each, 4) for each in view.promoted],
+            demand=[[round(amount) for amount in each.amounts] for each in view.fleet],
+            of_peers=[round(each.arrived_per_s) for each in view.elsewhere],
+            freed_per_s=round(view.freed_per_s),
         )
-        length = self._length_by_service.get(service.name)
-        mean_s = capacity_wait.DEFAULT_GENERATION_S if length is None else length.mean_s
-        return used / max(mean_s, MAX_VIEW_AGE_S)
 
     def _priorities(self, exchange: http_exchange.HttpExchange) -> urgency.Priorities:
         """Return the priorities of the service of a request, empty if there is only one."""
@@ -222,10 +288,11 @@
         state: UrgencyState,
         exchange: http_exchange.HttpExchange,
         service: entities.Service,
+        rank: int,
         claim: capacity_wait.Claim,
         terms: capacity_wait.WaitTerms,
     ) -> None:
-        self.rank = claim.rank
+        self.rank: int = rank
         self._state = state
         self._exchange = exchange
         self._service = service
@@ -248,8 +315,8 @@
         return capacity_wait.is_turn(self._claim, self._state.queue.waiting())
 
     def reserve_share(self) -> float:
-        """Return the reserve of late requests, which more urgent ones don't leave to less urgent ones."""
-        return self._terms.reserve_share if self._state.is_least_urgent(self._claim) else 0.0
+        """Return the reserve for more urgent ranks, or for requests that can be on time."""
+        return self._state.reserve_share(self._service, self._claim, self._terms.reserve_share)
 
     def prospect_s(self) -> float:
         """Return the expected time by the demand at all instances."""
@@ -273,14 +340,14 @@
     def record_placed(self) -> None:
         """Count the generation as placed and have its length measured."""
         outcome = "placed_after_wait" if self._was_short else "placed"
-        self._state.record_outcome(self._claim, self._exchange.received_s, outcome)
+        self._state.record_outcome(self._claim, self.rank, self._exchange.received_s, outcome)
         self._state.record_end_later(self._exchange, self._claim)
 
     def record_refused(self) -> None:
         """Count the generation as refused unless its caller has gone."""
         if not self._exchange.inbound.is_gone():
             self._state.count(self._claim, demand_counter.Event.REFUSED)
-            self._state.record_outcome(self._claim, self._exchange.received_s, "refused")
+            self._state.record_outcome(self._claim, self.rank, self._exchange.received_s, "refused")
 
 
 def _priority(exchange: http_exchange.HttpExchange) -> int:
--- a/tests/platform_side/test_urgency.py
+++ b/tests/platform_side/test_urgency.py
@@ -141,6 +141,22 @@
         assert response.result().status == 200
 
 
+@pytest.mark.parametrize(("priorities", "status"), [((None, 0), 503), ((0, None), 200)])
+def test_room_is_left_for_more_urgent_requests_elsewhere(priorities, status):
+    with router_harness.running(clocks.ManualClock()) as harness:
+        configure(harness, *priorities)
+        harness.add_upstream("d", DECODE)
+        fill(harness, engines=1)
+        selector = harness.instance.selector
+        selector.load = load.Load({}, {"d": load.Work(8, int(KV_TOKENS * 0.8))})
+        short = urgency.Demand("planner", 0, 1e5, 1e5)
+        harness.instance.handle_report(peer_report((short,)))
+        leaves_s = time.monotonic() + 2.0
+        response = harness.stream(is_gone=lambda: time.monotonic() > leaves_s).read()
+        assert response.status == status
+        assert time.monotonic() < leaves_s
+
+
 def test_demand_is_reported_to_peers(harness):
     configure(harness, 2, None)
     harness.add_upstream("d", DECODE)
