--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -205,7 +205,9 @@
         outcome, placed.hold = self._holds.take(
             placed.exchange,
             placed.connection,
-            placed.prompt.mean_kv_tokens,
+            memory_hold.tokens(
+                engine_spec, placed.prompt, self._instance.selector.load.at(decode.id)
+            ),
             memory_hold.ttl_s(engine_spec, placed.chosen.prefill_wait_s),
         )
         if outcome in _PROCEED and not placed.connection.is_reusable():
--- a/tests/platform_side/test_memory_holds.py
+++ b/tests/platform_side/test_memory_holds.py
@@ -45,7 +45,7 @@
     decode = harness.add_upstream("d", DECODE)
     fill(harness, "d")
     assert harness.stream().read().status == 200
-    assert decode.holds[0]["tokens"] >= 5000
+    assert decode.holds[0]["tokens"] >= 5000 + 2000, "the whole output fits"
     assert 0 < decode.holds[0]["ttlMs"] <= 2000
     assert decode.received[0].header(names.Header.HOLD) == "hold1"
     assert decode.released_holds == []
