Search for unknown evacuated failure domains only after changes

Cause: the search over all upstreams was repeated five times a second during an evacuation. Change: it is done when the evacuations or the directory have changed. Evidence: test_evacuation.py and test_evacuation_source.py pass.

--- a/src/carawaydoor/serving/evacuation_state.py
+++ b/src/carawaydoor/serving/evacuation_state.py
@@ -36,6 +36,8 @@
         self._state = evacuation.NONE
         # The inputs and the result of the latest filtering of a directory.
         self._remaining = (evacuation.NONE, upstream_directory.EMPTY, upstream_directory.EMPTY)
+        # The inputs of the latest search for unknown failure domains.
+        self._checked = (evacuation.NONE, upstream_directory.EMPTY)
         pool.may_send = lambda upstream: not self.is_evacuated(upstream)
 
     @property
@@ -60,12 +62,15 @@
         if not self._state.by_domain:
             return
         self.apply(evacuation.Tick())
-        directory = self._directory()
-        if not directory.revision:
+        state, directory = self._state, self._directory()
+        checked_state, checked_directory = self._checked
+        is_checked = checked_state is state and checked_directory is directory
+        if not directory.revision or is_checked:
             return
         known = {each.domain for each in directory.upstream_by_id.values()}
         with self._lock:
             self._state, unknown = evacuation.note_unknown(self._state, known)
+            self._checked = self._state, directory
         for domain in unknown:
             eliot.log_message(message_type="evacuation_of_unknown_domain", domain=domain[:200])
 
