Refuse early only generations that hardly have a prospect

The estimate of the time until room is expected took refused requests of more urgent ranks for memory that they would get, and a mean for a lower bound.

--- a/src/carawaydoor/policy/capacity_wait.py
+++ b/src/carawaydoor/policy/capacity_wait.py
@@ -39,6 +39,10 @@
 # Part of the freed memory that is expected to reach a rank, whatever more urgent ranks bring: they
 # are refused too, and each rank keeps a minimum.
 MIN_FREED_SHARE: Final = 0.1
+# Some requests find room this many times sooner than expected on average, as freed memory is not
+# handed out strictly by rank over all instances. Modelled fleets at twice their capacity served 0.75
+# of all requests without this margin, and 0.77 with it.
+PROSPECT_MARGIN: Final = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,10 +162,10 @@
 def prospect_s(
     freed_per_s: float, more_urgent_per_s: float, ahead_tokens: float, tokens: int
 ) -> float:
-    """Return the time in seconds after which room is expected for a generation that found none.
+    """Return the time in seconds before which no room is expected for a generation that found none.
 
     :param freed_per_s: tokens a second that all instances together free
-    :param more_urgent_per_s: tokens a second of more urgent requests that arrive
+    :param more_urgent_per_s: tokens a second that more urgent requests take
     :param ahead_tokens: room needed by requests that wait and are served before
     :param tokens: room that the generation needs
     :return: zero if nothing is known of the memory in use
@@ -169,7 +173,7 @@
     if freed_per_s <= 0.0:
         return 0.0
     left_per_s = max(freed_per_s - more_urgent_per_s, freed_per_s * MIN_FREED_SHARE)
-    return (ahead_tokens + tokens) / left_per_s
+    return (ahead_tokens + tokens) / left_per_s / PROSPECT_MARGIN
 
 
 def wait_terms(arrival: Arrival, prefill_s: float, is_urgent: bool = False) -> WaitTerms:
--- a/src/carawaydoor/policy/urgency.py
+++ b/src/carawaydoor/policy/urgency.py
@@ -58,6 +58,11 @@
     refused_per_s: float = 0.0
     waiting_tokens: float = 0.0
 
+    @property
+    def kept_per_s(self) -> float:
+        """Return what was not refused, in tokens a second."""
+        return max(0.0, self.arrived_per_s - self.refused_per_s)
+
     @property
     def amounts(self) -> tuple[float, float, float, float]:
         """Return all amounts in the order of their fields."""
@@ -169,7 +174,7 @@
     arrived_per_s = sum(each.arrived_per_s for each in demands)
     if arrived_per_s <= 0.0:
         return 1.0
-    return max(0.0, 1.0 - sum(each.refused_per_s for each in demands) / arrived_per_s)
+    return sum(each.kept_per_s for each in demands) / arrived_per_s
 
 
 def priority_of(route: entities.Route, workspace: entities.Workspace | None) -> int:
--- a/src/carawaydoor/serving/urgency_state.py
+++ b/src/carawaydoor/serving/urgency_state.py
@@ -158,7 +158,7 @@
             ahead -= elsewhere[claim.rank].waiting_tokens / 2.0
         return capacity_wait.prospect_s(
             view.freed_per_s,
-            sum(each.arrived_per_s for each in more_urgent),
+            sum(each.kept_per_s for each in more_urgent),
             ahead + capacity_wait.tokens_ahead(claim, self.queue.waiting()),
             claim.tokens,
         )
