Close a lost connection of a caller inside of its own lock

Cause: waitress closes a connection that is lost while a permission to send a body is written, and holds the lock of its requests then; closing it takes that lock, to release what an unfinished request holds. Change: the lock is reentrant. headerTimeoutMs of 0 means no limit, and a body limit beyond the memory is logged once for each configuration.

--- a/src/carawaydoor/serving/bounded_channel.py
+++ b/src/carawaydoor/serving/bounded_channel.py
@@ -49,6 +49,8 @@
         self._is_refused = False
         self._has_to_refuse = False
         super().__init__(server, sock, addr, adj, map=map)
+        # Sending closes a lost connection, also while a request is being received or has ended.
+        self.requests_lock = threading.RLock()
 
     def parser_class(self, adj: Any) -> bounded_requests.BoundedRequest:
         """Return a new request."""
--- a/src/carawaydoor/serving/http_servers.py
+++ b/src/carawaydoor/serving/http_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -140,7 +141,7 @@
     def listen_to_peers(self, app: WsgiApp, address: platform_options.Address) -> None:
         """Serve other instances too, with the same threads."""
         self._servers.append(self._listen(app, address, PEER_CONNECTION_SHARE))
-        self.apply_limits(self._limits)
+        self._set_limits()
 
     def _listen(self, app: WsgiApp, address: platform_options.Address, share: float) -> _Server:
         return _Server(
@@ -157,16 +158,20 @@
     def apply_limits(self, limits: entities.Limits) -> None:
         """Apply new limits on the size of requests and on idle time."""
         self._limits = limits
+        self._set_limits()
+        self._guard.check_body_limit(limits.max_body_bytes)
+
+    def _set_limits(self) -> None:
+        limits = self._limits
         for each in self._servers:
             # Peers add headers to the requests that they pass on.
             added_bytes = 0 if each is self._server else MAX_ADDED_HEADER_BYTES
             each.set_limits(
                 limits.max_header_bytes + added_bytes,
                 limits.max_body_bytes,
-                limits.header_timeout_s,
+                limits.header_timeout_s or math.inf,
             )
             each.adj.channel_timeout = limits.idle_timeout_s + IDLE_TIMEOUT_SLACK_S
-        self._guard.check_body_limit(limits.max_body_bytes)
 
     def wait_until_read(self, timeout_s: float) -> None:
         """Wait until everything that callers have sent so far was read.
--- a/tests/platform_side/test_request_limits.py
+++ b/tests/platform_side/test_request_limits.py
@@ -8,8 +8,10 @@
 import contextlib
 import io
 import socket
+import struct
 import time
 
+import eliot
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -158,6 +160,32 @@
     assert listener.limits()["connections"] >= 1
 
 
+def test_callers_that_leave_before_the_permission_to_send_block_nobody():
+    """A connection that was lost while it was written to has to close inside of its own lock."""
+    listener = Listener()
+    for _ in range(100):
+        gone = listener.connect(POST + b"Expect: 100-continue\r\nContent-Length: 9\r\n\r\n")
+        gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        gone.close()
+    with listener.connect(post(10)) as connection:
+        assert is_served(connection)
+    wait_until_free(listener)
+
+
+def test_body_limit_that_the_machine_cannot_hold_is_logged():
+    lines = []
+    eliot.add_destinations(lines.append)
+    # Lines from before the first destination are delivered to it.
+    lines.clear()
+    try:
+        listener = Listener()
+        listener.server.apply_limits(entities.Limits(max_body_bytes=1000))
+    finally:
+        eliot.remove_destination(lines.append)
+    logged = [each for each in lines if each["message_type"] == "body_limit_beyond_memory"]
+    assert [each["max_body_bytes"] for each in logged] == [4_194_304]
+
+
 @pytest.mark.parametrize("data", [b"1;" + b"x" * 5000, b"0\r\nX: " + b"x" * 20_000])
 def test_endless_framing_of_a_chunk_is_refused(data):
     listener = Listener()
