Check a configuration in the form of the store item, and compare it with the one in force

Cause: carawaydoor check read the project's own format only, and entries that instances accept but that have no effect, such as a key that two workspaces hold, were found by nobody before they were sent. Change: check takes a store item or a directory, reports invalid entries, entries that are never used and contradictions, and the differences from the version in force with their effect, as text or JSON. Instances and the check parse with the same models. Exit codes 0, 1 (findings) and 2 (unreadable).

--- a/src/carawaydoor/cli.py
+++ b/src/carawaydoor/cli.py
@@ -15,11 +15,23 @@
 from carawaydoor.interface import authentication
 from carawaydoor.operating import exit_codes
 from carawaydoor.platform import platform_settings
-from carawaydoor.publishing import catalog, config_objects, revisions, yaml_documents
+from carawaydoor.publishing import (
+    catalog,
+    config_objects,
+    configuration_report,
+    findings,
+    revisions,
+    yaml_documents,
+)
 
 STATUS_TIMEOUT_S = 5.0
 MANIFEST_FILE_NAME = "manifest.json"
 PARTS_DIRECTORY_NAME = "parts"
+# Of the machines on which instances run.
+SMALLEST_MEMORY_MB = 88
+# Default of quotaWindowS in the platform's settings.
+QUOTA_WINDOW_S = 8.0
+BYTES_PER_MB = 1_000_000
 
 app = cyclopts.App(name="carawaydoor", version=release.VERSION, help=__doc__)
 keys = cyclopts.App(name="keys", help="Work with API keys of workspaces.")
@@ -32,13 +44,50 @@
 
 
 @app.command
-def check(directory: Directory) -> int:
-    """Check all files of a configuration set and report every fault."""
-    items = _read_configuration_set(directory)
-    if items is None:
-        return exit_codes.ExitCode.FAULTS_FOUND
-    print(f"{directory}: {len(items)} objects, no faults")
-    return exit_codes.ExitCode.OK
+def check(
+    source: Annotated[
+        pathlib.Path,
+        cyclopts.Parameter(
+            help="File with the store item op/config (JSON), or directory with the YAML files of a "
+            "configuration set."
+        ),
+    ],
+    *,
+    in_force: Annotated[
+        pathlib.Path | None,
+        cyclopts.Parameter(help="Version in force, in the same form, to compare with."),
+    ] = None,
+    memory_mb: Annotated[
+        int, cyclopts.Parameter(help="Memory of the smallest machine in MB.")
+    ] = SMALLEST_MEMORY_MB,
+    quota_window_s: Annotated[
+        float, cyclopts.Parameter(help="Window in which usage is counted (quotaWindowS).")
+    ] = QUOTA_WINDOW_S,
+    as_json: Annotated[
+        bool, cyclopts.Parameter(name="--json", help="Print the report as JSON.")
+    ] = False,
+) -> int:
+    """Check a configuration without sending it, and report every fault.
+
+    The exit code is 0 without findings, 1 with findings, and 2 if it can't be read.
+    """
+    try:
+        report = configuration_report.create(
+            source, in_force, memory_mb * BYTES_PER_MB, quota_window_s
+        )
+    except configuration_report.UnreadableError as error:
+        print(json.dumps({"unreadable": str(error)}) if as_json else error, file=sys.stderr)
+        return exit_codes.ExitCode.USAGE
+    if as_json:
+        print(json.dumps(findings.to_document(report.found, report.differences), indent=2))
+    else:
+        for finding in report.found:
+            print(finding, file=sys.stderr)
+        for difference in report.differences:
+            print(difference)
+        if not report.found:
+            print(f"{source}: {report.entries} objects, no faults")
+    return exit_codes.ExitCode.FAULTS_FOUND if report.found else exit_codes.ExitCode.OK
 
 
 @app.command
--- a/src/carawaydoor/platform/store_documents.py
+++ b/src/carawaydoor/platform/store_documents.py
@@ -113,10 +113,24 @@
     version: field_types.Name = ""
 
 
+# What the check of a configuration reads, before entries are merged by their keys.
+ConfigurationDocument = _Configuration
+RouteDocument = _Route
+WorkspaceDocument = _Workspace
+
+
 class DocumentError(Exception):
     """A document in the store is malformed."""
 
 
+def parse_configuration(content: bytes) -> ConfigurationDocument:
+    """Return the document of a configuration.
+
+    :raises pydantic.ValidationError: if the content is not a valid configuration
+    """
+    return _Configuration.model_validate_json(content)
+
+
 def decode_configuration(content: bytes, revision: int) -> entities.Configuration:
     """Decode the configuration.
 
@@ -125,7 +139,7 @@
     :raises DocumentError: if the content is not a valid configuration
     """
     try:
-        document = _Configuration.model_validate_json(content)
+        document = parse_configuration(content)
     except pydantic.ValidationError as error:
         raise DocumentError(_describe_first_error(error)) from error
     routes_by_host: dict[str, list[entities.Route]] = collections.defaultdict(list)
