--- a/src/carawaydoor/policy/memory_hold.py
+++ b/src/carawaydoor/policy/memory_hold.py
@@ -14,19 +14,30 @@
 
 # Emptier engines take what the instances don't know of each other, so the call would gain nothing.
 MIN_FILL_SHARE: Final = 0.5
+# Placements that are expected before peers know of one.
+MIN_UNSEEN_PLACEMENTS: Final = 1.0
 # A generation that needs more of a KV cache than this is held its mean only, so that it finds an engine.
 MAX_GROWTH_SHARE: Final = 0.5
 # Added to the expected time until the prompt is prefilled, for its transfer to the decode engine.
 TTL_MARGIN_S: Final = 0.5
 
 
-def is_worthwhile(engine_spec: entities.EngineSpec, work: load.Work) -> bool:
-    """Return whether an engine may be too full for one more generation.
+def is_worthwhile(
+    engine_spec: entities.EngineSpec, work: load.Work, generations_per_s: float
+) -> bool:
+    """Return whether an engine may be too full for one more generation without anybody knowing.
+
+    While peers know of each placement before the next one, the known load is right, and memory that is
+    held during a prefill only lacks the generations that run: in a fleet of six instances, twice as
+    many were preempted.
 
     :param work: work of all instances at the engine, as far as this one knows it
+    :param generations_per_s: rate at which all instances together place generations
     """
     if engine_spec.max_hold_s <= 0.0:
         return False
+    if generations_per_s * placement.ANNOUNCEMENT_LAG_S <= MIN_UNSEEN_PLACEMENTS:
+        return False
     return (
         work.tokens >= MIN_FILL_SHARE * engine_spec.kv_tokens
         or work.requests >= MIN_FILL_SHARE * engine_spec.slots
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -197,7 +197,9 @@
             engine_spec is None
             or placed.chosen.prefill is None
             or not memory_hold.is_worthwhile(
-                engine_spec, self._instance.selector.load.at(decode.id)
+                engine_spec,
+                self._instance.selector.load.at(decode.id),
+                self._instance.selector.generations_per_s(placed.service.name),
             )
             or self._instance.upstream_limiter.limit_per_s(decode) is not None
         ):
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -387,6 +387,10 @@
                 if until_s > now_s
             }
 
+    def generations_per_s(self, service: str) -> float:
+        """Return the rate at which all instances place generations, zero for a lone instance."""
+        return self._requests_per_s(service) if self._membership().peer_by_instance else 0.0
+
     def _placement_context(
         self,
         generation_service: str = "",
@@ -415,7 +419,7 @@
             self.health,
             gossip.staleness_s(membership, now_s),
             self._random.getrandbits(32),
-            self._requests_per_s(generation_service) if membership.peer_by_instance else 0.0,
+            self.generations_per_s(generation_service),
             self.turned_away.avoided(),
             frozenset() if is_trial else self.failing_peers(),
         )
--- a/tests/platform_side/test_memory_holds.py
+++ b/tests/platform_side/test_memory_holds.py
@@ -27,6 +27,10 @@
     service = dataclasses.replace(builders.MODEL_SERVICE, engine_spec=engine_spec)
     monkeypatch.setattr(builders, "MODEL_SERVICE", service)
     with router_harness.running() as running:
+        running.generations_per_s = 60.0
+        monkeypatch.setattr(
+            running.instance.selector, "generations_per_s", lambda _: running.generations_per_s
+        )
         yield running
 
 
@@ -96,9 +100,13 @@
     assert decode.received[0].header(names.Header.HOLD) is None
 
 
-@pytest.mark.parametrize(("share", "max_hold_s"), [(0.2, 2.0), (0.6, 0.0)])
-def test_memory_is_not_held_without_need_or_support(harness, share, max_hold_s):
-    """An emptier engine needs no further call, and a deployment without holds gets none."""
+@pytest.mark.parametrize(
+    ("share", "max_hold_s", "generations_per_s"),
+    [(0.2, 2.0, 60.0), (0.6, 0.0, 60.0), (0.6, 2.0, 6.0)],
+)
+def test_memory_is_not_held_without_need_or_support(harness, share, max_hold_s, generations_per_s):
+    """An emptier engine and a fleet that knows its load need no call; some engines hold nothing."""
+    harness.generations_per_s = generations_per_s
     engine_spec = dataclasses.replace(builders.MODEL_SERVICE.engine_spec, max_hold_s=max_hold_s)
     services = {"planner": dataclasses.replace(builders.MODEL_SERVICE, engine_spec=engine_spec)}
     configuration = dataclasses.replace(
--- a/tests/policy/test_memory_hold.py
+++ b/tests/policy/test_memory_hold.py
@@ -22,8 +22,9 @@
     ],
 )
 def test_memory_is_asked_for_once_half_of_an_engine_is_used(work, is_worthwhile):
-    assert memory_hold.is_worthwhile(ENGINE_SPEC, work) is is_worthwhile
-    assert not memory_hold.is_worthwhile(builders.ENGINE_SPEC, work)
+    assert memory_hold.is_worthwhile(ENGINE_SPEC, work, 60.0) is is_worthwhile
+    assert not memory_hold.is_worthwhile(builders.ENGINE_SPEC, work, 60.0)
+    assert not memory_hold.is_worthwhile(ENGINE_SPEC, work, 6.0)
 
 
 def test_whole_output_and_the_spread_of_other_outputs_have_to_fit():
