--- a/src/carawaydoor/policy/memory_hold.py
+++ b/src/carawaydoor/policy/memory_hold.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Final
 
 from carawaydoor.policy import entities, load, placement
@@ -16,8 +15,6 @@
 MIN_FILL_SHARE: Final = 0.5
 # Placements that are expected before peers know of one.
 MIN_UNSEEN_PLACEMENTS: Final = 1.0
-# A generation that needs more of a KV cache than this is held its mean only, so that it finds an engine.
-MAX_GROWTH_SHARE: Final = 0.5
 # Added to the expected time until the prompt is prefilled, for its transfer to the decode engine.
 TTL_MARGIN_S: Final = 0.5
 
@@ -44,22 +41,6 @@
     )
 
 
-def tokens(engine_spec: entities.EngineSpec, prompt: entities.Prompt, work: load.Work) -> int:
-    """Return how much memory an engine has to have free for a generation.
-
-    Generations grow after their admission. If their memory runs out, the engine preempts one of them
-    and prefills its prompt again: 102 of some 1,100 were preempted on a heavy day when only the prompt and
-    half of the output were asked for. So the whole output has to fit, and the spread of the others'.
-
-    :param work: work of all instances at the engine, as far as this one knows it
-    """
-    output = min(prompt.max_output_tokens, prompt.expected_output_tokens)
-    spread = placement.GROWTH_SPREAD_SHARE * output * math.sqrt(work.requests + 1)
-    wanted = prompt.tokens + output + int(spread)
-    largest = int(MAX_GROWTH_SHARE * engine_spec.kv_tokens)
-    return min(wanted, max(prompt.mean_kv_tokens, largest))
-
-
 def ttl_s(engine_spec: entities.EngineSpec, prefill_wait_s: float) -> float:
     """Return the time in seconds for which memory is held.
 
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -207,15 +207,14 @@
         outcome, placed.hold = self._holds.take(
             placed.exchange,
             placed.connection,
-            memory_hold.tokens(
-                engine_spec, placed.prompt, self._instance.selector.load.at(decode.id)
-            ),
+            placed.prompt.mean_kv_tokens,
             memory_hold.ttl_s(engine_spec, placed.chosen.prefill_wait_s),
         )
         if outcome in _PROCEED and not placed.connection.is_reusable():
             outcome = self._reconnect(placed, outcome)
         if outcome not in _PROCEED:
-            placed.connection.close()
+            if outcome is not protocol_adapter.HoldOutcome.REFUSED:
+                placed.connection.close()
             placed.prefill_reservation.close()
             placed.decode_reservation.close()
             placed.exchange.permits.close()
--- a/src/carawaydoor/serving/memory_holds.py
+++ b/src/carawaydoor/serving/memory_holds.py
@@ -51,7 +51,8 @@
     ) -> tuple[protocol_adapter.HoldOutcome, Hold | None]:
         """Ask an engine to hold memory; the hold is released at the end of the request if unused.
 
-        :param connection: connection to the engine; closed afterwards unless it can be used again
+        :param connection: connection to the engine; it goes back to the pool if the engine refuses, and is
+            closed if it can't be used again
         :param tokens: tokens that the generation takes up in the KV cache
         :param ttl_s: time in seconds after which the engine releases what was not used
         """
@@ -64,9 +65,11 @@
                 exchange, upstream, protocol_adapter.HoldOutcome.FAILED, tokens, repr(error)
             )
             return protocol_adapter.HoldOutcome.FAILED, None
-        if response.max_idle_s is None:
-            connection.close()
         outcome, hold_id = self._adapter.parse_hold(response.status, content)
+        if outcome is protocol_adapter.HoldOutcome.REFUSED:
+            self._instance.connection_pool.release(connection, response)
+        elif response.max_idle_s is None:
+            connection.close()
         self._record(exchange, upstream, outcome, tokens, f"status {response.status}")
         if outcome is not protocol_adapter.HoldOutcome.TAKEN:
             return outcome, None
