Infer no version by rank while upstreams are left out of the ranks

Cause: the version of the first upstream of all may be served elsewhere too, while the stream began at the version of the first one that was left. Change: ranks are not used while an evacuation lasts, nor for a request with a list. Evidence: the new test failed before (v1 in place of v2); test_stream_inference.py passes.

--- a/src/carawaydoor/policy/evacuation.py
+++ b/src/carawaydoor/policy/evacuation.py
@@ -155,9 +155,9 @@
     return tuple(each for each in upstreams if each.domain not in state.by_domain)
 
 
-def has_ended_since(state: Evacuations, since_s: float) -> bool:
-    """Return whether any evacuation ended at a time in seconds or later."""
-    return state.last_ended_s >= since_s
+def was_active_since(state: Evacuations, since_s: float) -> bool:
+    """Return whether any failure domain was evacuated at a time in seconds or later."""
+    return bool(state.by_domain) or state.last_ended_s >= since_s
 
 
 def note_unknown(state: Evacuations, known: Collection[str]) -> tuple[Evacuations, tuple[str, ...]]:
--- a/src/carawaydoor/serving/origin_inference.py
+++ b/src/carawaydoor/serving/origin_inference.py
@@ -72,9 +72,8 @@
     ) -> bool:
         """Return whether the rank of the stream decided where it began.
 
-        Instances of an earlier release place streams without it. Upstreams that were evacuated or not
-        allowed were not ranked. If they still are, the stream can't go on at the first one of all, so
-        this matters only once it changes.
+        Instances of an earlier release place streams without it. Upstreams that were evacuated, or
+        that the request was not allowed to use, were not ranked.
         """
         return (
             bool(exchange.inbound.resumes)
@@ -82,7 +81,8 @@
             and len({each.service for each in route.shares}) == 1
             and gossip.all_rank_streams(self._instance.membership)
             and not self._instance.is_without_peers()
-            and not evacuation.has_ended_since(
+            and exchange.allowed_regions is None
+            and not evacuation.was_active_since(
                 self._instance.evacuation.current, window.listed_since_s
             )
             and self._instance.eligibility.lists_changed_s < window.listed_since_s
--- a/tests/platform_side/test_stream_inference.py
+++ b/tests/platform_side/test_stream_inference.py
@@ -327,3 +327,29 @@
         served.fleet.members[number].configure(ROUTE, revision=4)
         each.instance.confirm_revision(4, served.fleet.clock.now_s())
     assert served.take_up(resumes, 1).status == 503
+
+
+@pytest.mark.parametrize("is_evacuated", [True, False])
+def test_first_upstream_that_is_left_out_does_not_tell_the_version(served, is_evacuated):
+    """The version of the first one of all is served elsewhere too, but the stream began at another."""
+    add_two_versions(served)
+    for each in served.fleet.members:
+        instance = each.instance
+        instance.options = dataclasses.replace(instance.options, region_by_domain={"a": "r1"})
+        entry = dataclasses.replace(instance.directory.upstream_by_id["d-0"], domain="b")
+        instance.update_directory(upstream_directory.Changes({"d-0": entry}, 1))
+        instance.streams.changes = upstream_changes.ChangeLog((), 0.0)
+        bound = dataclasses.replace(ROUTE, allowed_regions=frozenset({"r1"}))
+        each.configure(ROUTE if is_evacuated else bound, revision=3)
+        instance.confirm_revision(3, served.fleet.clock.now_s())
+        if is_evacuated:
+            instance.evacuation.apply(evacuation.Changes({"b": True}))
+        instance.eligibility.lists_changed_s = float("-inf")  # Long ago.
+    served.fleet.exchange_reports()
+    begun = {each: served.begin_and_break(each) for each in ids(only_ranked=True)}
+    for each in served.fleet.members:
+        each.instance.streams._recorded_by_key.clear()
+        each.instance.confirm_revision(3, served.fleet.clock.now_s())
+    for key, events in begun.items():
+        answer = served.take_up(key, 1)
+        assert answer.status == 503 or versions_of(answer.body) == versions_of(events), key
