Let a response end before the connection of a refused request

Cause: a pipelined head that gave up its place closed the connection of a response under way, and a refusal behind a response that its caller does not read blocked the thread of the listeners. Change: such a request is refused after the response; a refusal that may have to wait gets a thread.

--- a/src/carawaydoor/serving/bounded_channel.py
+++ b/src/carawaydoor/serving/bounded_channel.py
@@ -96,7 +96,8 @@
                 return
             self.request = None
             self.sent_continue = False
-            has_head = request.headers_finished
+            # A response that is under way has to end before the connection does.
+            has_head = request.headers_finished or bool(self.requests)
             if has_head:
                 request.refuse(request_limits.Limit.STOPPED)
                 self.requests.append(request)
@@ -105,7 +106,7 @@
                 request.close()
         if not has_head:
             self.server.record(request_limits.Limit.STOPPED)
-            self.will_close = True
+            self.close_when_flushed = True
         self._refuse_if_due()
 
     def service(self) -> None:
@@ -170,8 +171,13 @@
         return not self.requests and not self.total_outbufs_len
 
     def _refuse_if_due(self) -> None:
-        if self._has_to_refuse:
-            self._has_to_refuse = False
+        if not self._has_to_refuse:
+            return
+        self._has_to_refuse = False
+        if self.total_outbufs_len:
+            # Writing may have to wait until the caller reads the response before.
+            self.server.task_dispatcher.add_task(self)
+        else:
             self.service()
 
 
--- a/src/carawaydoor/serving/bounded_requests.py
+++ b/src/carawaydoor/serving/bounded_requests.py
@@ -143,6 +143,9 @@
 
     def refuse(self, limit: request_limits.Limit) -> None:
         """Receive nothing more, because of a limit, and release the memory."""
+        if not self.headers_finished:
+            # The response needs a version and a method.
+            self.parse_header(b"GET / HTTP/1.0\r\n")
         self.error = RefusedError(limit, self._guard.formatter, self.headers)
         self.completed = True
         self._release_memory()
@@ -159,8 +162,6 @@
         elif isinstance(self.error, waitress.utilities.RequestHeaderFieldsTooLarge):
             self.refuse(request_limits.Limit.HEAD_SIZE)
         elif self.error is None and not self.empty and not self._hold(0):
-            if not self.headers_finished:
-                self.parse_header(b"GET / HTTP/1.0\r\n")
             self.refuse(request_limits.Limit.MEMORY)
         return consumed
 
--- a/tests/platform_side/test_request_limits.py
+++ b/tests/platform_side/test_request_limits.py
@@ -9,6 +9,7 @@
 import io
 import socket
 import struct
+import threading
 import time
 
 import eliot
@@ -50,12 +51,16 @@
         self.server = http_servers.CallerServer(self._serve, options, lambda: False, guard)
         self.address = ("127.0.0.1", int(self.server._server.effective_port))
         self.bodies = []
+        self.may_respond = threading.Event()
+        self.may_respond.set()
+        self.content = b"ok"
         self.server.start()
 
     def _serve(self, environ, start_response):
         self.bodies.append(len(environ["wsgi.input"].read()))
-        start_response("200 OK", [("Content-Length", "2")])
-        return [b"ok"]
+        self.may_respond.wait(10.0)
+        start_response("200 OK", [("Content-Length", str(len(self.content)))])
+        return [self.content]
 
     def connect(self, data):
         connection = socket.create_connection(self.address, timeout=10.0)
@@ -160,6 +165,48 @@
     assert listener.limits()["connections"] >= 1
 
 
+def channel_with_two_requests(listener, first, second):
+    """Return the channel of a connection that sent a request and a part of another one."""
+    connection = listener.connect(first + second)
+    deadline_s = time.monotonic() + 10.0
+    while time.monotonic() < deadline_s:
+        for channel in listener.server._server.active_channels.values():
+            if channel.request is not None and listener.bodies:
+                return connection, channel
+        time.sleep(0.02)
+    raise AssertionError("the requests were not received")
+
+
+@pytest.mark.parametrize("second", [POST, post(10, 5)])
+def test_request_that_gives_up_does_not_cut_off_the_response_before_it(second):
+    listener = Listener()
+    listener.may_respond.clear()
+    connection, channel = channel_with_two_requests(listener, post(10), second)
+    channel.give_up()
+    time.sleep(0.2)
+    listener.may_respond.set()
+    response = read(connection)
+    assert [response.count(b" 200 OK"), response.count(b" 503 ")] == [1, 1]
+    assert listener.bodies == [10]
+    wait_until_free(listener)
+
+
+def test_refusal_after_a_response_that_nobody_reads_does_not_block_the_listener():
+    listener = Listener()
+    listener.content = b"x" * 20_000_000
+    listener.may_respond.clear()
+    _, channel = channel_with_two_requests(listener, post(10), post(10, 5))
+    listener.may_respond.set()
+    deadline_s = time.monotonic() + 10.0
+    while (channel.requests or not channel.total_outbufs_len) and time.monotonic() < deadline_s:
+        time.sleep(0.02)
+    assert channel.total_outbufs_len > http_servers.MAX_BUFFERED_RESPONSE_BYTES
+    refusing = threading.Thread(target=channel.give_up, daemon=True)
+    refusing.start()
+    refusing.join(5.0)
+    assert not refusing.is_alive()
+
+
 def test_callers_that_leave_before_the_permission_to_send_block_nobody():
     """A connection that was lost while it was written to has to close inside of its own lock."""
     listener = Listener()
