Keep the ranks of a waiting request when the configuration changes

A request that waited while its service lost a priority had a rank that the new configuration did not have: its next try raised IndexError, and the caller got 500. What is known of demand is now held by the ranks with which a request came.

--- a/src/carawaydoor/serving/urgency_state.py
+++ b/src/carawaydoor/serving/urgency_state.py
@@ -76,7 +76,8 @@
         self._lock = threading.Lock()
         self._priorities_by_service: Mapping[str, urgency.Priorities] = {}
         self._length_by_service: dict[str, capacity_wait.GenerationLength] = {}
-        self._view_by_service: dict[str, _View] = {}
+        # Requests that are older than the configuration still have ranks by the earlier one.
+        self._view_by_ranks: dict[tuple[str, urgency.Priorities], _View] = {}
         # Whether reserves were in force when that was last logged, and when.
         self._change_by_service: dict[str, tuple[bool, float]] = {}
         self._random = random.Random()
@@ -86,7 +87,7 @@
         priorities = urgency.priorities_by_service(configuration)
         with self._lock:
             self._priorities_by_service = priorities
-            self._view_by_service = {}
+            self._view_by_ranks = {}
 
     def priority_for_engines(self, exchange: http_exchange.HttpExchange) -> int | None:
         """Return the priority to tell engines, None if all requests of the service have the same."""
@@ -123,7 +124,7 @@
             return contextlib.nullcontext(generation_queue.FreeTurn(terms))
         priority = _priority(exchange)
         rank = urgency.rank(priorities, priority)
-        is_promoted = self._random.random() < self._view(service).promoted[rank]
+        is_promoted = self._random.random() < self._view(service, priorities).promoted[rank]
         claim = capacity_wait.Claim(
             service.name,
             priority,
@@ -134,23 +135,32 @@
             prompt.mean_kv_tokens,
             exchange.placement_version,
         )
-        return RankedTurn(self, exchange, service, rank, claim, terms).queued()
+        return RankedTurn(self, exchange, service, priorities, claim, terms).queued()
 
     def reserve_share(
-        self, service: entities.Service, claim: capacity_wait.Claim, late_share: float
+        self,
+        service: entities.Service,
+        priorities: urgency.Priorities,
+        claim: capacity_wait.Claim,
+        late_share: float,
     ) -> float:
         """Return the part of a KV cache that has to stay free beside a request.
 
         :param late_share: what the request leaves free because it is late, zero if it is not
         """
-        return urgency.reserve_of(self._view(service).reserves, claim.rank, late_share)
+        return urgency.reserve_of(self._view(service, priorities).reserves, claim.rank, late_share)
 
-    def prospect_s(self, service: entities.Service, claim: capacity_wait.Claim) -> float:
+    def prospect_s(
+        self,
+        service: entities.Service,
+        priorities: urgency.Priorities,
+        claim: capacity_wait.Claim,
+    ) -> float:
         """Return the time in seconds after which room is expected, zero if that is unknown.
 
         Of the requests of the same rank that wait elsewhere, half are taken to be served before.
         """
-        view = self._view(service)
+        view = self._view(service, priorities)
         more_urgent = view.fleet[: claim.rank]
         elsewhere = view.elsewhere[: claim.rank + 1]
         ahead = sum(each.waiting_tokens for each in elsewhere)
@@ -208,18 +218,19 @@
     def _own_demands(self) -> tuple[urgency.Demand, ...]:
         return self.counter.demands(self.queue.waiting(), self._clock.now_s())
 
-    def _view(self, service: entities.Service) -> _View:
+    def _view(self, service: entities.Service, priorities: urgency.Priorities) -> _View:
         now_s = self._clock.now_s()
-        view = self._view_by_service.get(service.name)
+        view = self._view_by_ranks.get((service.name, priorities))
         if view is None or now_s - view.at_s >= MAX_VIEW_AGE_S:
-            view = self._compute_view(service, now_s)
+            view = self._compute_view(service, priorities, now_s)
             with self._lock:
-                self._view_by_service[service.name] = view
+                self._view_by_ranks[service.name, priorities] = view
             self._log_change(service, view)
         return view
 
-    def _compute_view(self, service: entities.Service, now_s: float) -> _View:
-        priorities = self._priorities_by_service.get(service.name, ())
+    def _compute_view(
+        self, service: entities.Service, priorities: urgency.Priorities, now_s: float
+    ) -> _View:
         of_peers = peer_demand.total(self._membership(), now_s)
         fleet = urgency.by_rank(service.name, priorities, (*of_peers, *self._own_demands()))
         memory_tokens, used_tokens = self._memory(service, now_s)
@@ -288,11 +299,12 @@
         state: UrgencyState,
         exchange: http_exchange.HttpExchange,
         service: entities.Service,
-        rank: int,
+        priorities: urgency.Priorities,
         claim: capacity_wait.Claim,
         terms: capacity_wait.WaitTerms,
     ) -> None:
-        self.rank: int = rank
+        self.rank: int = urgency.rank(priorities, claim.priority)
+        self._priorities = priorities
         self._state = state
         self._exchange = exchange
         self._service = service
@@ -316,11 +328,13 @@
 
     def reserve_share(self) -> float:
         """Return the reserve for more urgent ranks, or for requests that can be on time."""
-        return self._state.reserve_share(self._service, self._claim, self._terms.reserve_share)
+        return self._state.reserve_share(
+            self._service, self._priorities, self._claim, self._terms.reserve_share
+        )
 
     def prospect_s(self) -> float:
         """Return the expected time by the demand at all instances."""
-        return self._state.prospect_s(self._service, self._claim)
+        return self._state.prospect_s(self._service, self._priorities, self._claim)
 
     def record_room(self) -> None:
         """Remove the claim and wake those behind it."""
