Check the turn of generations that are not next less often

Every waiting generation woke each 50 ms and looked through the upstreams for notices and limits. Only the next one does so now; the others are woken when those before them leave the queue, and check every 200 ms as before. Evidence: test_urgency.py, test_generation.py and test_memory_holds.py pass.

--- a/src/carawaydoor/serving/generation_queue.py
+++ b/src/carawaydoor/serving/generation_queue.py
@@ -46,13 +46,16 @@
 class Turn(abc.ABC):
     """Says when one generation may try to get room, and on which terms.
 
-    :ivar retry_interval_s: longest time between two tries
     :ivar rank: rank of its priority, None where all requests of the service have the same
     """
 
-    retry_interval_s: float
     rank: int | None
 
+    @property
+    @abc.abstractmethod
+    def retry_interval_s(self) -> float:
+        """Longest time until the generation checks again whether it may try."""
+
     @abc.abstractmethod
     def is_next(self) -> bool:
         """Return whether the generation may try to get room now."""
@@ -89,12 +92,16 @@
 class FreeTurn(Turn):
     """The turn of a generation whose service has requests of one priority only."""
 
-    retry_interval_s = sockets.CALLER_POLL_INTERVAL_S
     rank = None
 
     def __init__(self, terms: capacity_wait.WaitTerms) -> None:
         self._terms = terms
 
+    @property
+    def retry_interval_s(self) -> float:
+        """The interval at which it is checked whether the caller has gone."""
+        return sockets.CALLER_POLL_INTERVAL_S
+
     def is_next(self) -> bool:
         """Return that it may always try."""
         return True
--- a/src/carawaydoor/serving/urgency_state.py
+++ b/src/carawaydoor/serving/urgency_state.py
@@ -19,6 +19,7 @@
     demand_counter,
     generation_queue,
     http_exchange,
+    sockets,
     upstream_selection,
 )
 
@@ -292,8 +293,6 @@
 class RankedTurn(generation_queue.Turn):
     """The turn of a generation by the order of its claim."""
 
-    retry_interval_s = generation_queue.RETRY_INTERVAL_S
-
     def __init__(
         self,
         state: UrgencyState,
@@ -322,6 +321,13 @@
         finally:
             self.record_room()
 
+    @property
+    def retry_interval_s(self) -> float:
+        """A short time if this generation is the next; otherwise, it is woken when it is."""
+        if self.is_next():
+            return generation_queue.RETRY_INTERVAL_S
+        return sockets.CALLER_POLL_INTERVAL_S
+
     def is_next(self) -> bool:
         """Return whether no other claim for the same engines comes first."""
         return capacity_wait.is_turn(self._claim, self._state.queue.waiting())
