Learn the speeds of prefill engines, share and use them

All prefill engines were assumed to process 40,000 tokens a second, so slow ones got as many prompts as fast ones. Instances now observe the time of prefill calls, share it in report field 31, and choose by expected time where the speeds differ.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -78,6 +78,22 @@
     ]
 
 
+def _capacity_structs(capacities: Iterable[reports.SharedCapacity]) -> list[Any]:
+    return [
+        report_structs.Capacity(
+            upstream=each.upstream,
+            born_ms=each.born_ms,
+            kind=each.kind,
+            number=each.number,
+            load=each.load,
+            unit_s=each.unit_s,
+            weight=each.weight,
+            age_s=each.age_s,
+        )
+        for each in capacities
+    ]
+
+
 def _limit_structs(limits: Iterable[reports.SharedLimit]) -> list[Any]:
     return [
         report_structs.Limit(
@@ -139,6 +155,7 @@
         sound_age_s_by_request=dict(report.sound_age_s_by_request),
         ranks_streams=report.ranks_streams,
         bounds_attempts=report.bounds_attempts,
+        capacities=_capacity_structs(report.capacities),
     )
 
 
@@ -202,6 +219,25 @@
     )
 
 
+def _capacities(structs: Iterable[Any] | None) -> tuple[reports.SharedCapacity, ...]:
+    return tuple(
+        reports.SharedCapacity(
+            each.upstream,
+            each.born_ms,
+            each.kind,
+            each.number,
+            each.load,
+            each.unit_s,
+            each.weight,
+            each.age_s,
+        )
+        for each in structs or ()
+        # A later build may leave out a field; such an entry says nothing.
+        if None not in (each.upstream, each.born_ms, each.kind, each.number)
+        and None not in (each.load, each.unit_s, each.weight, each.age_s)
+    )
+
+
 def _limits(structs: Iterable[Any] | None) -> tuple[reports.SharedLimit, ...]:
     return tuple(
         reports.SharedLimit(
@@ -258,6 +294,7 @@
         sound_age_s_by_request=message.sound_age_s_by_request or {},
         ranks_streams=bool(message.ranks_streams),
         bounds_attempts=bool(message.bounds_attempts),
+        capacities=_capacities(message.capacities),
     )
 
 
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -117,6 +117,7 @@
     effects.extend(reports.SoundPart(*each) for each in report.sound_age_s_by_part.items())
     effects.extend(reports.SoundRequest(*each) for each in report.sound_age_s_by_request.items())
     effects.extend(report.limits)
+    effects.extend(report_effects.PeerCapacity(name, each) for each in report.capacities)
     effects.extend(
         report_effects.UpstreamLeaving(*each) for each in report.leaving_born_ms_by_upstream.items()
     )
--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -8,6 +8,11 @@
 struct Limit { 1: string upstream, 2: i64 born_ms, 3: double per_s, 4: double age_s }
 // An upstream that the sender could not reach; age_s since the latest failure.
 struct Failure { 1: string upstream, 2: i64 born_ms, 3: double age_s, 4: double for_s }
+// Seconds for a unit of work by the sender's own calls; kind as in policy/learned_capacity.py.
+struct Capacity {
+  1: string upstream, 2: i64 born_ms, 3: i32 kind, 4: i32 number, 5: double load,
+  6: double unit_s, 7: double weight, 8: double age_s
+}
 struct Report {
   1: string instance, 2: string host, 3: string domain, 4: i64 incarnation, 5: i64 sequence,
   6: double sent_s, 7: bool leaving, 8: i64 revision, 9: double proof_age_s,
@@ -20,7 +25,7 @@
   24: map<string, double> turned_away_s_by_upstream,
   25: map<string, i64> leaving_born_ms_by_upstream, 26: list<Failure> failures,
   27: list<string> cut_off_services, 28: map<string, double> sound_age_s_by_request,
-  29: bool ranks_streams, 30: bool bounds_attempts
+  29: bool ranks_streams, 30: bool bounds_attempts, 31: list<Capacity> capacities
 }
 struct WorkReport {
   1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream,
--- a/src/carawaydoor/fleet/report_effects.py
+++ b/src/carawaydoor/fleet/report_effects.py
@@ -72,6 +72,14 @@
     born_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerCapacity:
+    """A peer says how fast an upstream works."""
+
+    peer: str
+    shared: reports.SharedCapacity
+
+
 Effect = (
     FreshnessProof
     | PeerUsage
@@ -82,6 +90,7 @@
     | reports.SoundPart
     | reports.SoundRequest
     | reports.SharedLimit
+    | PeerCapacity
     | UpstreamPaused
     | PeerTurnedAway
     | UpstreamLeaving
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -54,6 +54,17 @@
 Failure: Final = _declare(
     "Failure", (_STRING, "upstream"), (_I64, "born_ms"), (_DOUBLE, "age_s"), (_DOUBLE, "for_s")
 )
+Capacity: Final = _declare(
+    "Capacity",
+    (_STRING, "upstream"),
+    (_I64, "born_ms"),
+    (_I32, "kind"),
+    (_I32, "number"),
+    (_DOUBLE, "load"),
+    (_DOUBLE, "unit_s"),
+    (_DOUBLE, "weight"),
+    (_DOUBLE, "age_s"),
+)
 _WORK_BY_UPSTREAM: Final = _map("work_by_upstream", (_STRING, (thrift.TType.STRUCT, Work)))
 Report: Final = _declare(
     "Report",
@@ -87,6 +98,7 @@
     _amounts("sound_age_s_by_request"),
     (_BOOL, "ranks_streams"),
     (_BOOL, "bounds_attempts"),
+    (thrift.TType.LIST, "capacities", (thrift.TType.STRUCT, Capacity)),
 )
 WorkReport: Final = _declare(
     "WorkReport",
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -79,6 +79,29 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedCapacity:
+    """The time for a unit of work at an upstream, as the sender's own calls show it.
+
+    :ivar born_ms: start of the incarnation
+    :ivar kind: value of ``learned_capacity.Kind``
+    :ivar number: tells the sender's entries for an upstream and kind apart
+    :ivar load: requests at the upstream meanwhile
+    :ivar unit_s: seconds for one unit of work
+    :ivar weight: number of calls, less where the load was uncertain
+    :ivar age_s: seconds between the calls and the report
+    """
+
+    upstream: str
+    born_ms: int
+    kind: int
+    number: int
+    load: float
+    unit_s: float
+    weight: float
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedOrigin:
     """Where a stream began.
@@ -136,6 +159,7 @@
         earlier releases don't say
     :ivar bounds_attempts: whether the sender bounds the attempts of a request that an instance passes
         on to it; earlier releases don't say
+    :ivar capacities: how fast upstreams work, by the sender's own calls; empty if nothing is said
     """
 
     contact: Contact
@@ -167,6 +191,7 @@
     sound_age_s_by_request: Mapping[str, float] = dataclasses.field(default_factory=dict)
     ranks_streams: bool = False
     bounds_attempts: bool = False
+    capacities: tuple[SharedCapacity, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/operating/metrics_exporter.py
+++ b/src/carawaydoor/operating/metrics_exporter.py
@@ -10,7 +10,7 @@
 import collections
 import functools
 import threading
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
@@ -43,6 +43,18 @@
             return [(dict(labels), value) for labels, value in self._value_by_labels.items()]
 
 
+class Gauge:
+    """Values with labels that are read when metrics are rendered.
+
+    :ivar observe: returns the labels and the value of each
+    """
+
+    def __init__(self, name: str, description: str) -> None:
+        self.name: Final = name
+        self.description: Final = description
+        self.observe: Callable[[], Iterable[tuple[Mapping[str, str], float]]] = tuple
+
+
 class Histogram:
     """A histogram with labels; its samples are kept until the exporter is loaded."""
 
@@ -84,6 +96,7 @@
         self._latency_bounds_s = latency_bounds_s
         self._counters: list[Counter] = []
         self._histograms: list[Histogram] = []
+        self._gauges: list[Gauge] = []
         self._registry: Any = None
         self._lock = threading.Lock()
 
@@ -93,6 +106,12 @@
         self._counters.append(counter)
         return counter
 
+    def create_gauge(self, name: str, description: str) -> Gauge:
+        """Create a gauge."""
+        gauge = Gauge(name, description)
+        self._gauges.append(gauge)
+        return gauge
+
     def create_histogram(self, name: str, unit: str, description: str) -> Histogram:
         """Create a histogram."""
         histogram = Histogram(self, name, unit, description)
@@ -125,6 +144,13 @@
         ) -> Iterable[api_metrics.Observation]:
             return [api_metrics.Observation(value, labels) for labels, value in counter.values()]
 
+        def observe_gauge(
+            gauge: Gauge, _: api_metrics.CallbackOptions
+        ) -> Iterable[api_metrics.Observation]:
+            return [
+                api_metrics.Observation(value, dict(labels)) for labels, value in gauge.observe()
+            ]
+
         registry = prometheus_client.CollectorRegistry()
         reader = prometheus.PrometheusMetricReader(registry=registry)
         aggregation = metric_views.ExplicitBucketHistogramAggregation(self._latency_bounds_s)
@@ -140,6 +166,12 @@
                 callbacks=[functools.partial(observe, counter)],
                 description=counter.description,
             )
+        for gauge in self._gauges:
+            meter.create_observable_gauge(
+                gauge.name,
+                callbacks=[functools.partial(observe_gauge, gauge)],
+                description=gauge.description,
+            )
         for each in self._histograms:
             each.attach(meter.create_histogram(each.name, each.unit, each.description))
         return registry
--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -44,6 +44,18 @@
         self.peer_datagrams: Final = exporter.create_counter(
             "carawaydoor_peer_datagrams", "Datagrams between instances, by direction."
         )
+        self.learned_unit_seconds: Final = exporter.create_gauge(
+            "carawaydoor_learned_unit_seconds",
+            "Seconds for a unit of work that are assumed of an upstream, by kind of work.",
+        )
+        self.learned_concurrency: Final = exporter.create_gauge(
+            "carawaydoor_learned_concurrency",
+            "Requests beyond which an upstream finishes no more work, by kind of work.",
+        )
+        self.learned_weight: Final = exporter.create_gauge(
+            "carawaydoor_learned_weight",
+            "Observations that an upstream's estimate is based on, by kind of work.",
+        )
         self.answer_seconds: Final = exporter.create_histogram(
             "carawaydoor_answer_seconds", "s", "Time to the end of an answer."
         )
--- a/src/carawaydoor/operating/platform_options.py
+++ b/src/carawaydoor/operating/platform_options.py
@@ -58,6 +58,7 @@
     :ivar max_descriptors: limit of open file descriptors
     :ivar memory_bytes: limit of the memory of the process
     :ivar store_history_s: time in seconds for which the store keeps changes
+    :ivar learns_capacity: whether the speeds of upstreams are learned; without it they count as equal
     """
 
     instance: str
@@ -72,3 +73,4 @@
     max_descriptors: int
     memory_bytes: int = 300_000_000
     store_history_s: float = 0.0
+    learns_capacity: bool = True
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -82,6 +82,8 @@
     limits: _Limits
     bounds: _Bounds = _Bounds()
     platform: _Platform
+    # Switched off to compare.
+    learnsCapacity: pydantic.StrictBool = True  # noqa: N815
 
 
 def path_from_environment() -> pathlib.Path | None:
@@ -131,6 +133,7 @@
         max_descriptors=settings.limits.fileDescriptors,
         memory_bytes=int(settings.limits.memoryMb * _BYTES_PER_MB),
         store_history_s=settings.platform.historyS,
+        learns_capacity=settings.learnsCapacity,
     )
 
 
--- a/src/carawaydoor/policy/placement.py
+++ b/src/carawaydoor/policy/placement.py
@@ -8,7 +8,14 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
-from carawaydoor.policy import entities, health, load, stream_versions
+from carawaydoor.policy import (
+    entities,
+    health,
+    learned_capacity,
+    load,
+    spread_choice,
+    stream_versions,
+)
 
 # A plain upstream or decode engine of another failure domain is used only if it is less loaded by
 # this fraction of its capacity: traffic between domains is expensive, but less so than lateness.
@@ -17,7 +24,7 @@
 FAILURE_RATE_WEIGHT: Final = 1.0
 # Assumed failure rate of an upstream that has failed peers, if this instance's own calls tell no more.
 PEER_FAILURE_RATE: Final = 1.0
-# Assumed of every prefill engine, since their actual speeds are not observed.
+# Assumed of every prefill engine as long as no speed has been observed.
 PREFILL_TOKENS_PER_S: Final = 40_000.0
 # A decode engine prefills a prompt at this fraction of a prefill engine's speed.
 DECODE_ENGINE_PREFILL_SHARE: Final = 0.5
@@ -65,6 +72,7 @@
     :ivar turning_peers_away: upstreams that reject requests of some peer for a while
     :ivar failing_peers: upstreams that have lately failed requests of some peer
     :ivar generations_per_s: rate at which all instances together place generations
+    :ivar capacities: what is known of the speeds of the service's upstreams
     """
 
     now_s: float
@@ -77,6 +85,12 @@
     generations_per_s: float = 0.0
     turning_peers_away: frozenset[str] = frozenset()
     failing_peers: frozenset[str] = frozenset()
+    capacities: learned_capacity.Capacities = learned_capacity.UNKNOWN
+
+    @property
+    def unseen_requests(self) -> float:
+        """Return how many placements of peers are probably not known yet."""
+        return self.generations_per_s * (ANNOUNCEMENT_LAG_S + self.staleness_s)
 
     @property
     def unseen_share(self) -> float:
@@ -134,15 +148,20 @@
     decode = choose_decode(context, service, prompt, excluded, reserve_share, version)
     if decode is None:
         return None
-    prefill = _cheapest(
+    prefill = _choose_prefill(
         context,
         _candidates(context, service.name, entities.Stage.PREFILL, excluded),
-        lambda each: _prefill_cost_s(context, each, decode),
+        decode,
+        prompt,
     )
     if prefill is None:
-        return GenerationPlacement(decode, None, decode_engine_prefill_s(prompt))
+        return GenerationPlacement(
+            decode, None, decode_engine_prefill_s(prompt, context.capacities)
+        )
     return GenerationPlacement(
-        decode, prefill, prefill_wait_s(context.upstream_load, prefill, prompt)
+        decode,
+        prefill,
+        prefill_wait_s(context.upstream_load, prefill, prompt, context.capacities),
     )
 
 
@@ -163,16 +182,11 @@
     if engine_spec is None:
         return None
     candidates = _candidates(context, service.name, entities.Stage.DECODE, excluded, version)
-    trusted = [
-        each
-        for each in candidates
-        if not health.is_suspect(context.upstream_health, context.now_s, each.id)
-    ]
     return _cheapest(
         context,
         [
             each
-            for each in trusted or candidates
+            for each in _trusted(context, candidates)
             if _has_room(context, each, engine_spec, prompt, reserve_share)
         ],
         lambda each: _decode_cost(context, each, engine_spec),
@@ -209,16 +223,26 @@
 
 
 def prefill_wait_s(
-    upstream_load: load.Load, prefill: entities.Upstream, prompt: entities.Prompt
+    upstream_load: load.Load,
+    prefill: entities.Upstream,
+    prompt: entities.Prompt,
+    capacities: learned_capacity.Capacities = learned_capacity.UNKNOWN,
 ) -> float:
     """Return the expected time until a prefill engine has processed its queue and a prompt."""
-    queued = upstream_load.at(prefill.id).tokens
-    return (queued + prompt.tokens) / PREFILL_TOKENS_PER_S
+    tokens = upstream_load.at(prefill.id).tokens + prompt.tokens
+    kind = learned_capacity.Kind.PREFILL_TOKEN
+    return tokens * capacities.unit_s(prefill, kind, 1.0 / PREFILL_TOKENS_PER_S)
 
 
-def decode_engine_prefill_s(prompt: entities.Prompt) -> float:
+def decode_engine_prefill_s(
+    prompt: entities.Prompt,
+    capacities: learned_capacity.Capacities = learned_capacity.UNKNOWN,
+) -> float:
     """Return the duration of a prefill on a decode engine."""
-    return prompt.tokens / (PREFILL_TOKENS_PER_S * DECODE_ENGINE_PREFILL_SHARE)
+    token_s = capacities.median_s_by_kind.get(
+        learned_capacity.Kind.PREFILL_TOKEN, 1.0 / PREFILL_TOKENS_PER_S
+    )
+    return prompt.tokens * token_s / DECODE_ENGINE_PREFILL_SHARE
 
 
 def _candidates(
@@ -273,10 +297,51 @@
     )
 
 
+def _choose_prefill(
+    context: PlacementContext,
+    candidates: Collection[entities.Upstream],
+    decode: entities.Upstream,
+    prompt: entities.Prompt,
+) -> entities.Upstream | None:
+    kind, capacities = learned_capacity.Kind.PREFILL_TOKEN, context.capacities
+    if kind not in capacities.differing:
+        return _cheapest(
+            context,
+            candidates,
+            lambda each: _prefill_cost_s(context, each, decode, 1.0 / PREFILL_TOKENS_PER_S),
+        )
+    options = []
+    for each in _trusted(context, candidates):
+        token_s = capacities.unit_s(each, kind, 1.0 / PREFILL_TOKENS_PER_S)
+        prompt_s = prompt.tokens * token_s
+        cost_s = _prefill_cost_s(context, each, decode, token_s) + prompt_s
+        options.append(spread_choice.Option(each, cost_s, prompt_s))
+    return spread_choice.choose(options, context.unseen_requests, context.seed)
+
+
+def _trusted(
+    context: PlacementContext, candidates: Collection[entities.Upstream]
+) -> Collection[entities.Upstream]:
+    """Return the candidates that are not suspect, or all if there are no others."""
+    trusted = [
+        each
+        for each in candidates
+        if not health.is_suspect(context.upstream_health, context.now_s, each.id)
+    ]
+    return trusted or candidates
+
+
 def _prefill_cost_s(
-    context: PlacementContext, prefill: entities.Upstream, decode: entities.Upstream
+    context: PlacementContext,
+    prefill: entities.Upstream,
+    decode: entities.Upstream,
+    token_s: float,
 ) -> float:
-    queued_s = context.upstream_load.at(prefill.id).tokens / PREFILL_TOKENS_PER_S
+    """Return the cost of the queue at a prefill engine, without the prompt itself.
+
+    :param token_s: time in which the engine processes a token
+    """
+    queued_s = context.upstream_load.at(prefill.id).tokens * token_s
     domain_cost_s = 0.0 if prefill.domain == decode.domain else CROSS_DOMAIN_PREFILL_PENALTY_S
     failure_cost_s = FAILURE_RATE_WEIGHT * _failure_rate(context, prefill)
     avoidance_cost_s = AVOIDANCE_PENALTY_S if prefill.id in context.turning_peers_away else 0.0
--- /dev/null
+++ b/src/carawaydoor/serving/capacity_observer.py
@@ -0,0 +1,335 @@
+"""Observes how fast upstreams work, and combines that with what peers observe."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+import random
+import threading
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import eliot
+
+from carawaydoor.fleet import report_selection, reports
+from carawaydoor.operating import clocks, platform_metrics
+from carawaydoor.policy import entities, learned_capacity, load
+
+# Estimates of a service are renewed at most this often: its upstreams are many, and a change takes
+# longer to be noticed.
+MERGE_INTERVAL_S: Final = 0.4
+# Without new observations, older ones are dropped from an estimate at least this late.
+MAX_FIT_AGE_S: Final = learned_capacity.MAX_AGE_S
+# Own observations within this time are one entry of a report. They are a few at most, and noise lasts
+# about as long.
+BATCH_S: Final = 1.0
+# Own batches, and observations in one, that are kept of one kind of work at an upstream.
+MAX_OWN_BATCHES: Final = 16
+MAX_BATCH_OBSERVATIONS: Final = 8
+# Entries of peers that are kept of one kind of work at an upstream; a quantile gains little from more.
+MAX_ENTRIES: Final = 96
+# Numbers of batches start at random, since a restarted instance begins anew; they fit in 32 bits.
+FIRST_NUMBER_BITS: Final = 30
+MAX_NUMBER: Final = 2**31 - 1
+# Upstreams of which anything is kept; some 15,000 would take 20 MB with the entries of many peers.
+MAX_UPSTREAMS: Final = 1000
+# A change of an estimate by this factor is logged, once in the time below for an upstream.
+LOGGED_RATIO: Final = 1.5
+LOG_INTERVAL_S: Final = 5.0
+# Log lines of one service in one renewal.
+MAX_LOGGED_CHANGES: Final = 8
+# Unusable entries of peers are logged once in this time.
+MALFORMED_LOG_INTERVAL_S: Final = 1.0
+# Upstreams that are shown in metrics; each is three series.
+MAX_SHOWN_UPSTREAMS: Final = 200
+# Events of a stream that are observed together, and the least time for it.
+MIN_OBSERVED_EVENTS: Final = 4
+MIN_OBSERVED_S: Final = 0.4
+
+
+@dataclasses.dataclass(slots=True)
+class _Batch:
+    """Own observations that are reported together.
+
+    :ivar number: tells the batches of an instance apart
+    """
+
+    number: int
+    started_s: float
+    observations: list[learned_capacity.Observation]
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    """What is known of one kind of work at an upstream.
+
+    :ivar entry_by_batch: entries of peers by peer and number, in the order of arrival
+    :ivar is_dirty: whether there are observations that ``fit`` doesn't contain
+    """
+
+    own: collections.deque[_Batch] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_OWN_BATCHES)
+    )
+    entry_by_batch: dict[tuple[str, int], learned_capacity.Observation] = dataclasses.field(
+        default_factory=dict
+    )
+    fit: learned_capacity.Fit | None = None
+    is_dirty: bool = False
+    logged_unit_s: float = 0.0
+    logged_s: float = float("-inf")
+
+    def observations(self) -> list[learned_capacity.Observation]:
+        """Return own observations and the entries of peers."""
+        own = itertools.chain.from_iterable(each.observations for each in self.own)
+        return [*own, *self.entry_by_batch.values()]
+
+
+@dataclasses.dataclass(slots=True)
+class _Service:
+    work_by_key: dict[tuple[entities.Incarnation, learned_capacity.Kind], _Work] = (
+        dataclasses.field(default_factory=dict)
+    )
+    capacities: learned_capacity.Capacities = learned_capacity.UNKNOWN
+    merged_s: float = float("-inf")
+
+
+class CapacityObserver:
+    """Holds the observations of an instance and the entries of its peers.
+
+    :param is_enabled: without it nothing is observed, and all estimates are unknown
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, metrics: platform_metrics.Metrics, is_enabled: bool = True
+    ) -> None:
+        self._clock = clock
+        self._is_enabled = is_enabled
+        self._lock = threading.Lock()
+        self._service_by_name: dict[str, _Service] = collections.defaultdict(_Service)
+        # In the order of their first observations.
+        self._upstream_by_incarnation: dict[entities.Incarnation, entities.Upstream] = {}
+        self._turns = itertools.count()
+        self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
+        self._malformed_logged_s = float("-inf")
+        metrics.learned_unit_seconds.observe = lambda: self._shown("unit_s")
+        metrics.learned_concurrency.observe = lambda: self._shown("concurrency")
+        metrics.learned_weight.observe = lambda: self._shown("weight")
+
+    def observe(
+        self,
+        upstream: entities.Upstream,
+        kind: learned_capacity.Kind,
+        requests: int,
+        unit_s: float,
+    ) -> None:
+        """Record the time for a unit of work in a call of this instance that has just ended.
+
+        :param requests: requests at the upstream, with this one
+        """
+        if not self._is_enabled:
+            return
+        try:
+            learned_capacity.check(kind, requests, unit_s, 1.0)
+        except learned_capacity.ObservationError as error:
+            self._log_malformed(upstream.id, "", str(error))
+            return
+        now_s = self._clock.now_s()
+        with self._lock:
+            work = self._work(upstream, kind)
+            if not work.own or now_s - work.own[-1].started_s >= BATCH_S:
+                work.own.append(_Batch(self._next_number(), now_s, []))
+            batch = work.own[-1].observations
+            if len(batch) < MAX_BATCH_OBSERVATIONS:
+                batch.append(learned_capacity.Observation(requests, unit_s, 1.0, now_s))
+                work.is_dirty = True
+
+    def observe_prefill(
+        self, upstream: entities.Upstream, prompt_tokens: int, queued: load.Work, took_s: float
+    ) -> None:
+        """Record a prefill call.
+
+        :param queued: known work of other requests at the engine when it was sent
+        :param took_s: time from sending to the response
+        """
+        unit_s = learned_capacity.prefill_unit_s(prompt_tokens, queued.tokens, took_s)
+        kind = learned_capacity.Kind.PREFILL_TOKEN
+        self.observe(upstream, kind, max(1, queued.requests + 1), unit_s)
+
+    def record_shared(
+        self, upstream: entities.Upstream, peer: str, shared: reports.SharedCapacity
+    ) -> None:
+        """Record the entry of a peer, in place of an earlier one for the same calls."""
+        if not self._is_enabled:
+            return
+        try:
+            kind = learned_capacity.check(shared.kind, shared.load, shared.unit_s, shared.weight)
+            if not 0.0 <= shared.age_s <= learned_capacity.MAX_AGE_S:
+                raise learned_capacity.ObservationError("age out of range")
+        except learned_capacity.ObservationError as error:
+            self._log_malformed(upstream.id, peer, str(error))
+            return
+        observed_s = self._clock.now_s() - shared.age_s - learned_capacity.REPORT_DELAY_S
+        entry = learned_capacity.Observation(shared.load, shared.unit_s, shared.weight, observed_s)
+        with self._lock:
+            work = self._work(upstream, kind)
+            known = work.entry_by_batch.get((peer, shared.number))
+            if known is not None and known.weight == entry.weight:
+                return
+            work.entry_by_batch[peer, shared.number] = entry
+            if len(work.entry_by_batch) > MAX_ENTRIES:
+                del work.entry_by_batch[next(iter(work.entry_by_batch))]
+            work.is_dirty = True
+
+    def share(self) -> tuple[reports.SharedCapacity, ...]:
+        """Return entries for the next report: own observations only, the newest and some others."""
+        now_s = self._clock.now_s()
+        entries: list[reports.SharedCapacity] = []
+        with self._lock:
+            for service in self._service_by_name.values():
+                for (incarnation, kind), work in service.work_by_key.items():
+                    for batch in work.own:
+                        each = learned_capacity.summary(kind, batch.observations)
+                        age_s = now_s - each.observed_s
+                        if age_s <= learned_capacity.MAX_AGE_S:
+                            entries.append(
+                                reports.SharedCapacity(
+                                    *incarnation,
+                                    kind.value,
+                                    batch.number,
+                                    each.load,
+                                    each.unit_s,
+                                    each.weight,
+                                    age_s,
+                                )
+                            )
+        entries.sort(key=_age_s, reverse=True)
+        return report_selection.select(entries, [each.age_s for each in entries], next(self._turns))
+
+    def capacities(self, service: str) -> learned_capacity.Capacities:
+        """Return the capacities of the upstreams of a service, at most a merge interval old."""
+        known = self._service_by_name.get(service)
+        if known is None:
+            return learned_capacity.UNKNOWN
+        now_s = self._clock.now_s()
+        if now_s - known.merged_s >= MERGE_INTERVAL_S:
+            with self._lock:
+                self._merge(service, known, now_s)
+        return known.capacities
+
+    def remove(self, upstream: entities.Upstream) -> None:
+        """Remove what is known of an upstream that has ended."""
+        with self._lock:
+            self._remove(upstream.incarnation)
+
+    def _next_number(self) -> int:
+        return next(self._numbers) & MAX_NUMBER
+
+    def _work(self, upstream: entities.Upstream, kind: learned_capacity.Kind) -> _Work:
+        if upstream.incarnation not in self._upstream_by_incarnation:
+            if len(self._upstream_by_incarnation) >= MAX_UPSTREAMS:
+                self._remove(next(iter(self._upstream_by_incarnation)))
+            self._upstream_by_incarnation[upstream.incarnation] = upstream
+        works = self._service_by_name[upstream.service].work_by_key
+        return works.setdefault((upstream.incarnation, kind), _Work())
+
+    def _remove(self, incarnation: entities.Incarnation) -> None:
+        upstream = self._upstream_by_incarnation.pop(incarnation, None)
+        if upstream is not None:
+            works = self._service_by_name[upstream.service].work_by_key
+            for kind in learned_capacity.Kind:
+                works.pop((incarnation, kind), None)
+
+    def _merge(self, name: str, service: _Service, now_s: float) -> None:
+        fits: dict[learned_capacity.Kind, dict[entities.Incarnation, learned_capacity.Fit]] = (
+            collections.defaultdict(dict)
+        )
+        for (incarnation, kind), work in service.work_by_key.items():
+            if work.is_dirty or (
+                work.fit is not None and now_s - work.fit.newest_s > MAX_FIT_AGE_S
+            ):
+                since_s = float("-inf") if work.fit is None else work.fit.since_s
+                work.fit = learned_capacity.fit(
+                    kind,
+                    work.observations(),
+                    now_s,
+                    self._upstream_by_incarnation[incarnation].slots,
+                    since_s,
+                )
+                work.is_dirty = False
+            if work.fit is not None:
+                fits[kind][incarnation] = work.fit
+        before = service.capacities
+        service.capacities = learned_capacity.combine(fits, now_s, before.differing)
+        service.merged_s = now_s
+        self._log_changes(name, service, before, now_s)
+
+    def _log_changes(
+        self,
+        name: str,
+        service: _Service,
+        before: learned_capacity.Capacities,
+        now_s: float,
+    ) -> None:
+        for kind in before.differing ^ service.capacities.differing:
+            eliot.log_message(
+                message_type="capacities_differ",
+                service=name,
+                kind=kind.name.lower(),
+                differ=kind in service.capacities.differing,
+                upstreams=len(service.capacities.by_kind.get(kind, {})),
+                median_s=service.capacities.median_s_by_kind.get(kind),
+            )
+        left = MAX_LOGGED_CHANGES
+        for (incarnation, kind), work in service.work_by_key.items():
+            known = service.capacities.by_kind.get(kind, {}).get(incarnation)
+            if known is None or now_s - work.logged_s < LOG_INTERVAL_S:
+                continue
+            logged = work.logged_unit_s or service.capacities.median_s_by_kind[kind]
+            if 1.0 / LOGGED_RATIO < known.unit_s / logged < LOGGED_RATIO:
+                continue
+            work.logged_unit_s, work.logged_s = known.unit_s, now_s
+            eliot.log_message(
+                message_type="learned_capacity_changed",
+                upstream=incarnation[0],
+                service=name,
+                kind=kind.name.lower(),
+                unit_s=known.unit_s,
+                before_s=logged,
+                ratio=round(known.ratio, 3),
+                concurrency=known.concurrency,
+                weight=round(known.weight, 1),
+                age_s=round(known.age_s, 3),
+                own=sum(len(each.observations) for each in work.own),
+                of_peers=len(work.entry_by_batch),
+            )
+            left -= 1
+            if not left:
+                break
+
+    def _log_malformed(self, upstream: str, peer: str, detail: str) -> None:
+        now_s = self._clock.now_s()
+        if now_s - self._malformed_logged_s < MALFORMED_LOG_INTERVAL_S:
+            return
+        self._malformed_logged_s = now_s
+        eliot.log_message(
+            message_type="learned_capacity_malformed", upstream=upstream, peer=peer, detail=detail
+        )
+
+    def _shown(self, field: str) -> Iterable[tuple[Mapping[str, str], float]]:
+        """Return the values of a gauge, by upstream and kind of work."""
+        for name in tuple(self._service_by_name):
+            self.capacities(name)
+        with self._lock:
+            shown = set(itertools.islice(self._upstream_by_incarnation, MAX_SHOWN_UPSTREAMS))
+            return [
+                ({"upstream": key[0], "kind": kind.name.lower()}, float(getattr(each, field)))
+                for service in self._service_by_name.values()
+                for kind, by_incarnation in service.capacities.by_kind.items()
+                for key, each in by_incarnation.items()
+                if key in shown
+            ]
+
+
+def _age_s(entry: reports.SharedCapacity) -> float:
+    return entry.age_s
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -104,6 +104,8 @@
         if prefill is None:
             return ""
         now_s = self._instance.clock.now_s()
+        own = load.Work(-1, -placed.prompt.tokens)
+        queued = self._instance.selector.load.at(prefill.id).plus(own)
         attempt_deadline_s = min(
             exchange.deadline_s, now_s + placed.chosen.prefill_wait_s + PREFILL_MARGIN_S
         )
@@ -113,6 +115,7 @@
         try:
             opened = self._client.send(exchange, request, attempt_deadline_s)
             content = b"".join(self._client.read_body(exchange, prefill, opened))
+            ended_s = self._instance.clock.now_s()
         except upstream_client.CallError as error:
             if error.failure is upstream_client.Failure.CALLER_GONE:
                 raise
@@ -131,6 +134,8 @@
                 status=opened.response.status,
             )
             return ""
+        took_s = ended_s - opened.response.requested_s
+        self._instance.capacity.observe_prefill(prefill, placed.prompt.tokens, queued, took_s)
         return prefilled.kv_source
 
     def _start_decode(
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -74,7 +74,10 @@
         The connection is made before the prefill, which would be wasted if the decode engine has
         failed.
         """
-        terms = capacity_wait.wait_terms(arrival, placement.decode_engine_prefill_s(prompt))
+        capacities = self._instance.capacity.capacities(service.name)
+        terms = capacity_wait.wait_terms(
+            arrival, placement.decode_engine_prefill_s(prompt, capacities)
+        )
         excluded: set[str] = set()
         while self.may_begin():
             chosen = self._instance.selector.reserve_generation(
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -27,6 +27,7 @@
     usage_caps,
 )
 from carawaydoor.serving import (
+    capacity_observer,
     connections,
     crash_guard,
     reachability,
@@ -86,6 +87,9 @@
         self.upstream_limiter: Final = upstream_limiter.UpstreamLimiter(
             options.instance, clock, metrics
         )
+        self.capacity: Final = capacity_observer.CapacityObserver(
+            clock, metrics, options.learns_capacity
+        )
         # A version that a peer holds of an era before the one of the configuration here.
         self._version_lost_by_source = 0
         self.membership = gossip.Membership(options.instance, {})
@@ -125,6 +129,7 @@
             ),
             self.upstream_limiter,
             self.reach,
+            self.capacity,
         )
 
     @property
@@ -379,6 +384,7 @@
                 ranks_streams=True,
                 bounds_attempts=True,
                 limits=self.upstream_limiter.share(),
+                capacities=self.capacity.share(),
                 turned_away_s_by_upstream=self.selector.turned_away.share(),
                 leaving_born_ms_by_upstream=upstream_directory.lately_leaving(
                     self.directory, now_s
@@ -535,6 +541,10 @@
                 limited = self.directory.upstream_by_id.get(effect.upstream)
                 if limited is not None and limited.born_ms == effect.born_ms:
                     self.upstream_limiter.record_shared(limited, effect)
+            case report_effects.PeerCapacity(peer, shared):
+                observed = self.directory.upstream_by_id.get(shared.upstream)
+                if observed is not None and observed.born_ms == shared.born_ms:
+                    self.capacity.record_shared(observed, peer, shared)
             case report_effects.PeerJoined(contact, incarnation):
                 self._forget_earlier_incarnations(contact.instance, incarnation)
                 self.streams.tell_started_peer(contact)
@@ -570,6 +580,7 @@
                 self.connection_pool.close_idle(upstream)
                 self.selector.forget_health(upstream.id)
                 self.upstream_limiter.remove(upstream)
+                self.capacity.remove(upstream)
                 change = "upstream_gone"
             case upstream_directory.Leaving():
                 self.connection_pool.close_idle(upstream)
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -22,7 +22,13 @@
     stream_ranking,
     stream_versions,
 )
-from carawaydoor.serving import peer_failures, reachability, turned_away, upstream_limiter
+from carawaydoor.serving import (
+    capacity_observer,
+    peer_failures,
+    reachability,
+    turned_away,
+    upstream_limiter,
+)
 
 # An engine that was ordered to change its stage is used again after this time, even if its entry
 # still shows the old stage. The change takes about six seconds once running work has ended.
@@ -53,6 +59,7 @@
         requests_per_s: Callable[[str], float],
         limiter: upstream_limiter.UpstreamLimiter,
         reach: reachability.Reachability,
+        capacity: capacity_observer.CapacityObserver,
     ) -> None:
         self.load = load.EMPTY
         self.health: health.Health = {}
@@ -69,6 +76,7 @@
         self._requests_per_s = requests_per_s
         self._limiter = limiter
         self._reach = reach
+        self._capacity = capacity
         self._peer_load_summed_s = float("-inf")
         self._peer_failures = peer_failures.PeerFailures(domain)
         self._balance = stage_balance.Balance()
@@ -90,7 +98,10 @@
         with self._lock:
             while True:
                 upstream = placement.choose_plain(
-                    self._placement_context(may_try=True), service, excluded, version
+                    self._placement_context(may_try=True, learned_service=service),
+                    service,
+                    excluded,
+                    version,
                 )
                 if upstream is None:
                     return None
@@ -171,7 +182,7 @@
         An engine that names a limit may not take the generation when it is needed.
         """
         with self._lock:
-            context = self._placement_context()
+            context = self._placement_context(learned_service=service.name)
             unlimited = tuple(
                 each for each in context.upstreams if self._limiter.limit_per_s(each) is None
             )
@@ -358,12 +369,13 @@
             }
 
     def _placement_context(
-        self, generation_service: str = "", may_try: bool = False
+        self, generation_service: str = "", may_try: bool = False, learned_service: str = ""
     ) -> placement.PlacementContext:
         """Return the input of a placement.
 
         :param generation_service: the service if a generation is placed
         :param may_try: whether the request may be the trial of an upstream that has failed peers
+        :param learned_service: the service whose learned capacities are used, if it is a plain one
         """
         now_s = self._clock.now_s()
         membership = self._membership()
@@ -385,6 +397,7 @@
             self._requests_per_s(generation_service) if membership.peer_by_instance else 0.0,
             self.turned_away.avoided(),
             frozenset() if is_trial else self.failing_peers(),
+            self._capacity.capacities(generation_service or learned_service),
         )
 
     def _usable_upstreams(self, now_s: float) -> tuple[entities.Upstream, ...]:
--- a/tests/policy/test_report_structs.py
+++ b/tests/policy/test_report_structs.py
@@ -17,6 +17,7 @@
     "Crash",
     "Limit",
     "Failure",
+    "Capacity",
     "Report",
     "WorkReport",
     "Origin",
