Use learned speeds for plain upstreams and decode engines, and notice slow-downs

Plain upstreams were chosen by requests per slot and decode engines by fill, whatever their speed. Both now use learned times where these differ: plain upstreams by expected time, decode engines by how long their load lasts.

--- a/src/carawaydoor/serving/capacity_observer.py
+++ b/src/carawaydoor/serving/capacity_observer.py
@@ -14,13 +14,13 @@
 
 from carawaydoor.fleet import report_selection, reports
 from carawaydoor.operating import clocks, platform_metrics
-from carawaydoor.policy import entities, learned_capacity, load
+from carawaydoor.policy import capacity_fit, entities, learned_capacity, load
 
 # Estimates of a service are renewed at most this often: its upstreams are many, and a change takes
 # longer to be noticed.
 MERGE_INTERVAL_S: Final = 0.4
 # Without new observations, older ones are dropped from an estimate at least this late.
-MAX_FIT_AGE_S: Final = learned_capacity.MAX_AGE_S
+MAX_FIT_AGE_S: Final = capacity_fit.MAX_AGE_S
 # Own observations within this time are one entry of a report. They are a few at most, and noise lasts
 # about as long.
 BATCH_S: Final = 1.0
@@ -47,6 +47,8 @@
 MIN_OBSERVED_EVENTS: Final = 4
 MIN_OBSERVED_S: Final = 0.4
 
+_PREFILL: Final = learned_capacity.Kind.PREFILL_TOKEN
+
 
 @dataclasses.dataclass(slots=True)
 class _Batch:
@@ -57,7 +59,28 @@
 
     number: int
     started_s: float
-    observations: list[learned_capacity.Observation]
+    observations: list[capacity_fit.Observation]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PrefillCall:
+    """A prefill call that has not ended.
+
+    :ivar queued: known work of other requests at the engine when it was sent
+    """
+
+    upstream: entities.Upstream
+    prompt_tokens: int
+    queued: load.Work
+    sent_s: float
+
+    def observation(self, now_s: float) -> capacity_fit.Observation:
+        """Return what the call would show if it ended now."""
+        unit_s = capacity_fit.prefill_unit_s(
+            self.prompt_tokens, self.queued.tokens, now_s - self.sent_s
+        )
+        weight = capacity_fit.prefill_weight(self.prompt_tokens)
+        return capacity_fit.Observation(max(1, self.queued.requests + 1), unit_s, weight, now_s)
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,7 +94,7 @@
     own: collections.deque[_Batch] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_OWN_BATCHES)
     )
-    entry_by_batch: dict[tuple[str, int], learned_capacity.Observation] = dataclasses.field(
+    entry_by_batch: dict[tuple[str, int], capacity_fit.Observation] = dataclasses.field(
         default_factory=dict
     )
     fit: learned_capacity.Fit | None = None
@@ -79,7 +102,7 @@
     logged_unit_s: float = 0.0
     logged_s: float = float("-inf")
 
-    def observations(self) -> list[learned_capacity.Observation]:
+    def observations(self) -> list[capacity_fit.Observation]:
         """Return own observations and the entries of peers."""
         own = itertools.chain.from_iterable(each.observations for each in self.own)
         return [*own, *self.entry_by_batch.values()]
@@ -109,6 +132,7 @@
         self._service_by_name: dict[str, _Service] = collections.defaultdict(_Service)
         # In the order of their first observations.
         self._upstream_by_incarnation: dict[entities.Incarnation, entities.Upstream] = {}
+        self._prefill_by_number: dict[int, _PrefillCall] = {}
         self._turns = itertools.count()
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._malformed_logged_s = float("-inf")
@@ -127,34 +151,84 @@
 
         :param requests: requests at the upstream, with this one
         """
-        if not self._is_enabled:
-            return
+        if self._is_enabled:
+            now_s = self._clock.now_s()
+            self._observe(upstream, kind, capacity_fit.Observation(requests, unit_s, 1.0, now_s))
+
+    def _observe(
+        self,
+        upstream: entities.Upstream,
+        kind: learned_capacity.Kind,
+        each: capacity_fit.Observation,
+        number: int | None = None,
+    ) -> None:
+        """Record an own observation.
+
+        :param number: number of its batch if it has one of its own
+        """
         try:
-            learned_capacity.check(kind, requests, unit_s, 1.0)
-        except learned_capacity.ObservationError as error:
+            capacity_fit.check(kind, each.load, each.unit_s, each.weight)
+        except capacity_fit.ObservationError as error:
             self._log_malformed(upstream.id, "", str(error))
             return
-        now_s = self._clock.now_s()
         with self._lock:
             work = self._work(upstream, kind)
-            if not work.own or now_s - work.own[-1].started_s >= BATCH_S:
-                work.own.append(_Batch(self._next_number(), now_s, []))
-            batch = work.own[-1].observations
-            if len(batch) < MAX_BATCH_OBSERVATIONS:
-                batch.append(learned_capacity.Observation(requests, unit_s, 1.0, now_s))
-                work.is_dirty = True
-
-    def observe_prefill(
-        self, upstream: entities.Upstream, prompt_tokens: int, queued: load.Work, took_s: float
-    ) -> None:
-        """Record a prefill call.
+            if number is not None:
+                work.own.append(_Batch(number, each.observed_s, [each]))
+            elif not work.own or each.observed_s - work.own[-1].started_s >= BATCH_S:
+                work.own.append(_Batch(self._next_number(), each.observed_s, [each]))
+            elif len(work.own[-1].observations) < MAX_BATCH_OBSERVATIONS:
+                work.own[-1].observations.append(each)
+            work.is_dirty = True
+
+    def observe_call(self, upstream: entities.Upstream, requests: int, sent_s: float) -> None:
+        """Record a call of a plain upstream that has just ended.
 
-        :param queued: known work of other requests at the engine when it was sent
-        :param took_s: time from sending to the response
+        :param requests: known requests there when it was sent, with this one
+        :param sent_s: this instance's clock at that time
         """
-        unit_s = learned_capacity.prefill_unit_s(prompt_tokens, queued.tokens, took_s)
-        kind = learned_capacity.Kind.PREFILL_TOKEN
-        self.observe(upstream, kind, max(1, queued.requests + 1), unit_s)
+        took_s = self._clock.now_s() - sent_s
+        self.observe(upstream, learned_capacity.Kind.CALL, max(1, requests), took_s)
+
+    def observe_events(
+        self, upstream: entities.Upstream, requests: int, events: int, took_s: float
+    ) -> bool:
+        """Record some events of a stream; return whether they were enough for that.
+
+        :param requests: known requests at the upstream meanwhile, with this one
+        :param took_s: time from the event before them to the last of them
+        """
+        if events < MIN_OBSERVED_EVENTS or took_s < MIN_OBSERVED_S:
+            return False
+        self.observe(upstream, learned_capacity.Kind.EVENT, max(1, requests), took_s / events)
+        return True
+
+    def begin_prefill(
+        self, upstream: entities.Upstream, prompt_tokens: int, queued: load.Work
+    ) -> int:
+        """Record that a prefill call is sent, and return its number.
+
+        A call that takes much longer than expected counts as an observation before it has ended.
+
+        :param queued: known work of other requests at the engine
+        """
+        with self._lock:
+            number = self._next_number()
+            self._prefill_by_number[number] = _PrefillCall(
+                upstream, prompt_tokens, queued, self._clock.now_s()
+            )
+        return number
+
+    def end_prefill(self, number: int, is_done: bool) -> None:
+        """Record that a prefill call has ended.
+
+        :param is_done: whether the engine has processed the prompt
+        """
+        with self._lock:
+            call = self._prefill_by_number.pop(number)
+        if is_done and self._is_enabled:
+            now_s = self._clock.now_s()
+            self._observe(call.upstream, _PREFILL, call.observation(now_s), number)
 
     def record_shared(
         self, upstream: entities.Upstream, peer: str, shared: reports.SharedCapacity
@@ -163,18 +237,18 @@
         if not self._is_enabled:
             return
         try:
-            kind = learned_capacity.check(shared.kind, shared.load, shared.unit_s, shared.weight)
-            if not 0.0 <= shared.age_s <= learned_capacity.MAX_AGE_S:
-                raise learned_capacity.ObservationError("age out of range")
-        except learned_capacity.ObservationError as error:
+            kind = capacity_fit.check(shared.kind, shared.load, shared.unit_s, shared.weight)
+            if not 0.0 <= shared.age_s <= capacity_fit.MAX_AGE_S:
+                raise capacity_fit.ObservationError("age out of range")
+        except capacity_fit.ObservationError as error:
             self._log_malformed(upstream.id, peer, str(error))
             return
-        observed_s = self._clock.now_s() - shared.age_s - learned_capacity.REPORT_DELAY_S
-        entry = learned_capacity.Observation(shared.load, shared.unit_s, shared.weight, observed_s)
+        observed_s = self._clock.now_s() - shared.age_s - capacity_fit.REPORT_DELAY_S
+        entry = capacity_fit.Observation(shared.load, shared.unit_s, shared.weight, observed_s)
         with self._lock:
             work = self._work(upstream, kind)
             known = work.entry_by_batch.get((peer, shared.number))
-            if known is not None and known.weight == entry.weight:
+            if known is not None and (known.weight, known.unit_s) == (entry.weight, entry.unit_s):
                 return
             work.entry_by_batch[peer, shared.number] = entry
             if len(work.entry_by_batch) > MAX_ENTRIES:
@@ -189,20 +263,11 @@
             for service in self._service_by_name.values():
                 for (incarnation, kind), work in service.work_by_key.items():
                     for batch in work.own:
-                        each = learned_capacity.summary(kind, batch.observations)
-                        age_s = now_s - each.observed_s
-                        if age_s <= learned_capacity.MAX_AGE_S:
-                            entries.append(
-                                reports.SharedCapacity(
-                                    *incarnation,
-                                    kind.value,
-                                    batch.number,
-                                    each.load,
-                                    each.unit_s,
-                                    each.weight,
-                                    age_s,
-                                )
-                            )
+                        each = capacity_fit.summary(kind, batch.observations)
+                        if now_s - each.observed_s <= capacity_fit.MAX_AGE_S:
+                            entries.append(_entry(incarnation, kind, batch.number, each, now_s))
+            for number, call, each in self._overdue(now_s):
+                entries.append(_entry(call.upstream.incarnation, _PREFILL, number, each, now_s))
         entries.sort(key=_age_s, reverse=True)
         return report_selection.select(entries, [each.age_s for each in entries], next(self._turns))
 
@@ -240,23 +305,47 @@
             for kind in learned_capacity.Kind:
                 works.pop((incarnation, kind), None)
 
+    def _overdue(self, now_s: float) -> list[tuple[int, _PrefillCall, capacity_fit.Observation]]:
+        """Return the calls that already show that their engine has become much slower."""
+        overdue = []
+        for number, call in self._prefill_by_number.items():
+            works = self._service_by_name[call.upstream.service].work_by_key
+            work = works.get((call.upstream.incarnation, _PREFILL))
+            if work is None or work.fit is None:
+                continue
+            overdue_s = call.sent_s + capacity_fit.overdue_s(
+                call.prompt_tokens, call.queued.tokens, work.fit.unit_s
+            )
+            if now_s > overdue_s:
+                # Dated back, so that calls that have ended since count as newer.
+                each = dataclasses.replace(call.observation(now_s), observed_s=overdue_s)
+                overdue.append((number, call, each))
+        return overdue
+
     def _merge(self, name: str, service: _Service, now_s: float) -> None:
         fits: dict[learned_capacity.Kind, dict[entities.Incarnation, learned_capacity.Fit]] = (
             collections.defaultdict(dict)
         )
+        overdue: dict[entities.Incarnation, list[capacity_fit.Observation]] = (
+            collections.defaultdict(list)
+        )
+        for _, call, each in self._overdue(now_s):
+            overdue[call.upstream.incarnation].append(each)
         for (incarnation, kind), work in service.work_by_key.items():
-            if work.is_dirty or (
-                work.fit is not None and now_s - work.fit.newest_s > MAX_FIT_AGE_S
+            unfinished = overdue.get(incarnation, []) if kind is _PREFILL else []
+            if (
+                unfinished
+                or work.is_dirty
+                or (work.fit is not None and now_s - work.fit.newest_s > MAX_FIT_AGE_S)
             ):
-                since_s = float("-inf") if work.fit is None else work.fit.since_s
-                work.fit = learned_capacity.fit(
+                work.fit = capacity_fit.fit(
                     kind,
-                    work.observations(),
+                    [*work.observations(), *unfinished],
                     now_s,
                     self._upstream_by_incarnation[incarnation].slots,
-                    since_s,
+                    work.fit,
                 )
-                work.is_dirty = False
+                work.is_dirty = bool(unfinished)
             if work.fit is not None:
                 fits[kind][incarnation] = work.fit
         before = service.capacities
@@ -331,5 +420,18 @@
             ]
 
 
+def _entry(
+    incarnation: entities.Incarnation,
+    kind: learned_capacity.Kind,
+    number: int,
+    each: capacity_fit.Observation,
+    now_s: float,
+) -> reports.SharedCapacity:
+    age_s = max(0.0, now_s - each.observed_s)
+    return reports.SharedCapacity(
+        *incarnation, kind.value, number, each.load, each.unit_s, each.weight, age_s
+    )
+
+
 def _age_s(entry: reports.SharedCapacity) -> float:
     return entry.age_s
--- a/src/carawaydoor/serving/event_splitter.py
+++ b/src/carawaydoor/serving/event_splitter.py
@@ -49,10 +49,12 @@
     :param reservation: memory for the incomplete event
 
     :ivar last_id: id of the last complete event that has one
+    :ivar events: number of complete events so far
     """
 
     def __init__(self, reservation: response_budget.Reservation, last_id: str = "") -> None:
         self.last_id = last_id
+        self.events = 0
         self._reservation = reservation
         self._incomplete = bytearray()
 
@@ -67,6 +69,7 @@
         end = 0
         for match in _END_OF_EVENT.finditer(content, first_new):
             end = match.end()
+            self.events += 1
         complete = bytes(content[:end])
         del content[:end]
         if len(content) > MAX_EVENT_BYTES or not self._reservation.resize(len(content)):
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -112,10 +112,13 @@
         request = protocol_adapter.UpstreamRequest(
             prefill, exchange.deadline_s - now_s, prefill_only=True
         )
+        call = self._instance.capacity.begin_prefill(prefill, placed.prompt.tokens, queued)
+        is_done = False
         try:
             opened = self._client.send(exchange, request, attempt_deadline_s)
             content = b"".join(self._client.read_body(exchange, prefill, opened))
-            ended_s = self._instance.clock.now_s()
+            prefilled = self._adapter.parse_prefill(prefill, content)
+            is_done = prefilled is not None
         except upstream_client.CallError as error:
             if error.failure is upstream_client.Failure.CALLER_GONE:
                 raise
@@ -124,8 +127,8 @@
             # The client has logged the failure; the decode engine can prefill the prompt itself.
             return ""
         finally:
+            self._instance.capacity.end_prefill(call, is_done)
             placed.prefill_reservation.close()
-        prefilled = self._adapter.parse_prefill(prefill, content)
         if prefilled is None:
             eliot.log_message(
                 message_type="prompt_not_read",
@@ -134,8 +137,6 @@
                 status=opened.response.status,
             )
             return ""
-        took_s = ended_s - opened.response.requested_s
-        self._instance.capacity.observe_prefill(prefill, placed.prompt.tokens, queued, took_s)
         return prefilled.kv_source
 
     def _start_decode(
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -113,9 +113,15 @@
             reservation.callback(
                 self._instance.selector.release, upstream.id, continuation_targets.ONE_REQUEST
             )
+            requests = self._instance.selector.load.at(upstream.id).requests
             opened = self._send(exchange, route, upstream)
             if not (route.kind.is_stream and event_splitter.is_event_stream(opened.response)):
-                return self._read(exchange, upstream, opened)
+                whole = self._read(exchange, upstream, opened)
+                if whole.status < upstream_client.MIN_FAILURE_STATUS:
+                    self._instance.capacity.observe_call(
+                        upstream, requests, opened.response.requested_s
+                    )
+                return whole
             response = self._relay(exchange, service, upstream, opened)
             exchange.cleanup.push(reservation.pop_all())
             return response
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -19,6 +19,7 @@
     protocol_adapter,
     sockets,
     stall_watch,
+    stream_speed,
     upstream_client,
 )
 
@@ -38,11 +39,13 @@
 
     :ivar has_failed: whether the upstream broke the stream off
     :ivar first_event_s: time in seconds of the upstream's first event, None before it
+    :ivar speed: observes how fast the upstream writes
     :ivar is_sound: whether the upstream has gone on for so long that the prompt is not what ends it
     """
 
     upstream: entities.Upstream
     opened: upstream_client.OpenResponse
+    speed: stream_speed.StreamSpeed
     has_failed: bool = False
     first_event_s: float | None = None
     is_sound: bool = False
@@ -104,7 +107,8 @@
         self, upstream: entities.Upstream, opened: upstream_client.OpenResponse
     ) -> _Source:
         self._used.add(upstream.id)
-        source = _Source(upstream, opened)
+        speed = stream_speed.StreamSpeed(self._instance, upstream, opened.response.requested_s)
+        source = _Source(upstream, opened, speed)
         self._exchange.cleanup.callback(self._close, source)
         return source
 
@@ -172,6 +176,7 @@
 
     def _record_event(self, source: _Source) -> None:
         now_s = self._instance.clock.now_s()
+        source.speed.record(now_s, self._splitter.events)
         if source.first_event_s is None:
             source.first_event_s = now_s
         if source.running_s(now_s) >= crash_suspects.CRASH_ONSET_S:
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -98,7 +98,7 @@
         with self._lock:
             while True:
                 upstream = placement.choose_plain(
-                    self._placement_context(may_try=True, learned_service=service),
+                    self._placement_context(service, may_try=True),
                     service,
                     excluded,
                     version,
@@ -182,7 +182,7 @@
         An engine that names a limit may not take the generation when it is needed.
         """
         with self._lock:
-            context = self._placement_context(learned_service=service.name)
+            context = self._placement_context()
             unlimited = tuple(
                 each for each in context.upstreams if self._limiter.limit_per_s(each) is None
             )
@@ -369,13 +369,12 @@
             }
 
     def _placement_context(
-        self, generation_service: str = "", may_try: bool = False, learned_service: str = ""
+        self, service: str = "", may_try: bool = False
     ) -> placement.PlacementContext:
         """Return the input of a placement.
 
-        :param generation_service: the service if a generation is placed
+        :param service: the service if a request is placed
         :param may_try: whether the request may be the trial of an upstream that has failed peers
-        :param learned_service: the service whose learned capacities are used, if it is a plain one
         """
         now_s = self._clock.now_s()
         membership = self._membership()
@@ -394,10 +393,10 @@
             self.health,
             gossip.staleness_s(membership, now_s),
             self._random.getrandbits(32),
-            self._requests_per_s(generation_service) if membership.peer_by_instance else 0.0,
+            self._requests_per_s(service) if membership.peer_by_instance else 0.0,
             self.turned_away.avoided(),
             frozenset() if is_trial else self.failing_peers(),
-            self._capacity.capacities(generation_service or learned_service),
+            self._capacity.capacities(service),
         )
 
     def _usable_upstreams(self, now_s: float) -> tuple[entities.Upstream, ...]:
--- a/tests/policy/capacity_model.py
+++ b/tests/policy/capacity_model.py
@@ -166,7 +166,10 @@
         work = load.Work(1, amount)
         self._add(instance, key, work)
         known = context.upstream_load.at(key)
-        self.at(took_s, self._end, instance, chosen, work, known, took_s)
+        call = None
+        if self.kind is PREFILL:
+            call = self.observers[instance].begin_prefill(chosen, prompt.tokens, known)
+        self.at(took_s, self._end, instance, chosen, work, known, took_s, call)
 
     def _add(self, instance, key, work):
         self.own[instance][key] = self.own[instance][key].plus(work)
@@ -176,13 +179,13 @@
         self.told[instance][key] = self.told[instance][key].plus(work)
         self.told_total[key] = self.told_total[key].plus(work)
 
-    def _end(self, instance, upstream, work, known, took_s):
+    def _end(self, instance, upstream, work, known, took_s, call):
         self.running[upstream.id] -= 1
         self._add(instance, upstream.id, _negative(work))
         self.took_s.append(took_s)
         observer = self.observers[instance]
         if self.kind is PREFILL:
-            observer.observe_prefill(upstream, work.tokens, known, took_s)
+            observer.end_prefill(call, True)
         else:
             observer.observe(upstream, CALL, max(1, known.requests + 1), took_s)
 
--- a/tests/policy/test_learned_capacity.py
+++ b/tests/policy/test_learned_capacity.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 
 import pytest
 
 from carawaydoor.fleet import codec, reports
 from carawaydoor.operating import clocks, platform_metrics
-from carawaydoor.policy import entities, learned_capacity, load, placement
+from carawaydoor.policy import capacity_fit, entities, learned_capacity, load, placement
 from carawaydoor.serving import capacity_observer
 from tests.policy import builders, capacity_model
 
@@ -120,6 +121,124 @@
     prompt = entities.Prompt(5000, 800, 800)
     choose = placement.choose_generation
     assert choose(context, builders.MODEL_SERVICE, prompt).prefill.id == "p"
-    learned = placement.dataclasses.replace(context, capacities=capacities)
+    learned = dataclasses.replace(context, capacities=capacities)
     chosen = choose(learned, builders.MODEL_SERVICE, prompt)
     assert chosen.prefill.id == "q" and chosen.prefill_wait_s == pytest.approx(0.15)
+
+
+def test_slow_down_is_noticed_and_the_engine_comes_back():
+    """An engine that slows down to a fifth delays all prompts that are sent there."""
+    model = prefill_model(EQUAL * 8, 80, 0.5, seed=1)
+    model.run(10.0)
+    model.speed_by_id["u0"] = 0.2
+    model.run(5.0)
+    noticed = sum(model.ratios(each)[0] > 2.0 for each in range(80))
+    assert noticed > 60
+    model.speed_by_id["u0"] = 1.0
+    model.run(40.0)
+    assert model.ratios()[0] == pytest.approx(1.0, rel=0.25)
+
+
+def test_restarted_engine_is_judged_anew():
+    """An engine that restarts faster must not be kept from prompts by what it was before."""
+    model = prefill_model(UNEQUAL * 2)
+    model.run(8.0)
+    model.restart(0, 1.6)
+    assert model.ratios()[0] == 1.0
+    model.run(8.0)
+    assert model.ratios()[0] == pytest.approx(model.ratios()[2], rel=0.2)
+
+
+def test_reports_lost_in_one_direction_leave_an_instance_its_own_estimates():
+    """An instance that hears nobody must still not send everything to the slowest engine."""
+    model = prefill_model(UNEQUAL, 8, lost=lambda sender, receiver: receiver == 0)
+    model.run(30.0)
+    slow, _, fast = model.ratios(0)
+    assert fast < slow
+    assert model.ratios(1) == pytest.approx([1.0 / 0.6, 1.0, 1.0 / 1.6], rel=0.25)
+
+
+@pytest.mark.parametrize("unit_s", [1e-7, 0.1])
+def test_lie_of_one_peer_moves_no_estimate(unit_s):
+    clock, engine = clocks.ManualClock(), builders.prefill("p")
+    known = observer(clock)
+    for number in range(10):
+        true = reports.SharedCapacity("p", 1, 1, number, 1.0, 2.5e-5, 1.0, 0.1)
+        known.record_shared(engine, f"peer-{number}", true)
+    known.record_shared(engine, "liar", reports.SharedCapacity("p", 1, 1, 1, 1.0, unit_s, 1.0, 0.1))
+    (capacity,) = known.capacities("planner").by_kind[PREFILL].values()
+    assert capacity.unit_s == 2.5e-5
+
+
+def test_value_is_bounded_and_decays_to_the_median_of_its_service():
+    def fit(unit_s, newest_s):
+        return capacity_fit.Fit(unit_s, 6, 6, 20.0, 0.01, newest_s, -math.inf)
+
+    fits = {CALL: {("a", 1): fit(1.0, 0.0), ("b", 1): fit(0.01, 0.0), ("c", 1): fit(0.01, 0.0)}}
+    now, later = (learned_capacity.combine(fits, at_s) for at_s in (0.0, 40.0))
+    assert now.by_kind[CALL][("a", 1)].ratio == learned_capacity.MAX_RATIO
+    assert 1.0 < later.by_kind[CALL][("a", 1)].ratio < 1.4
+
+
+def test_concurrency_beyond_which_calls_only_wait_is_found():
+    """An upstream that is slow at half of its slots must not be filled up."""
+    seen = [
+        capacity_fit.Observation(load, 0.02 * max(1.0, load / 3), 1.0, 100.0 + load / 100)
+        for load in range(1, 7)
+        for _ in range(4)
+    ]
+    found = capacity_fit.fit(CALL, seen, 101.0, 6)
+    assert found.concurrency == 3 and found.unit_s == pytest.approx(0.02)
+    even = [capacity_fit.Observation(each.load, 0.02, 1.0, each.observed_s) for each in seen]
+    assert capacity_fit.fit(CALL, even, 101.0, 6).concurrency == 6
+
+
+def test_plain_calls_end_sooner_with_learned_speeds():
+    means = []
+    for learns in (False, True):
+        model = capacity_model.Model(
+            CALL, UNEQUAL, per_s=0.5 * 3.2 * capacity_model.SLOTS / 0.0367, learns=learns
+        )
+        model.run(4.0)
+        means.append(capacity_model.mean(model.run(6.0)))
+    assert means[1] < 0.9 * means[0]
+
+
+def test_full_upstream_is_still_used_if_all_are_full():
+    """The learned concurrency must never refuse a call."""
+    upstreams = (builders.upstream("a"), builders.upstream("b"))
+    capacities = learned_capacity.Capacities(
+        {CALL: {
+            each.incarnation: learned_capacity.Capacity(0.02, ratio, 2, 20.0, 0.0)
+            for each, ratio in zip(upstreams, (0.5, 2.0), strict=True)
+        }},
+        {CALL: 0.02},
+        frozenset({CALL}),
+    )  # fmt: skip
+    full = {each.id: load.Work(6) for each in upstreams}
+    context = dataclasses.replace(builders.context(*upstreams, own=full), capacities=capacities)
+    assert placement.choose_plain(context, "bookings").id == "a"
+
+
+def test_generation_goes_to_the_engine_whose_load_ends_sooner():
+    slow, fast = builders.decode("d"), builders.decode("e")
+    event = learned_capacity.Kind.EVENT
+    capacities = learned_capacity.Capacities(
+        {event: {
+            slow.incarnation: learned_capacity.Capacity(0.02, 1.6, 128, 20.0, 0.0),
+            fast.incarnation: learned_capacity.Capacity(0.01, 0.8, 128, 20.0, 0.0),
+        }},
+        {event: 0.0125},
+        frozenset({event}),
+    )  # fmt: skip
+    context = builders.context(slow, fast, own={"e": load.Work(1, 3000)})
+    prompt = entities.Prompt(5000, 800, 800)
+    assert placement.choose_decode(context, builders.MODEL_SERVICE, prompt).id == "d"
+    learned = dataclasses.replace(context, capacities=capacities)
+    assert placement.choose_decode(learned, builders.MODEL_SERVICE, prompt).id == "e"
+
+
+def test_nothing_is_observed_if_it_is_switched_off():
+    known, upstream = observer(is_enabled=False), builders.upstream("u")
+    known.observe(upstream, CALL, 1, 0.03)
+    assert known.share() == () and known.capacities("bookings") is learned_capacity.UNKNOWN
