--- a/src/carawaydoor/serving/capacity_observer.py
+++ b/src/carawaydoor/serving/capacity_observer.py
@@ -16,6 +16,7 @@
 from carawaydoor.fleet import report_selection, reports
 from carawaydoor.operating import clocks, platform_metrics
 from carawaydoor.policy import capacity_fit, entities, learned_capacity, load
+from carawaydoor.serving import observed_work
 
 # Estimates of a service are renewed at most this often: its upstreams are many, and a change takes
 # longer to be noticed.
@@ -28,9 +29,6 @@
 # Own observations within this time are one entry of a report. They are a few at most, and noise lasts
 # about as long.
 BATCH_S: Final = 1.0
-# Own batches, and observations in one, that are kept of one kind of work at an upstream.
-MAX_OWN_BATCHES: Final = 16
-MAX_BATCH_OBSERVATIONS: Final = 8
 # Entries of peers that are kept of one kind of work at an upstream; a quantile gains little from more.
 MAX_ENTRIES: Final = 96
 # Numbers of batches start at random, since a restarted instance begins anew; they fit in 32 bits.
@@ -54,74 +52,6 @@
 _PREFILL: Final = learned_capacity.Kind.PREFILL_TOKEN
 
 
-@dataclasses.dataclass(slots=True)
-class _Batch:
-    """Own observations that are reported together.
-
-    :ivar number: tells the batches of an instance apart
-    """
-
-    number: int
-    started_s: float
-    observations: list[capacity_fit.Observation]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PrefillCall:
-    """A prefill call that has not ended.
-
-    :ivar queued: known work of other requests at the engine when it was sent
-    """
-
-    upstream: entities.Upstream
-    prompt_tokens: int
-    queued: load.Work
-    sent_s: float
-
-    def observation(self, now_s: float) -> capacity_fit.Observation:
-        """Return what the call would show if it ended now."""
-        unit_s = capacity_fit.prefill_unit_s(
-            self.prompt_tokens, self.queued.tokens, now_s - self.sent_s
-        )
-        weight = capacity_fit.prefill_weight(self.prompt_tokens)
-        return capacity_fit.Observation(max(1, self.queued.requests + 1), unit_s, weight, now_s)
-
-
-@dataclasses.dataclass(slots=True)
-class _Work:
-    """What is known of one kind of work at an upstream.
-
-    :ivar entry_by_batch: entries of peers by peer and number, in the order of arrival
-    :ivar is_dirty: whether there are observations that ``fit`` doesn't contain
-    """
-
-    own: collections.deque[_Batch] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=MAX_OWN_BATCHES)
-    )
-    entry_by_batch: dict[tuple[str, int], capacity_fit.Observation] = dataclasses.field(
-        default_factory=dict
-    )
-    fit: learned_capacity.Fit | None = None
-    is_dirty: bool = False
-    fitted_s: float = float("-inf")
-    logged_unit_s: float = 0.0
-    logged_s: float = float("-inf")
-
-    def observations(self) -> list[capacity_fit.Observation]:
-        """Return own observations and the entries of peers."""
-        own = itertools.chain.from_iterable(each.observations for each in self.own)
-        return [*own, *self.entry_by_batch.values()]
-
-
-@dataclasses.dataclass(slots=True)
-class _Service:
-    work_by_key: dict[tuple[entities.Incarnation, learned_capacity.Kind], _Work] = (
-        dataclasses.field(default_factory=dict)
-    )
-    capacities: learned_capacity.Capacities = learned_capacity.UNKNOWN
-    merged_s: float = float("-inf")
-
-
 class CapacityObserver:
     """Holds the observations of an instance and the entries of its peers.
 
@@ -134,10 +64,12 @@
         self._clock = clock
         self._is_enabled = is_enabled
         self._lock = threading.Lock()
-        self._service_by_name: dict[str, _Service] = collections.defaultdict(_Service)
+        self._service_by_name: dict[str, observed_work.Service] = collections.defaultdict(
+            observed_work.Service
+        )
         # In the order of their first observations.
         self._upstream_by_incarnation: dict[entities.Incarnation, entities.Upstream] = {}
-        self._prefill_by_number: dict[int, _PrefillCall] = {}
+        self._prefill_by_number: dict[int, observed_work.PrefillCall] = {}
         self._turns = itertools.count()
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._malformed_logged_s = float("-inf")
@@ -179,10 +111,10 @@
         with self._lock:
             work = self._work(upstream, kind)
             if number is not None:
-                work.own.append(_Batch(number, each.observed_s, [each]))
+                work.own.append(observed_work.Batch(number, each.observed_s, [each]))
             elif not work.own or each.observed_s - work.own[-1].started_s >= BATCH_S:
-                work.own.append(_Batch(self._next_number(), each.observed_s, [each]))
-            elif len(work.own[-1].observations) < MAX_BATCH_OBSERVATIONS:
+                work.own.append(observed_work.Batch(self._next_number(), each.observed_s, [each]))
+            elif len(work.own[-1].observations) < observed_work.MAX_BATCH_OBSERVATIONS:
                 work.own[-1].observations.append(each)
             work.is_dirty = True
 
@@ -219,7 +151,7 @@
         """
         with self._lock:
             number = self._next_number()
-            self._prefill_by_number[number] = _PrefillCall(
+            self._prefill_by_number[number] = observed_work.PrefillCall(
                 upstream, prompt_tokens, queued, self._clock.now_s()
             )
         return number
@@ -295,13 +227,13 @@
     def _next_number(self) -> int:
         return next(self._numbers) & MAX_NUMBER
 
-    def _work(self, upstream: entities.Upstream, kind: learned_capacity.Kind) -> _Work:
+    def _work(self, upstream: entities.Upstream, kind: learned_capacity.Kind) -> observed_work.Work:
         if upstream.incarnation not in self._upstream_by_incarnation:
             if len(self._upstream_by_incarnation) >= MAX_UPSTREAMS:
                 self._remove(next(iter(self._upstream_by_incarnation)))
             self._upstream_by_incarnation[upstream.incarnation] = upstream
         works = self._service_by_name[upstream.service].work_by_key
-        return works.setdefault((upstream.incarnation, kind), _Work())
+        return works.setdefault((upstream.incarnation, kind), observed_work.Work())
 
     def _remove(self, incarnation: entities.Incarnation) -> None:
         upstream = self._upstream_by_incarnation.pop(incarnation, None)
@@ -310,7 +242,9 @@
             for kind in learned_capacity.Kind:
                 works.pop((incarnation, kind), None)
 
-    def _overdue(self, now_s: float) -> list[tuple[int, _PrefillCall, capacity_fit.Observation]]:
+    def _overdue(
+        self, now_s: float
+    ) -> list[tuple[int, observed_work.PrefillCall, capacity_fit.Observation]]:
         """Return the calls that already show that their engine has become much slower."""
         overdue = []
         for number, call in self._prefill_by_number.items():
@@ -327,7 +261,7 @@
                 overdue.append((number, call, each))
         return overdue
 
-    def _merge(self, name: str, service: _Service, now_s: float) -> None:
+    def _merge(self, name: str, service: observed_work.Service, now_s: float) -> None:
         fits: dict[learned_capacity.Kind, dict[entities.Incarnation, learned_capacity.Fit]] = (
             collections.defaultdict(dict)
         )
@@ -365,7 +299,7 @@
     def _log_changes(
         self,
         name: str,
-        service: _Service,
+        service: observed_work.Service,
         before: learned_capacity.Capacities,
         now_s: float,
     ) -> None:
--- a/src/carawaydoor/serving/event_splitter.py
+++ b/src/carawaydoor/serving/event_splitter.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
+from collections.abc import Generator, Iterator
 from typing import Final
 
 from carawaydoor.serving import connections, response_budget
@@ -92,3 +94,11 @@
         """Discard what is buffered, and hold no memory any more."""
         self.discard_incomplete()
         self._reservation.close()
+
+
+def with_first(first: bytes, chunks: Generator[bytes]) -> Iterator[bytes]:
+    """Yield a chunk that has been awaited already, and then the others."""
+    with contextlib.closing(chunks):
+        if first:
+            yield first
+        yield from chunks
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -101,14 +101,15 @@
         except (connections.UpstreamConnectionError, sockets.WaitAbortedError) as error:
             failure = upstream_client.classify_error(error)
             raise upstream_client.CallError(failure, str(error)) from error
-        return _with_first(first, chunks)
+        return event_splitter.with_first(first, chunks)
 
     def _register(
         self, upstream: entities.Upstream, opened: upstream_client.OpenResponse
     ) -> _Source:
         self._used.add(upstream.id)
-        speed = stream_speed.StreamSpeed(self._instance, upstream, opened.response.requested_s)
-        source = _Source(upstream, opened, speed)
+        source = _Source(
+            upstream, opened, stream_speed.StreamSpeed(self._instance, upstream, opened)
+        )
         self._exchange.cleanup.callback(self._close, source)
         return source
 
@@ -394,10 +395,3 @@
             self._instance.selector.record_outcome(source.upstream, health.Outcome.ANSWERED)
         else:
             opened.connection.close()
-
-
-def _with_first(first: bytes, chunks: Generator[bytes]) -> Iterator[bytes]:
-    with contextlib.closing(chunks):
-        if first:
-            yield first
-        yield from chunks
--- a/src/carawaydoor/serving/stream_speed.py
+++ b/src/carawaydoor/serving/stream_speed.py
@@ -3,21 +3,24 @@
 from __future__ import annotations
 
 from carawaydoor.policy import entities, learned_capacity
-from carawaydoor.serving import instance_state
+from carawaydoor.serving import instance_state, upstream_client
 
 
 class StreamSpeed:
     """Observes one stream of one engine, some events at a time.
 
-    :param sent_s: the instance's clock when the request was sent
+    :param opened: response with the stream
     """
 
     def __init__(
-        self, instance: instance_state.InstanceState, upstream: entities.Upstream, sent_s: float
+        self,
+        instance: instance_state.InstanceState,
+        upstream: entities.Upstream,
+        opened: upstream_client.OpenResponse,
     ) -> None:
         self._instance = instance
         self._upstream = upstream
-        self._observed_s = sent_s
+        self._observed_s = opened.response.requested_s
         self._observed_events: int | None = None
 
     def record(self, now_s: float, events: int) -> None:
