--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -90,6 +90,22 @@
     ]
 
 
+def _capacity_structs(capacities: Iterable[reports.SharedCapacity]) -> list[Any]:
+    return [
+        report_structs.Capacity(
+            upstream=each.upstream,
+            born_ms=each.born_ms,
+            kind=each.kind,
+            number=each.number,
+            load=each.load,
+            unit_s=each.unit_s,
+            weight=each.weight,
+            age_s=each.age_s,
+        )
+        for each in capacities
+    ]
+
+
 def _limit_structs(limits: Iterable[reports.SharedLimit]) -> list[Any]:
     return [
         report_structs.Limit(
@@ -153,6 +169,7 @@
         bounds_attempts=report.bounds_attempts,
         reads_compressed=report.reads_compressed,
         demands=_demand_structs(report.demands),
+        capacities=_capacity_structs(report.capacities),
     )
 
 
@@ -234,6 +251,25 @@
     )
 
 
+def _capacities(structs: Iterable[Any] | None) -> tuple[reports.SharedCapacity, ...]:
+    return tuple(
+        reports.SharedCapacity(
+            each.upstream,
+            each.born_ms,
+            each.kind,
+            each.number,
+            each.load,
+            each.unit_s,
+            each.weight,
+            each.age_s,
+        )
+        for each in structs or ()
+        # A later build may leave out a field; such an entry says nothing.
+        if None not in (each.upstream, each.born_ms, each.kind, each.number)
+        and None not in (each.load, each.unit_s, each.weight, each.age_s)
+    )
+
+
 def _limits(structs: Iterable[Any] | None) -> tuple[reports.SharedLimit, ...]:
     return tuple(
         reports.SharedLimit(
@@ -292,6 +328,7 @@
         bounds_attempts=bool(message.bounds_attempts),
         reads_compressed=bool(message.reads_compressed),
         demands=_demands(message),
+        capacities=_capacities(message.capacities),
     )
 
 
--- a/src/carawaydoor/fleet/report_selection.py
+++ b/src/carawaydoor/fleet/report_selection.py
@@ -14,16 +14,24 @@
 _Record = TypeVar("_Record")
 
 
-def select(records: Sequence[_Record], ages_s: Iterable[float], turn: int) -> tuple[_Record, ...]:
+def select(
+    records: Sequence[_Record],
+    ages_s: Iterable[float],
+    turn: int,
+    max_urgent: int = MAX_URGENT_PER_REPORT,
+    max_repeated: int = MAX_REPEATED_PER_REPORT,
+) -> tuple[_Record, ...]:
     """Return the newest records and, in turn, some of the older ones.
 
     :param ages_s: age in seconds of each record
     :param turn: number of the report
+    :param max_urgent: largest number of new records
+    :param max_repeated: largest number of older ones
     """
     urgent: list[_Record] = []
     older: list[_Record] = []
     for record, age_s in zip(records, ages_s, strict=True):
         (urgent if age_s < MAX_URGENT_AGE_S else older).append(record)
-    start = turn * MAX_REPEATED_PER_REPORT % max(1, len(older))
-    repeated = (older[start:] + older[:start])[:MAX_REPEATED_PER_REPORT]
-    return (*urgent[-MAX_URGENT_PER_REPORT:], *repeated)
+    start = turn * max_repeated % max(1, len(older))
+    repeated = (older[start:] + older[:start])[:max_repeated]
+    return (*urgent[-max_urgent:], *repeated)
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -68,6 +68,17 @@
     (_DOUBLE, "refused_per_s"),
     (_DOUBLE, "waiting_tokens"),
 )
+Capacity: Final = _declare(
+    "Capacity",
+    (_STRING, "upstream"),
+    (_I64, "born_ms"),
+    (_I32, "kind"),
+    (_I32, "number"),
+    (_DOUBLE, "load"),
+    (_DOUBLE, "unit_s"),
+    (_DOUBLE, "weight"),
+    (_DOUBLE, "age_s"),
+)
 _WORK_BY_UPSTREAM: Final = _map("work_by_upstream", (_STRING, (thrift.TType.STRUCT, Work)))
 Report: Final = _declare(
     "Report",
@@ -101,6 +112,7 @@
     _amounts("sound_age_s_by_request"),
     (_BOOL, "ranks_streams"),
     (_BOOL, "bounds_attempts"),
+    (thrift.TType.LIST, "capacities", (thrift.TType.STRUCT, Capacity)),
     further={
         32: (thrift.TType.LIST, "demands", (thrift.TType.STRUCT, Demand)),
         34: (_BOOL, "reads_compressed"),
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -79,6 +79,29 @@
     age_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedCapacity:
+    """The time for a unit of work at an upstream, as the sender's own calls show it.
+
+    :ivar born_ms: start of the incarnation
+    :ivar kind: value of ``learned_capacity.Kind``
+    :ivar number: tells the sender's entries for an upstream and kind apart
+    :ivar load: requests at the upstream meanwhile
+    :ivar unit_s: seconds for one unit of work
+    :ivar weight: number of calls, less where the load was uncertain
+    :ivar age_s: seconds between the calls and the report
+    """
+
+    upstream: str
+    born_ms: int
+    kind: int
+    number: int
+    load: float
+    unit_s: float
+    weight: float
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedOrigin:
     """Where a stream began.
@@ -139,6 +162,7 @@
     :ivar reads_compressed: whether the sender reads compressed reports; earlier releases don't say
     :ivar demands: demand for decode memory of services whose requests differ in priority, None from
         earlier releases, which don't say
+    :ivar capacities: how fast upstreams work, by the sender's own calls; empty if nothing is said
     """
 
     contact: Contact
@@ -172,6 +196,7 @@
     bounds_attempts: bool = False
     reads_compressed: bool = False
     demands: tuple[urgency.Demand, ...] | None = None
+    capacities: tuple[SharedCapacity, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -64,6 +64,18 @@
             "carawaydoor_evacuations",
             "Changes of evacuated failure domains, by change: given, kept or taken_back.",
         )
+        self.learned_times: Final = exporter.create_gauge(
+            "carawaydoor_learned_seconds_per_unit",
+            "Seconds for a unit of work that are assumed of an upstream, by kind of work.",
+        )
+        self.learned_concurrency: Final = exporter.create_gauge(
+            "carawaydoor_learned_concurrency",
+            "Requests beyond which an upstream finishes no more work, by kind of work.",
+        )
+        self.learned_weight: Final = exporter.create_gauge(
+            "carawaydoor_learned_weight",
+            "Observations that an upstream's estimate is based on, by kind of work.",
+        )
         self.answer_seconds: Final = exporter.create_histogram(
             "carawaydoor_answer_seconds", "s", "Time to the end of an answer."
         )
--- a/src/carawaydoor/operating/platform_options.py
+++ b/src/carawaydoor/operating/platform_options.py
@@ -66,6 +66,7 @@
     :ivar store_history_s: time in seconds for which the store keeps changes
     :ivar region: region of the instance, empty if unknown
     :ivar region_by_domain: region of each failure domain, as far as they are known
+    :ivar learns_capacity: whether the speeds of upstreams are learned; without it they count as equal
     """
 
     instance: str
@@ -82,3 +83,4 @@
     store_history_s: float = 0.0
     region: str = ""
     region_by_domain: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    learns_capacity: bool = True
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -106,6 +106,8 @@
     region: Annotated[str, pydantic.BeforeValidator(_read_region)] = ""
     # Region of each failure domain.
     zones: Annotated[dict[str, str], pydantic.BeforeValidator(_read_zones)] = {}
+    # Switched off to compare.
+    learnsCapacity: pydantic.StrictBool = True  # noqa: N815
 
 
 def path_from_environment() -> pathlib.Path | None:
@@ -159,6 +161,7 @@
         store_history_s=settings.platform.historyS,
         region=settings.region or settings.zones.get(settings.zone, ""),
         region_by_domain=settings.zones,
+        learns_capacity=settings.learnsCapacity,
     )
 
 
--- a/src/carawaydoor/serving/event_splitter.py
+++ b/src/carawaydoor/serving/event_splitter.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
+from collections.abc import Generator, Iterator
 from typing import Final
 
 from carawaydoor.serving import connections, response_budget
@@ -49,10 +51,12 @@
     :param reservation: memory for the incomplete event
 
     :ivar last_id: id of the last complete event that has one
+    :ivar events: number of complete events so far
     """
 
     def __init__(self, reservation: response_budget.Reservation, last_id: str = "") -> None:
         self.last_id = last_id
+        self.events = 0
         self._reservation = reservation
         self._incomplete = bytearray()
 
@@ -67,6 +71,7 @@
         end = 0
         for match in _END_OF_EVENT.finditer(content, first_new):
             end = match.end()
+            self.events += 1
         complete = bytes(content[:end])
         del content[:end]
         if len(content) > MAX_EVENT_BYTES or not self._reservation.resize(len(content)):
@@ -89,3 +94,11 @@
         """Discard what is buffered, and hold no memory any more."""
         self.discard_incomplete()
         self._reservation.close()
+
+
+def with_first(first: bytes, chunks: Generator[bytes]) -> Iterator[bytes]:
+    """Yield a chunk that has been awaited already, and then the others."""
+    with contextlib.closing(chunks):
+        if first:
+            yield first
+        yield from chunks
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -118,15 +118,21 @@
         if prefill is None:
             return ""
         now_s = self._instance.clock.now_s()
+        own = load.Work(-1, -placed.prompt.tokens)
+        queued = self._instance.selector.load.at(prefill.id).plus(own)
         attempt_deadline_s = min(
             exchange.deadline_s, now_s + placed.chosen.prefill_wait_s + PREFILL_MARGIN_S
         )
         request = protocol_adapter.UpstreamRequest(
             prefill, exchange.deadline_s - now_s, prefill_only=True
         )
+        call = self._instance.capacity.begin_prefill(prefill, placed.prompt.tokens, queued)
+        is_done = False
         try:
             opened = self._client.send(exchange, request, attempt_deadline_s)
             content = b"".join(self._client.read_body(exchange, prefill, opened))
+            prefilled = self._adapter.parse_prefill(prefill, content)
+            is_done = prefilled is not None
         except upstream_client.CallError as error:
             if error.failure is upstream_client.Failure.CALLER_GONE:
                 raise
@@ -135,8 +141,8 @@
             # The client has logged the failure; the decode engine can prefill the prompt itself.
             return ""
         finally:
+            self._instance.capacity.end_prefill(call, is_done)
             placed.prefill_reservation.close()
-        prefilled = self._adapter.parse_prefill(prefill, content)
         if prefilled is None:
             eliot.log_message(
                 message_type="prompt_not_read",
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -74,9 +74,10 @@
         The connection is made before the prefill, which would be wasted if the decode engine has
         failed.
         """
+        capacities = self._instance.capacity.capacities(service.name)
         terms = capacity_wait.wait_terms(
             arrival,
-            placement.decode_engine_prefill_s(prompt),
+            placement.decode_engine_prefill_s(prompt, capacities),
             self._instance.urgency.is_urgent(exchange),
         )
         with self._instance.urgency.turn(exchange, prompt, terms) as turn:
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -28,6 +28,7 @@
     usage_caps,
 )
 from carawaydoor.serving import (
+    capacity_observer,
     cold_limits,
     connections,
     crash_guard,
@@ -101,6 +102,9 @@
         self.cold_limits: Final = cold_limits.ColdLimits(
             clock, metrics, self.upstream_limiter, lambda: self.configuration.service_by_name
         )
+        self.capacity: Final = capacity_observer.CapacityObserver(
+            clock, metrics, options.learns_capacity
+        )
         # A version that a peer holds of an era before the one of the configuration here.
         self._version_lost_by_source = 0
         self.membership = gossip.Membership(options.instance, {})
@@ -156,6 +160,7 @@
             self.upstream_limiter,
             self.reach,
             lambda: self.options.region_by_domain,
+            self.capacity,
         )
         self.urgency: Final = urgency_state.UrgencyState(
             clock,
@@ -421,6 +426,7 @@
                 bounds_attempts=True,
                 reads_compressed=True,
                 limits=self.upstream_limiter.share(),
+                capacities=self.capacity.share(),
                 turned_away_s_by_upstream=self.selector.turned_away.share(),
                 leaving_born_ms_by_upstream=upstream_directory.lately_leaving(
                     self.directory, now_s
@@ -589,6 +595,10 @@
                 limited = self.directory.upstream_by_id.get(effect.upstream)
                 if limited is not None and limited.born_ms == effect.born_ms:
                     self.upstream_limiter.record_shared(limited, effect)
+            case report_effects.PeerCapacity(peer, shared):
+                observed = self.directory.upstream_by_id.get(shared.upstream)
+                if observed is not None and observed.born_ms == shared.born_ms:
+                    self.capacity.record_shared(observed, peer, shared)
             case report_effects.PeerJoined(contact, incarnation):
                 self._forget_earlier_incarnations(contact.instance, incarnation)
                 self.streams.tell_started_peer(contact)
@@ -624,6 +634,7 @@
                 self.connection_pool.close_idle(upstream)
                 self.selector.forget_health(upstream.id)
                 self.upstream_limiter.remove(upstream)
+                self.capacity.remove(upstream)
                 change = "upstream_gone"
             case upstream_directory.Leaving():
                 self.connection_pool.close_idle(upstream)
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -23,7 +23,13 @@
     stream_ranking,
     stream_versions,
 )
-from carawaydoor.serving import peer_failures, reachability, turned_away, upstream_limiter
+from carawaydoor.serving import (
+    capacity_observer,
+    peer_failures,
+    reachability,
+    turned_away,
+    upstream_limiter,
+)
 
 # An engine that was ordered to change its stage is used again after this time, even if its entry
 # still shows the old stage. The change takes about six seconds once running work has ended.
@@ -55,6 +61,7 @@
         limiter: upstream_limiter.UpstreamLimiter,
         reach: reachability.Reachability,
         region_by_domain: Callable[[], Mapping[str, str]],
+        capacity: capacity_observer.CapacityObserver,
     ) -> None:
         self.load = load.EMPTY
         self.health: health.Health = {}
@@ -72,6 +79,7 @@
         self._limiter = limiter
         self._reach = reach
         self._region_by_domain = region_by_domain
+        self._capacity = capacity
         self._peer_load_summed_s = float("-inf")
         self._peer_failures = peer_failures.PeerFailures(domain)
         self._balance = stage_balance.Balance()
@@ -94,7 +102,7 @@
         with self._lock:
             while True:
                 upstream = placement.choose_plain(
-                    self._placement_context(may_try=True, regions=regions),
+                    self._placement_context(service, may_try=True, regions=regions),
                     service,
                     excluded,
                     version,
@@ -393,13 +401,13 @@
 
     def _placement_context(
         self,
-        generation_service: str = "",
+        service: str = "",
         may_try: bool = False,
         regions: allowed_regions.Regions = None,
     ) -> placement.PlacementContext:
         """Return the input of a placement.
 
-        :param generation_service: the service if a generation is placed
+        :param service: the service if a request is placed
         :param may_try: whether the request may be the trial of an upstream that has failed peers
         """
         now_s = self._clock.now_s()
@@ -419,9 +427,10 @@
             self.health,
             gossip.staleness_s(membership, now_s),
             self._random.getrandbits(32),
-            self.generations_per_s(generation_service),
+            self.generations_per_s(service),
             self.turned_away.avoided(),
             frozenset() if is_trial else self.failing_peers(),
+            self._capacity.capacities(service),
         )
 
     def _allowed_upstreams(self, regions: allowed_regions.Regions) -> Collection[entities.Upstream]:
--- a/tests/policy/test_report_structs.py
+++ b/tests/policy/test_report_structs.py
@@ -18,6 +18,7 @@
     "Limit",
     "Failure",
     "Demand",
+    "Capacity",
     "Report",
     "WorkReport",
     "Origin",
