--- a/src/carawaydoor/serving/capacity_observer.py
+++ b/src/carawaydoor/serving/capacity_observer.py
@@ -29,11 +29,11 @@
 # Own observations within this time are one entry of a report. They are a few at most, and noise lasts
 # about as long.
 BATCH_S: Final = 1.0
-# Entries of peers that are kept of one kind of work at an upstream; a quantile gains little from more.
 # An entry takes some 90 bytes, and full reports go to all peers: with more, bytes between failure
 # domains would double for what the reports of 80 instances hold together anyway.
 MAX_URGENT_PER_REPORT: Final = 8
 MAX_REPEATED_PER_REPORT: Final = 2
+# Entries of peers that are kept of one kind of work at an upstream; a quantile gains little from more.
 MAX_ENTRIES: Final = 96
 # Numbers of batches start at random, since a restarted instance begins anew; they fit in 32 bits.
 FIRST_NUMBER_BITS: Final = 30
