Hold no memory for large generations

One rarely finds as much memory free at any moment as it needs, so that it is refused by all engines, while without a hold an engine queues it.

--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -199,6 +199,7 @@
             or placed.chosen.prefill is None
             or not memory_hold.is_worthwhile(
                 engine_spec,
+                placed.prompt,
                 self._instance.selector.load.at(decode.id),
                 self._instance.selector.generations_per_s(placed.service.name),
             )
