--- a/tests/platform_side/test_evacuation.py
+++ b/tests/platform_side/test_evacuation.py
@@ -135,6 +135,7 @@
     near, far = harness.add_upstream("d", DECODE), harness.add_upstream("e", DECODE, domain="b")
     works = {"d": load.Work(10, 36_000), "e": load.Work(10, 42_000)}
     harness.instance.selector.load = load.Load(works, {})
+    monkeypatch.setattr(harness.instance.selector, "generations_per_s", lambda _: 60.0)
     evacuate_after(harness, monkeypatch, harness.app._generation_handler, "_prefill")
     assert harness.stream().read().status == 200
     assert (len(near.holds), near.released_holds, near.received) == (1, [], [])
