Forget a change of speed that no further calls show

An engine that seemed to have become slow got no prompts, so nothing spoke against it, and the change was taken as confirmed.

--- a/src/carawaydoor/policy/capacity_fit.py
+++ b/src/carawaydoor/policy/capacity_fit.py
@@ -275,8 +275,9 @@
             break
         count += 1
     if count < MIN_RECENT_OBSERVATIONS:
-        # Nothing speaks against it; an upstream that has become slow gets few requests.
-        return known
+        # Nothing speaks against it, since an upstream that seems slow gets few requests; but what may
+        # have been noise must not keep requests away for long.
+        return known if known is not None and now_s - known.noticed_s < CONFIRMATION_S else None
     if known is None:
         recent, older = ordered[:count], ordered[count:]
     else:
