Hold memory only where requests of a service differ in priority

What is held for a prompt that is being prefilled is missing to the growth of the generations that run. Where some are more urgent, the gain is large: the most urgent are admitted for certain.

--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -192,11 +192,16 @@
             return True
 
     def _take_hold(self, placed: PlacedGeneration) -> protocol_adapter.HoldOutcome:
-        """Have the decode engine hold memory if it may be full; free both engines if it refuses."""
+        """Have the decode engine hold memory if it may be full; free both engines if it refuses.
+
+        Only requests of services with more than one priority have memory held: what is held is missing to
+        the growth of generations that run, and the least urgent of these give way.
+        """
         engine_spec, decode = placed.service.engine_spec, placed.decode
         if (
             engine_spec is None
             or placed.chosen.prefill is None
+            or self._instance.urgency.priority_for_engines(placed.exchange) is None
             or not memory_hold.is_worthwhile(
                 engine_spec,
                 placed.prompt,
--- a/tests/platform_side/test_evacuation.py
+++ b/tests/platform_side/test_evacuation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import threading
 import time
@@ -130,7 +131,8 @@
     spec = entities.EngineSpec(128, 60_000, 18_432, 68.75e9, False, 0.5, 2.0)
     service = entities.Service("planner", 620, spec)
     monkeypatch.setattr(builders, "MODEL_SERVICE", service)
-    harness.configure(revision=2)
+    less_urgent = dataclasses.replace(router_harness.RESUMABLE, priority=3)
+    harness.configure(router_harness.STREAM, less_urgent, revision=2)
     harness.add_upstream("p", PREFILL, domain="b")
     near, far = harness.add_upstream("d", DECODE), harness.add_upstream("e", DECODE, domain="b")
     works = {"d": load.Work(10, 36_000), "e": load.Work(10, 42_000)}
--- a/tests/platform_side/test_memory_holds.py
+++ b/tests/platform_side/test_memory_holds.py
@@ -27,6 +27,8 @@
     service = dataclasses.replace(builders.MODEL_SERVICE, engine_spec=engine_spec)
     monkeypatch.setattr(builders, "MODEL_SERVICE", service)
     with router_harness.running() as running:
+        less_urgent = dataclasses.replace(router_harness.RESUMABLE, priority=3)
+        running.configure(router_harness.STREAM, less_urgent, revision=2)
         running.generations_per_s = 60.0
         monkeypatch.setattr(
             running.instance.selector, "generations_per_s", lambda _: running.generations_per_s
@@ -148,3 +150,13 @@
 
     harness.stream(is_gone=becomes_cold_and_leaves).read()
     assert (len(decode.holds), decode.released_holds) == (1, [])
+
+
+def test_memory_is_not_held_where_all_requests_have_the_same_priority(harness):
+    """Failure: what was held made engines preempt generations of the same priority five times as often."""
+    harness.configure(router_harness.STREAM, revision=3)
+    harness.add_upstream("p", PREFILL)
+    decode = harness.add_upstream("d", DECODE)
+    fill(harness, "d")
+    assert harness.stream().read().status == 200
+    assert decode.holds == []
