Judge by square-root staffing whether prompts wait for prefill engines

Busy engines are a sign of waiting in a small service and none in a large one, which the square root of their number tells apart: three engines count as before, 24 from four fifths on.

--- a/src/carawaydoor/policy/stage_balance.py
+++ b/src/carawaydoor/policy/stage_balance.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import zlib
 from collections.abc import Mapping
 from typing import Final
 
-from carawaydoor.policy import entities, load, placement
+from carawaydoor.policy import entities, load
 
 # Long enough to smooth out single prompts.
 SMOOTHING_TIME_CONSTANT_S: Final = 2.5
@@ -21,11 +22,9 @@
 MIN_TRAFFIC_S: Final = 6.0
 # Below this utilisation of the busier stage, a change costs more than it gains.
 MIN_BUSY_UTILISATION: Final = 0.4
-# Engines are moved to the prefill stage only if prompts wait there for this time, a quarter of the
-# shortest target for a first event. Prefill engines that are merely busy delay nothing, while decode
-# engines that are missing cause refusals: in a burst, prefill engines are busy at once, but decode
-# engines fill up only over the length of a generation.
-MIN_PREFILL_QUEUE_S: Final = 0.2
+# Part of the square root of the number of prefill engines that has to be idle for prompts not to wait, by
+# the square-root staffing rule: nearly none of 24 engines, but half of four.
+IDLE_ENGINES_PER_ROOT: Final = 1.0
 # After a change, the busier stage must be below this fraction of its present utilisation.
 REQUIRED_UTILISATION_RATIO: Final = 0.85
 # Fraction of a service's engines that may change at once, since they serve nothing meanwhile.
@@ -48,7 +47,6 @@
 class Utilisation:
     """Moving averages of the utilisation of a service's stages, 0 to 1.
 
-    :ivar prefill_queue_s: moving average of the time that the prompts queued at a prefill engine take
     :ivar traffic_since_s: time of the first observation since which the service has had work
     :ivar updated_s: time of the latest observation
     """
@@ -57,7 +55,6 @@
     decode: float
     traffic_since_s: float
     updated_s: float
-    prefill_queue_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,13 +95,11 @@
     prefill = sum(upstream_load.at(each.id).requests > 0 for each in prefill_engines) / len(
         prefill_engines
     )
-    queued = sum(upstream_load.at(each.id).tokens for each in prefill_engines)
-    queue_s = queued / len(prefill_engines) / placement.PREFILL_TOKENS_PER_S
     tokens = sum(upstream_load.at(each.id).tokens for each in decode_engines)
     decode = min(1.0, tokens / (engine_spec.kv_tokens * len(decode_engines)))
     before = state.utilisation_by_service.get(service.name)
     if before is None:
-        after = Utilisation(prefill, decode, now_s, now_s, queue_s)
+        after = Utilisation(prefill, decode, now_s, now_s)
     else:
         weight = min(1.0, (now_s - before.updated_s) / SMOOTHING_TIME_CONSTANT_S)
         after = Utilisation(
@@ -112,7 +107,6 @@
             before.decode + (decode - before.decode) * weight,
             before.traffic_since_s if prefill > 0.0 or decode > 0.0 else now_s,
             now_s,
-            before.prefill_queue_s + (queue_s - before.prefill_queue_s) * weight,
         )
     utilisations = {**state.utilisation_by_service, service.name: after}
     return dataclasses.replace(state, utilisation_by_service=utilisations)
@@ -141,7 +135,7 @@
             MIN_ENGINES_BY_STAGE[entities.Stage.PREFILL],
         )
         candidates, stage = prefill_engines, entities.Stage.DECODE
-    elif utilisation.prefill_queue_s < MIN_PREFILL_QUEUE_S:
+    elif not _prompts_wait(utilisation.prefill, len(prefill_engines)):
         return state, ()
     else:
         moved = _engines_to_move(
@@ -199,6 +193,16 @@
     return best
 
 
+def _prompts_wait(utilisation: float, engines: int) -> bool:
+    """Return whether prompts wait for prefill engines, of which some are idle.
+
+    In a large service, prefill engines that are busy for three quarters of the time delay nothing. In a
+    burst they are busy at once, while decode engines fill up over the length of a generation, so that the
+    balance of the two moved decode engines to prefill when their memory was about to be short.
+    """
+    return (1.0 - utilisation) * engines < IDLE_ENGINES_PER_ROOT * math.sqrt(engines)
+
+
 def _engines_by_stage(
     service: entities.Service, upstreams: tuple[entities.Upstream, ...]
 ) -> tuple[list[entities.Upstream], list[entities.Upstream]]:
--- a/tests/policy/test_stage_balance.py
+++ b/tests/policy/test_stage_balance.py
@@ -11,14 +11,13 @@
 SERVICE = builders.MODEL_SERVICE
 
 
-def after_constant_load(busy_prefill, tokens, *, engines=ENGINES, seconds=10.0, queued=5000):
+def after_constant_load(busy_prefill, tokens, *, engines=ENGINES, seconds=10.0):
     """Return the balance after a constant load, the time at its end, and the load.
 
     :param busy_prefill: number of prefill engines that have requests
     :param tokens: tokens in the KV cache of each decode engine
-    :param queued: prompt tokens at each prefill engine that has requests
     """
-    own = {each.id: load.Work(1, queued) for each in PREFILL_ENGINES[:busy_prefill]}
+    own = {each.id: load.Work(1, 5000) for each in PREFILL_ENGINES[:busy_prefill]}
     own.update({each.id: load.Work(5, tokens) for each in engines if each not in PREFILL_ENGINES})
     state, now_s = stage_balance.Balance(), 0.0
     while now_s <= seconds:
@@ -83,17 +82,28 @@
 
 
 def test_decode_engine_changes_to_prefill_if_that_is_the_bottleneck():
-    _, order = decide(3, 10_000, queued=15_000)
+    _, order = decide(3, 10_000)
     assert [each.stage for each in order] == [entities.Stage.PREFILL]
 
 
-def test_no_engine_changes_to_prefill_while_prompts_do_not_wait_there():
+def test_no_engine_of_a_large_service_changes_to_prefill_while_prompts_do_not_wait():
     """Load pattern: a burst in which decode memory is short.
 
-    Eight of 45 decode engines were moved at the beginning of a burst, when each prefill engine had the
-    one prompt that it was processing and the decode engines had not filled up yet.
+    Eight of 45 decode engines were moved at the beginning of a burst, when 17 of 24 prefill engines were
+    busy and the decode engines had not filled up yet.
     """
-    assert decide(3, 10_000)[1] == ()
+    prefill_engines = tuple(builders.prefill(f"p{i:02}") for i in range(24))
+    decode_engines = tuple(builders.decode(f"d{i:02}") for i in range(45))
+    engines = prefill_engines + decode_engines
+    for busy, has_orders in ((17, False), (24, True)):
+        own = {each.id: load.Work(1, 5000) for each in prefill_engines[:busy]}
+        own.update({each.id: load.Work(4, 27_000) for each in decode_engines})
+        state, now_s = stage_balance.Balance(), 0.0
+        while now_s <= 10.0:
+            state = stage_balance.observe(state, now_s, SERVICE, engines, load.Load(own, {}))
+            now_s += 0.4
+        _, orders = stage_balance.decide(state, now_s, SERVICE, engines, load.Load(own, {}))
+        assert bool(orders) is has_orders
 
 
 def test_several_engines_of_a_large_service_change_at_once():
