Count only bodies in the own interface's budget of requests

The budget allowed for the largest head of each thread in addition to a whole body, while buffers have up to an eighth more room than is used. Crowd and bounds are unchanged.

--- a/src/carawaydoor/daemon.py
+++ b/src/carawaydoor/daemon.py
@@ -141,11 +141,11 @@
 
     def _create_caller_server(self) -> Any:
         options, context = self._options, self._context
-        # More than one whole request for each thread would only wait.
+        # More than one whole body for each thread would only wait. Buffers have up to an eighth more room
+        # than is used, so the process grows by more than this.
         total_bytes = min(
             request_budget.total_bytes(options.memory_mb * _BYTES_PER_MB),
-            options.threads
-            * (options.max_body_bytes + HEADER_LIMIT_FACTOR * options.max_header_bytes),
+            options.threads * options.max_body_bytes,
         )
         guard = request_limits.RequestGuard(
             context.clock,
