--- a/tests/platform_side/test_memory_holds.py
+++ b/tests/platform_side/test_memory_holds.py
@@ -64,7 +64,8 @@
     full, other = harness.add_upstream("d", DECODE), harness.add_upstream("e", DECODE)
     full.hold_status = 503
     fill(harness, "d", "e", share=0.55)
-    harness.instance.selector.load.own_by_id["e"] = load.Work(10, int(KV_TOKENS * 0.7))
+    # Fuller by more than the random part of the choice, so that the other one is asked first.
+    harness.instance.selector.load.own_by_id["e"] = load.Work(10, int(KV_TOKENS * 0.77))
     assert harness.stream().read().status == 200
     assert len(prefill.received) == 1
     assert holds_by_upstream(harness) == {"p": 0, "d": 1, "e": 1}
