Keep the check of the store item in the platform package

The check and the comparison named fields of the platform's document outside of platform/. They move there; comparing entries by name stays in publishing/, which is told the fields to hide. Three comments and one name use plain terms. The tests of the check pass unchanged.

--- a/src/carawaydoor/platform/store_source.py
+++ b/src/carawaydoor/platform/store_source.py
@@ -147,7 +147,7 @@
             continue
         domain = item.key.removeprefix(names.EVACUATION_PREFIX)
         if not 0 < len(domain) <= field_types.MAX_NAME_LENGTH:
-            # Upstreams without a failure domain have the empty name; nobody means all of them.
+            # Upstreams without a failure domain have the empty name, which does not stand for all of them.
             eliot.log_message(
                 message_type="evacuation_malformed", revision=item.revision, length=len(domain)
             )
--- a/src/carawaydoor/policy/capacity_wait.py
+++ b/src/carawaydoor/policy/capacity_wait.py
@@ -28,7 +28,7 @@
 MAX_RETRY_AFTER_SHARE: Final = 0.32
 # A burst is over after this time.
 MAX_RETRY_AFTER_S: Final = 4.0
-# Part of the longest retry delay that even the most urgent rank is told. A caller comes back once
+# Part of the longest retry delay that applies even to the most urgent rank. A caller comes back once
 # only, so it should not do so in the middle of the burst that it was refused in.
 MIN_RETURN_SHARE: Final = 0.5
 # Assumed length of a generation until some have ended here.
--- a/src/carawaydoor/policy/upstream_limits.py
+++ b/src/carawaydoor/policy/upstream_limits.py
@@ -347,6 +347,6 @@
     name = f"{statement.upstream_id}/{statement.born_ms}"
     own = rendezvous.weight(name, state.instance), state.instance
     preceding = (each for each in names if (rendezvous.weight(name, each), each) > own)
-    # Ranks beyond the last instance that may share a limit need not be told apart.
+    # Ranks beyond the last instance that may share a limit need not be distinguished.
     most = state.sharing.max_instances()
     return sum(1 for _ in itertools.islice(preceding, None if math.isinf(most) else int(most)))
--- a/src/carawaydoor/publishing/configuration_report.py
+++ b/src/carawaydoor/publishing/configuration_report.py
@@ -8,13 +8,12 @@
 
 import pydantic
 
-from carawaydoor.platform import store_documents
+from carawaydoor.platform import configuration_check, configuration_comparison, store_documents
 from carawaydoor.publishing import (
     catalog,
     config_objects,
     configuration_differences,
     findings,
-    store_configuration_check,
     yaml_documents,
 )
 
@@ -68,9 +67,9 @@
         first = error.errors(include_url=False, include_input=False)[0]
         if first["type"] == "json_invalid":
             raise UnreadableError(f"{source}: {first['msg']}") from error
-        return Report(tuple(store_configuration_check.find_errors(error, str(source))), (), 0)
-    found = store_configuration_check.check(document, str(source), memory_bytes, window_s)
-    differences = configuration_differences.compare(before, document) if before else ()
+        return Report(tuple(configuration_check.find_errors(error, str(source))), (), 0)
+    found = configuration_check.check(document, str(source), memory_bytes, window_s)
+    differences = configuration_comparison.compare(before, document) if before else ()
     entries = len(document.routes) + len(document.services) + len(document.tenants or [])
     return Report(found, differences, entries)
 
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -127,7 +127,7 @@
                 if now_s < terms.until_s and not exchange.inbound.is_gone():
                     continue
             turn.record_no_room()
-            if self._is_hopeless(exchange, service, terms, turn, excluded):
+            if self._has_no_prospect(exchange, service, terms, turn, excluded):
                 turn.record_refused()
                 self._log_refusal(exchange, arrival, turn)
                 return None
@@ -136,7 +136,7 @@
             )
         return None
 
-    def _is_hopeless(
+    def _has_no_prospect(
         self,
         exchange: http_exchange.HttpExchange,
         service: entities.Service,
