Log how each configuration reaches an instance

The logs said when a configuration was adopted, not by which way it came, how large it was and how long its transfer and decoding took, so that slow distribution, a busy processor and a wrong order looked the same.

configuration_received says so before the configuration is put in force, with the time since a peer was first heard to know more (policy/source_lag.py). relay_failed and source_read_directly have times, request_ended says whether a newer configuration was known, /status and metrics likewise. No decision changes.

--- a/src/carawaydoor/fleet/source_relay.py
+++ b/src/carawaydoor/fleet/source_relay.py
@@ -134,7 +134,10 @@
 
     :raises RelayError: if it doesn't know them or gives no valid response
     """
-    return decode(_get(host, port, CHANGES_PATH, {"after": after}))
+    content = _get(host, port, CHANGES_PATH, {"after": after})
+    relayed = decode(content)
+    changes = dataclasses.replace(relayed.changes, received_bytes=len(content))
+    return dataclasses.replace(relayed, changes=changes)
 
 
 def _get(host: str, port: int, path: str, query: Mapping[str, object]) -> bytes:
--- a/src/carawaydoor/operating/configuration_source.py
+++ b/src/carawaydoor/operating/configuration_source.py
@@ -17,6 +17,21 @@
     """The source no longer has the changes since the given revision; read everything again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfer:
+    """How the content of an update was received.
+
+    :ivar received_bytes: size of the responses as they were sent
+    :ivar transfer_s: seconds between the first and the last byte of the responses of a source, or
+        between the request to another instance and its last byte
+    :ivar decode_s: seconds that decoding the configuration took
+    """
+
+    received_bytes: int = 0
+    transfer_s: float = 0.0
+    decode_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SourceUpdate:
     """The source's full content, or the changes in it.
@@ -27,6 +42,7 @@
     :ivar configuration_revision: revision of the newest configuration, even if it can't be
         decoded; zero if there is no new one
     :ivar is_evacuated_by_domain: evacuated failure domains; false for one that no longer is
+    :ivar configuration_count: configurations in the update, superseded and malformed ones included
     """
 
     configuration: entities.Configuration | None
@@ -34,6 +50,8 @@
     revision: int
     configuration_revision: int = 0
     is_evacuated_by_domain: Mapping[str, bool] = dataclasses.field(default_factory=dict)
+    configuration_count: int = 0
+    transfer: Transfer = Transfer()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,10 +74,14 @@
 
     :ivar items: only the last change of each item, in the order of revisions
     :ivar revision: revision of the source up to which the items are complete
+    :ivar received_bytes: size of the response with the items, zero if they were not received
+    :ivar transfer_s: seconds between the request for them and its last byte
     """
 
     items: tuple[SourceItem, ...]
     revision: int
+    received_bytes: int = 0
+    transfer_s: float = 0.0
 
 
 class ConfigurationSource(abc.ABC):
--- a/src/carawaydoor/operating/platform_metrics.py
+++ b/src/carawaydoor/operating/platform_metrics.py
@@ -58,6 +58,19 @@
         self.store_calls: Final = exporter.create_counter(
             "carawaydoor_store_calls", "Calls to the store, by outcome."
         )
+        self.configuration_bytes: Final = exporter.create_counter(
+            "carawaydoor_configuration_bytes",
+            "Bytes of the responses with configurations, by way: read, watch or peer.",
+        )
+        self.configuration_delay_seconds: Final = exporter.create_histogram(
+            "carawaydoor_configuration_delay_seconds",
+            "s",
+            "Time between the first report of a peer that knew more of the source and a "
+            "configuration, by way.",
+        )
+        self.relayed_bytes: Final = exporter.create_counter(
+            "carawaydoor_relayed_bytes", "Bytes of the source passed on to other instances."
+        )
         self.peer_datagrams: Final = exporter.create_counter(
             "carawaydoor_peer_datagrams", "Datagrams between instances, by direction."
         )
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -91,7 +91,9 @@
         relayed = source_relay.RelayedChanges(
             changes, proof_age_s, self._instance.source.steady_s()
         )
-        return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, source_relay.encode(relayed))
+        content = source_relay.encode(relayed)
+        self._instance.metrics.relayed_bytes.add(len(content), {})
+        return _respond(start_response, "200 OK", JSON_CONTENT_TYPE, content)
 
 
 def status_document(instance: instance_state.InstanceState) -> dict[str, Any]:
@@ -110,6 +112,7 @@
             "version": configuration.version,
             "revision": configuration.revision,
             "proven_age_s": round(instance.proof_age_s(), 3),
+            "behind_s": round(instance.source.configuration_behind_s(), 3),
         },
         "evacuated": [
             {
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import enum
 import threading
 from typing import Final
 
@@ -34,6 +36,14 @@
 RETRY_DELAY_S: Final = 0.25
 
 
+class Way(enum.Enum):
+    """How an instance received an update of the source."""
+
+    READ = "read"
+    WATCH = "watch"
+    PEER = "peer"
+
+
 def watch_delay_s(instance_count: int) -> float:
     """Return the delay in seconds between a response with changes and the next watch."""
     return min(
@@ -113,10 +123,17 @@
         if not has_news and self._instance.proof_age_s() < self._timing.proof_request_age_s:
             return revision
         for host in self._instance.source.reader_hosts():
+            requested_s = self._clock.now_s()
             try:
                 revision = self._fetch(host, revision)
             except source_relay.RelayError as error:
-                eliot.log_message(message_type="relay_failed", peer=host, detail=str(error))
+                eliot.log_message(
+                    message_type="relay_failed",
+                    peer=host,
+                    detail=str(error),
+                    took_s=round(self._clock.now_s() - requested_s, 3),
+                    behind_s=round(self._instance.source.behind_s(), 3),
+                )
                 continue
             if self._instance.proof_age_s() < self._timing.self_reading_age_s:
                 self._stop_requested.wait(FOLLOW_INTERVAL_S)
@@ -126,18 +143,20 @@
             message_type="source_read_directly",
             revision=revision,
             proof_age_s=round(self._instance.proof_age_s(), 3),
+            behind_s=round(self._instance.source.behind_s(), 3),
         )
         return revision
 
     def _fetch(self, host: str, revision: int) -> int:
         requested_s = self._clock.now_s()
         relayed = source_relay.fetch(host, self._instance.options.first_port, revision)
-        update = self._source.take_over(relayed.changes)
+        transfer_s = self._clock.now_s() - requested_s
+        update = self._source.take_over(dataclasses.replace(relayed.changes, transfer_s=transfer_s))
         is_recovering = relayed.steady_s < upstream_directory.REAPPEARANCE_GRACE_S
         if is_recovering and None in update.upstream_by_id.values():
             self._instance.source.mark_recovering()
         self._apply_evacuations(update, evacuation.Origin.PEER)
-        self._apply_configuration(update)
+        self._apply_configuration(update, Way.PEER, host)
         if update.upstream_by_id:
             self._instance.update_directory(
                 upstream_directory.Changes(update.upstream_by_id, update.revision)
@@ -170,7 +189,7 @@
         if is_first:
             # If this fails, the next read finds the era known and goes on without peers.
             self._peer_evacuations.hear_at_start(update.revision, self._stop_requested)
-        self._apply_configuration(update)
+        self._apply_configuration(update, Way.READ)
         upstream_by_id = {
             key: each for key, each in update.upstream_by_id.items() if each is not None
         }
@@ -194,7 +213,7 @@
             and not update.is_evacuated_by_domain
         )
         self._apply_evacuations(update, evacuation.Origin.STORE)
-        self._apply_configuration(update)
+        self._apply_configuration(update, Way.WATCH)
         if update.upstream_by_id:
             self._instance.update_directory(
                 upstream_directory.Changes(update.upstream_by_id, update.revision)
@@ -218,12 +237,37 @@
             changes = evacuation.Changes(update.is_evacuated_by_domain, origin)
             self._instance.evacuation.apply(changes)
 
-    def _apply_configuration(self, update: configuration_source.SourceUpdate) -> None:
+    def _apply_configuration(
+        self, update: configuration_source.SourceUpdate, way: Way, peer: str = ""
+    ) -> None:
+        if update.configuration_count:
+            self._record_configuration(update, way, peer)
         if update.configuration is not None:
             self._instance.adopt(update.configuration)
         # A configuration that can't be decoded may withdraw keys, so the current one is outdated.
         self._instance.note_source_revision(update.configuration_revision)
 
+    def _record_configuration(
+        self, update: configuration_source.SourceUpdate, way: Way, peer: str
+    ) -> None:
+        behind_s = self._instance.source.behind_s()
+        configuration, transfer = update.configuration, update.transfer
+        eliot.log_message(
+            message_type="configuration_received",
+            version=configuration.version if configuration else None,
+            revision=source_position.revision_of(update.configuration_revision),
+            configurations=update.configuration_count,
+            way=way.value,
+            peer=peer,
+            bytes=transfer.received_bytes,
+            transfer_s=round(transfer.transfer_s, 4),
+            decode_s=round(transfer.decode_s, 4),
+            behind_s=round(behind_s, 3),
+            requests_at_work=self._instance.active_requests,
+        )
+        self._instance.metrics.configuration_bytes.add(transfer.received_bytes, {"way": way.value})
+        self._instance.metrics.configuration_delay_seconds.record(behind_s, {"way": way.value})
+
     def _record_outage(self, error: configuration_source.SourceError) -> None:
         self._count_store_call("failed")
         if self._unreachable_since_s is not None:
--- a/src/carawaydoor/platform/store_client.py
+++ b/src/carawaydoor/platform/store_client.py
@@ -11,7 +11,12 @@
 import urllib.parse
 from typing import Any, Final
 
-from carawaydoor.operating import configuration_source, http_responses, platform_options
+from carawaydoor.operating import (
+    clocks,
+    configuration_source,
+    http_responses,
+    platform_options,
+)
 from carawaydoor.platform import names
 from carawaydoor.policy import source_position
 
@@ -53,10 +58,14 @@
     """Items read from the store.
 
     :ivar revision: position of the whole store, from which a watch can continue
+    :ivar received_bytes: size of the responses
+    :ivar transfer_s: seconds between the first and the last byte of the responses
     """
 
     items: tuple[configuration_source.SourceItem, ...]
     revision: int
+    received_bytes: int = 0
+    transfer_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,17 +73,24 @@
     """A valid response of the store.
 
     :ivar era: number of the store's restores, zero if it does not count them
+    :ivar received_bytes: size of the body
+    :ivar transfer_s: seconds between the head and the last byte of the body
     """
 
     document: dict[str, Any]
     era: int
+    received_bytes: int
+    transfer_s: float
 
 
 class StoreClient:
     """Reads and watches the store over one persistent connection; not thread-safe."""
 
-    def __init__(self, address: platform_options.Address) -> None:
+    def __init__(
+        self, address: platform_options.Address, clock: clocks.Clock | None = None
+    ) -> None:
         self._address = address
+        self._clock = clock or clocks.SystemClock()
         self._connection: http.client.HTTPConnection | None = None
         self._era = 0
 
@@ -89,16 +105,19 @@
         """
         items: list[configuration_source.SourceItem] = []
         start = None
+        received_bytes, transfer_s = 0, 0.0
         query = {"pathPrefix": prefix}
         for _ in range(MAX_PAGES_PER_READ):
             response = self._get(names.STORE_RANGE_PATH, query, timeout_s)
+            received_bytes += response.received_bytes
+            transfer_s += response.transfer_s
             page = _parse_items(response, "items")
             items.extend(page)
             start = _parse_position(response) if start is None else start
             if source_position.era_of(start) != response.era:
                 raise StoreError(StoreFailure.RESTORED, "the store was restored between two pages")
             if not response.document.get("truncated") or not page:
-                return ItemBatch(tuple(items), start)
+                return ItemBatch(tuple(items), start, received_bytes, transfer_s)
             query = {"pathPrefix": prefix, "after": page[-1].key}
         raise StoreError(StoreFailure.MALFORMED, f"more than {MAX_PAGES_PER_READ} pages")
 
@@ -118,7 +137,12 @@
         if response.era != source_position.era_of(after):
             # The revision exists in the new era as well, but with another history.
             raise HistoryGoneError
-        return ItemBatch(_parse_items(response, "events"), _parse_position(response))
+        return ItemBatch(
+            _parse_items(response, "events"),
+            _parse_position(response),
+            response.received_bytes,
+            response.transfer_s,
+        )
 
     def close(self) -> None:
         """Close the connection."""
@@ -132,7 +156,9 @@
             connection = self._connect(timeout_s)
             connection.request("GET", target)
             response = connection.getresponse()
+            headed_s = self._clock.now_s()
             content = response.read()
+            transfer_s = self._clock.now_s() - headed_s
         except (OSError, http.client.HTTPException) as error:
             self.close()
             raise StoreError(StoreFailure.UNREACHABLE, repr(error)) from error
@@ -155,7 +181,7 @@
             raise StoreError(StoreFailure.MALFORMED, repr(error)) from error
         if not isinstance(document, dict):
             raise StoreError(StoreFailure.MALFORMED, "the response is not a JSON object")
-        return _StoreResponse(document, era)
+        return _StoreResponse(document, era, len(content), transfer_s)
 
     def _connect(self, timeout_s: float) -> http.client.HTTPConnection:
         if self._connection is None:
--- a/src/carawaydoor/platform/store_source.py
+++ b/src/carawaydoor/platform/store_source.py
@@ -9,7 +9,7 @@
 
 import eliot
 
-from carawaydoor.operating import configuration_source, platform_options
+from carawaydoor.operating import clocks, configuration_source, platform_options
 from carawaydoor.platform import field_types, names, store_client, store_documents
 from carawaydoor.policy import entities
 
@@ -23,8 +23,11 @@
 class StoreSource(configuration_source.ConfigurationSource):
     """Reads and watches the platform's store."""
 
-    def __init__(self, address: platform_options.Address) -> None:
-        self._client = store_client.StoreClient(address)
+    def __init__(
+        self, address: platform_options.Address, clock: clocks.Clock | None = None
+    ) -> None:
+        self._clock = clock or clocks.SystemClock()
+        self._client = store_client.StoreClient(address, self._clock)
         self._lock = threading.Lock()
         self._item_by_key: dict[str, configuration_source.SourceItem] = {}
         self._removal_by_key: collections.OrderedDict[str, configuration_source.SourceItem] = (
@@ -49,9 +52,11 @@
         self, changes: configuration_source.SourceChanges
     ) -> configuration_source.SourceUpdate:
         """Decode and keep changes that another instance has read."""
-        batch = store_client.ItemBatch(changes.items, changes.revision)
+        batch = store_client.ItemBatch(
+            changes.items, changes.revision, changes.received_bytes, changes.transfer_s
+        )
         self._keep_changes(batch)
-        return _decode_update(batch)
+        return self._decode(batch)
 
     def configuration_created(self) -> int:
         """Return the position at which the first configuration was written, zero if unknown."""
@@ -79,6 +84,21 @@
                     self._complete_after = max(self._complete_after, oldest.revision)
             self._revision = max(self._revision, batch.revision)
 
+    def _decode(self, batch: store_client.ItemBatch) -> configuration_source.SourceUpdate:
+        configuration_items = [each for each in batch.items if each.key == names.CONFIGURATION_KEY]
+        begun_s = self._clock.now_s()
+        configuration = _newest_valid_configuration(configuration_items)
+        decode_s = self._clock.now_s() - begun_s
+        return configuration_source.SourceUpdate(
+            configuration,
+            _decode_upstreams(batch.items),
+            batch.revision,
+            max((each.revision for each in configuration_items), default=0),
+            _decode_evacuations(batch.items),
+            len(configuration_items),
+            configuration_source.Transfer(batch.received_bytes, batch.transfer_s, decode_s),
+        )
+
     def read(self, timeout_s: float) -> configuration_source.SourceUpdate:
         """Return the configuration and all upstreams in the store."""
         try:
@@ -86,7 +106,7 @@
         except store_client.StoreError as error:
             raise configuration_source.SourceError(str(error)) from error
         self._keep_snapshot(batch)
-        return _decode_update(batch)
+        return self._decode(batch)
 
     def watch(
         self, after: int, wait_s: float, timeout_s: float
@@ -99,18 +119,7 @@
         except store_client.StoreError as error:
             raise configuration_source.SourceError(str(error)) from error
         self._keep_changes(batch)
-        return _decode_update(batch)
-
-
-def _decode_update(batch: store_client.ItemBatch) -> configuration_source.SourceUpdate:
-    configuration_items = [each for each in batch.items if each.key == names.CONFIGURATION_KEY]
-    return configuration_source.SourceUpdate(
-        _newest_valid_configuration(configuration_items),
-        _decode_upstreams(batch.items),
-        batch.revision,
-        max((each.revision for each in configuration_items), default=0),
-        _decode_evacuations(batch.items),
-    )
+        return self._decode(batch)
 
 
 def _newest_valid_configuration(
--- a/src/carawaydoor/platformd.py
+++ b/src/carawaydoor/platformd.py
@@ -68,7 +68,7 @@
         self._instance = instance_state.InstanceState(
             options, clock, platform_metrics.Metrics(options.instance)
         )
-        source = store_source.StoreSource(options.store)
+        source = store_source.StoreSource(options.store, clock)
         self._instance.lists.source = store_lists.StoreLists(
             options.store, options.store_history_s, source.configuration_created
         )
--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -210,6 +210,7 @@
             workspace=exchange.workspace_name,
             revision=exchange.revision,
             proof_age_s=round(self._instance.proof_age_s(), 3),
+            behind_s=round(self._instance.source.configuration_behind_s(), 3),
             attempts=exchange.attempts,
             upstream=upstream,
             status=status,
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -127,6 +127,7 @@
             self._lock,
             lambda: self.membership,
             self.update_directory,
+            lambda: self.configuration.revision,
         )
         self.evacuation: Final = evacuation_state.EvacuationState(
             clock, metrics, self._lock, self.connection_pool, lambda: self.directory
@@ -491,6 +492,7 @@
                 self._apply_gossip_effect(effect, now_s)
             if isinstance(report, reports.Report):
                 self._note_version_of_earlier_era(report)
+                self.source.note_peer_configuration(report.revision)
         self.source.note_peer_revision(report.source_revision)
 
     def _note_version_of_earlier_era(self, report: reports.Report) -> None:
--- a/src/carawaydoor/serving/source_state.py
+++ b/src/carawaydoor/serving/source_state.py
@@ -7,7 +7,7 @@
 
 from carawaydoor.fleet import gossip
 from carawaydoor.operating import clocks
-from carawaydoor.policy import source_reading, upstream_directory
+from carawaydoor.policy import source_lag, source_reading, upstream_directory
 
 
 class SourceState:
@@ -25,6 +25,7 @@
         lock: threading.RLock,
         membership: Callable[[], gossip.Membership],
         update_directory: Callable[[upstream_directory.Message], None],
+        configuration_position: Callable[[], int],
     ) -> None:
         self.revision = 0
         self.on_changed: Callable[[], None] = _do_nothing
@@ -34,8 +35,11 @@
         self._lock = lock
         self._membership = membership
         self._update_directory = update_directory
+        self._configuration_position = configuration_position
         self._reachable_since_s: float | None = None
         self._has_news = threading.Event()
+        self._lag = source_lag.Lag()
+        self._configuration_lag = source_lag.Lag()
 
     def mark_lost(self) -> None:
         """Record that the source does not respond."""
@@ -107,9 +111,47 @@
 
     def note_peer_revision(self, revision: int) -> None:
         """Record up to which position a peer knows the content of the source."""
+        with self._lock:
+            self._lag = source_lag.record_peer(
+                self._lag, self._clock.now_s(), self.revision, revision
+            )
         if revision > self.revision:
             self._has_news.set()
 
+    def note_peer_configuration(self, position: int) -> None:
+        """Record the position of the configuration that is in force at a peer."""
+        with self._lock:
+            self._configuration_lag = source_lag.record_peer(
+                self._configuration_lag,
+                self._clock.now_s(),
+                self._known_configuration_position(),
+                position,
+            )
+
+    def lacks_configuration(self) -> bool:
+        """Return whether a peer has a configuration that this instance lacks."""
+        return self._current_configuration_lag().oldest is not None
+
+    def configuration_behind_s(self) -> float:
+        """Return for how many seconds a configuration has been known that this instance lacks."""
+        return source_lag.behind_s(self._current_configuration_lag(), self._clock.now_s())
+
+    def _current_configuration_lag(self) -> source_lag.Lag:
+        with self._lock:
+            self._configuration_lag = source_lag.record_own(
+                self._configuration_lag, self._known_configuration_position()
+            )
+            return self._configuration_lag
+
+    def _known_configuration_position(self) -> int:
+        return max(self.revision, self._configuration_position())
+
+    def behind_s(self) -> float:
+        """Return for how many seconds peers have known more of the source than this instance."""
+        with self._lock:
+            self._lag = source_lag.record_own(self._lag, self.revision)
+            return source_lag.behind_s(self._lag, self._clock.now_s())
+
     def wait_for_news(self, revision: int, timeout_s: float) -> bool:
         """Wait until a peer of this failure domain knows a newer revision of the source.
 
