Spread followers over readers, and read the store over the fastest links

Callers could get answers by an old configuration for too long. In a failure domain of nine instances or more three read the store. Which ones followed from a hash of their names, whatever their links, and all followers asked the same one first, so that one link carried all copies; a reader that had lost the store still responded and was asked again until the proofs were too old.

Readers are now those with the fastest links of those that reach the store (limits.linkMbps, told in reports; earlier builds don't say and ignore it). Each follower orders them by weighted rendezvous hashing, those that have announced the change first.

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 import zlib
 from collections.abc import Iterable, Mapping
@@ -170,6 +171,7 @@
         reads_compressed=report.reads_compressed,
         demands=_demand_structs(report.demands),
         capacities=_capacity_structs(report.capacities),
+        link_mbps=report.link_mbps,
     )
 
 
@@ -329,9 +331,17 @@
         reads_compressed=bool(message.reads_compressed),
         demands=_demands(message),
         capacities=_capacities(message.capacities),
+        link_mbps=_link_mbps(message.link_mbps),
     )
 
 
+def _link_mbps(value: float | None) -> float:
+    """Return a bandwidth, zero for one that is unknown or can't be true."""
+    if value is None or not math.isfinite(value) or value < 0.0:
+        return 0.0
+    return float(value)
+
+
 def _demands(message: Any) -> tuple[urgency.Demand, ...] | None:
     """Return the demands in a report without those that can't be true."""
     if message.demands is None:
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -116,6 +116,7 @@
     further={
         32: (thrift.TType.LIST, "demands", (thrift.TType.STRUCT, Demand)),
         34: (_BOOL, "reads_compressed"),
+        35: (_DOUBLE, "link_mbps"),
     },
 )
 WorkReport: Final = _declare(
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -163,6 +163,8 @@
     :ivar demands: demand for decode memory of services whose requests differ in priority, None from
         earlier releases, which don't say
     :ivar capacities: how fast upstreams work, by the sender's own calls; empty if nothing is said
+    :ivar link_mbps: bandwidth of the sender's link in megabits a second, zero if unknown; earlier
+        releases don't say
     """
 
     contact: Contact
@@ -197,6 +199,7 @@
     reads_compressed: bool = False
     demands: tuple[urgency.Demand, ...] | None = None
     capacities: tuple[SharedCapacity, ...] = ()
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/operating/platform_options.py
+++ b/src/carawaydoor/operating/platform_options.py
@@ -66,6 +66,7 @@
     :ivar store_history_s: time in seconds for which the store keeps changes
     :ivar region: region of the instance, empty if unknown
     :ivar region_by_domain: region of each failure domain, as far as they are known
+    :ivar link_mbps: bandwidth of the machine's link in megabits a second, zero if unknown
     :ivar learns_capacity: whether the speeds of upstreams are learned; without it they count as equal
     """
 
@@ -84,3 +85,4 @@
     region: str = ""
     region_by_domain: Mapping[str, str] = dataclasses.field(default_factory=dict)
     learns_capacity: bool = True
+    link_mbps: float = 0.0
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -122,7 +122,7 @@
         has_news = self._instance.source.wait_for_news(revision, FOLLOW_INTERVAL_S)
         if not has_news and self._instance.proof_age_s() < self._timing.proof_request_age_s:
             return revision
-        for host in self._instance.source.reader_hosts():
+        for host in self._instance.source.reader_hosts(revision):
             requested_s = self._clock.now_s()
             try:
                 revision = self._fetch(host, revision)
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -61,6 +61,7 @@
 class _Limits(_Model):
     memoryMb: Positive  # noqa: N815
     fileDescriptors: int  # noqa: N815
+    linkMbps: NonNegative = 0.0  # noqa: N815
 
 
 class _Bounds(_Model):
@@ -162,6 +163,7 @@
         region=settings.region or settings.zones.get(settings.zone, ""),
         region_by_domain=settings.zones,
         learns_capacity=settings.learnsCapacity,
+        link_mbps=settings.limits.linkMbps,
     )
 
 
--- a/src/carawaydoor/policy/source_reading.py
+++ b/src/carawaydoor/policy/source_reading.py
@@ -8,10 +8,13 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import zlib
 from collections.abc import Iterable
 from typing import Final
 
+from carawaydoor.policy import rendezvous
+
 # One may be cut off and another one be restarting at the same time.
 READERS_PER_DOMAIN: Final = 3
 # In smaller domains the shorter watches of a few readers would add up to more calls than those of
@@ -33,10 +36,12 @@
     """An instance of the failure domain that may read the source.
 
     :ivar is_connected: whether it reaches the source, as far as it has tried
+    :ivar link_mbps: bandwidth of its link in megabits a second, zero if unknown
     """
 
     instance: str
     is_connected: bool
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,13 +70,38 @@
 def readers(candidates: Iterable[Candidate]) -> tuple[str, ...]:
     """Return the instances that read the source for their failure domain.
 
-    Those that reach the source come first; the order is otherwise the same at every instance.
+    Those that reach the source come first, then those with the fastest links, since the link of a
+    reader carries the copies of all its followers. The order is otherwise the same at every instance.
     """
     everyone = tuple(candidates)
     if not has_followers(len(everyone)):
         return tuple(each.instance for each in everyone)
     ordered = sorted(
         everyone,
-        key=lambda each: (not each.is_connected, zlib.crc32(each.instance.encode()), each.instance),
+        key=lambda each: (
+            not each.is_connected,
+            -each.link_mbps,
+            zlib.crc32(each.instance.encode()),
+            each.instance,
+        ),
     )
     return tuple(each.instance for each in ordered[:READERS_PER_DOMAIN])
+
+
+def order_for(follower: str, candidates: Iterable[Candidate]) -> tuple[str, ...]:
+    """Return candidates in the order in which a follower asks them.
+
+    Each follower has an order of its own, so that the followers of a failure domain are spread over
+    its readers in proportion to their links.
+    """
+    everyone = tuple(candidates)
+    known_mbps = [each.link_mbps for each in everyone if each.link_mbps > 0.0]
+    assumed_mbps = min(known_mbps, default=1.0)
+
+    def distance(candidate: Candidate) -> float:
+        # Weighted rendezvous hashing.
+        fraction = (rendezvous.weight(follower, candidate.instance) + 1) / 2**64
+        return -math.log(fraction) / (candidate.link_mbps or assumed_mbps)
+
+    ordered = sorted(everyone, key=lambda each: (distance(each), each.instance))
+    return tuple(each.instance for each in ordered)
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -123,6 +123,7 @@
         self.source: Final = source_state.SourceState(
             options.instance,
             options.domain,
+            options.link_mbps,
             clock,
             self._lock,
             lambda: self.membership,
@@ -435,6 +436,7 @@
                 failures=self.selector.failures_to_report(),
                 cut_off_services=tuple(self.reach.cut_off_services()),
                 demands=self.urgency.demands_to_report(),
+                link_mbps=self.options.link_mbps,
             )
             hosts = [each.host for each in contacts]
             seeds = (each.host for each in self.options.seeds)
--- a/src/carawaydoor/serving/source_state.py
+++ b/src/carawaydoor/serving/source_state.py
@@ -21,6 +21,7 @@
         self,
         instance: str,
         domain: str,
+        link_mbps: float,
         clock: clocks.Clock,
         lock: threading.RLock,
         membership: Callable[[], gossip.Membership],
@@ -31,6 +32,7 @@
         self.on_changed: Callable[[], None] = _do_nothing
         self._instance = instance
         self._domain = domain
+        self._link_mbps = link_mbps
         self._clock = clock
         self._lock = lock
         self._membership = membership
@@ -80,20 +82,34 @@
 
     def readers(self) -> tuple[str, ...]:
         """Return the instances that read the source for this failure domain."""
-        own = source_reading.Candidate(self._instance, self.steady_s() > 0.0)
+        return source_reading.readers(self._candidates())
+
+    def _candidates(self) -> tuple[source_reading.Candidate, ...]:
+        own = source_reading.Candidate(self._instance, self.steady_s() > 0.0, self._link_mbps)
         others = (
-            source_reading.Candidate(each.contact.instance, each.report.source_steady_s > 0.0)
+            source_reading.Candidate(
+                each.contact.instance, each.report.source_steady_s > 0.0, each.report.link_mbps
+            )
             for each in self.domain_peers()
             if each.report is not None
         )
-        return source_reading.readers((own, *others))
-
-    def reader_hosts(self) -> tuple[str, ...]:
-        """Return the hosts of the other instances that read the source for this failure domain."""
-        host_by_instance = {
-            each.contact.instance: each.contact.host for each in self.domain_peers()
-        }
-        return tuple(host_by_instance[each] for each in self.readers() if each in host_by_instance)
+        return own, *others
+
+    def reader_hosts(self, after: int) -> tuple[str, ...]:
+        """Return the hosts of the other instances that read the source for this failure domain.
+
+        They are in the order in which this instance asks them. A reader that has lost the source still
+        responds, so those that know it beyond a position come first.
+        """
+        peer_by_instance = {each.contact.instance: each for each in self.domain_peers()}
+        candidates = self._candidates()
+        readers = source_reading.readers(candidates)
+        ordered = source_reading.order_for(
+            self._instance, (each for each in candidates if each.instance in readers)
+        )
+        peers = [peer_by_instance[each] for each in ordered if each in peer_by_instance]
+        peers.sort(key=lambda each: each.report is None or each.report.source_revision <= after)
+        return tuple(each.contact.host for each in peers)
 
     def informed_hosts(self, after: int) -> tuple[str, ...]:
         """Return the hosts of live peers that know the source beyond a position, newest first."""
