Bound the time for which followers ask their readers

A configuration was in force too late at followers whose readers had fallen silent: each was asked in turn, half a second long, before the follower read the store, whatever time that took, and a trickling response had no bound at all. With a stable window of 4 s that is over the 3 s in which a configuration has to be in force.

A follower that has had no proof for 0.52 of the stable window, or has known of a newer configuration for 0.4 of configurationMs, asks no further reader and reads the store. It also asks if only instances of other failure domains report the newer one.

--- a/src/carawaydoor/fleet/source_relay.py
+++ b/src/carawaydoor/fleet/source_relay.py
@@ -15,18 +15,21 @@
 import json
 import threading
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Annotated, Final
 
 import pydantic
 
 from carawaydoor.fleet import peer_http
-from carawaydoor.operating import configuration_source
+from carawaydoor.operating import clocks, configuration_source
 
 CHANGES_PATH: Final = "/source/changes"
 EVACUATIONS_PATH: Final = "/source/evacuations"
 # Both instances are in one failure domain, so a longer silence means that the other one has failed.
 TIMEOUT_S: Final = 0.5
+# Longest duration of a whole exchange, so that one with a reader whose link is busy leaves time to ask
+# another one or to read the source.
+TOTAL_TIMEOUT_S: Final = 1.0
 # Added to a request by builds that read compressed responses.
 COMPRESSED_PARAMETER: Final = "compressed"
 # First byte of compressed content; that of a JSON object is a brace.
@@ -215,20 +218,28 @@
     return RelayedChanges(changes, document.proof_age_s, document.steady_s)
 
 
-def fetch(host: str, port: int, after: int) -> RelayedChanges:
+def fetch(host: str, port: int, after: int, clock: clocks.Clock) -> RelayedChanges:
     """Ask another instance for the changes after a revision.
 
-    :raises RelayError: if it doesn't know them or gives no valid response
+    :raises RelayError: if it doesn't know them, or gives no valid response in time
     """
-    content = _get(host, port, CHANGES_PATH, {"after": after, COMPRESSED_PARAMETER: 1})
+    deadline_s = clock.now_s() + TOTAL_TIMEOUT_S
+    query = {"after": after, COMPRESSED_PARAMETER: 1}
+    content = _get(host, port, CHANGES_PATH, query, lambda: clock.now_s() > deadline_s)
     relayed = decode(content)
     changes = dataclasses.replace(relayed.changes, received_bytes=len(content))
     return dataclasses.replace(relayed, changes=changes)
 
 
-def _get(host: str, port: int, path: str, query: Mapping[str, object]) -> bytes:
+def _get(
+    host: str,
+    port: int,
+    path: str,
+    query: Mapping[str, object],
+    is_overdue: Callable[[], bool] = lambda: False,
+) -> bytes:
     try:
-        status, content = peer_http.get(host, port, path, query, TIMEOUT_S)
+        status, content = peer_http.get(host, port, path, query, TIMEOUT_S, is_overdue)
     except peer_http.PeerError as error:
         raise RelayError(str(error)) from error
     if status != _OK_STATUS:
--- a/src/carawaydoor/operating/platform_options.py
+++ b/src/carawaydoor/operating/platform_options.py
@@ -35,6 +35,8 @@
     :ivar cold_overshoot: multiple of the requests that a cold upstream handles in a second which all
         instances together may send in one
     :ivar cold_slack: requests that they may send in a second in addition to that multiple
+    :ivar configuration_s: time from the acknowledgement of a configuration until it has to be in
+        force at all instances
     """
 
     withdrawal_s: float
@@ -48,6 +50,7 @@
     drain_s: float
     cold_overshoot: float = 1.5
     cold_slack: float = 5.0
+    configuration_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -31,6 +31,9 @@
 READER_WATCH_DELAY_S: Final = 0.4
 # Interval at which an instance that doesn't read the source checks whether it has to.
 FOLLOW_INTERVAL_S: Final = 0.2
+# After this time behind peers of other failure domains an instance asks the readers of its own, which
+# announce changes to it as well.
+ASK_BEHIND_S: Final = 0.5
 # Timeout of each page of a full read.
 READ_TIMEOUT_S: Final = 1.0
 RETRY_DELAY_S: Final = 0.25
@@ -70,6 +73,9 @@
         stable_window_s = instance.options.bounds.stable_window_s
         self._longest_watch_s = WATCH_WINDOW_SHARE * stable_window_s
         self._timing = source_reading.timing(stable_window_s)
+        self._self_reading_behind_s = source_reading.self_reading_behind_s(
+            instance.options.bounds.configuration_s
+        )
         self._self_reading_until_s = float("-inf")
         self._stop_requested = threading.Event()
         self._thread = threading.Thread(target=self._run, name="source-watcher", daemon=True)
@@ -120,9 +126,14 @@
         """Wait for news from the instances that read the source, and fetch what they have read."""
         self._instance.source.mark_unused()
         has_news = self._instance.source.wait_for_news(revision, FOLLOW_INTERVAL_S)
-        if not has_news and self._instance.proof_age_s() < self._timing.proof_request_age_s:
+        is_proven = self._instance.proof_age_s() < self._timing.proof_request_age_s
+        behind_s = self._instance.source.configuration_behind_s()
+        if not has_news and is_proven and behind_s < ASK_BEHIND_S:
             return revision
         for host in self._instance.source.reader_hosts(revision):
+            if self._is_overdue():
+                # Readers that are asked one after the other may all be silent.
+                break
             requested_s = self._clock.now_s()
             try:
                 revision = self._fetch(host, revision)
@@ -135,7 +146,7 @@
                     behind_s=round(self._instance.source.behind_s(), 3),
                 )
                 continue
-            if self._instance.proof_age_s() < self._timing.self_reading_age_s:
+            if not self._is_overdue():
                 self._stop_requested.wait(FOLLOW_INTERVAL_S)
                 return revision
         self._self_reading_until_s = self._clock.now_s() + source_reading.MIN_SELF_READING_S
@@ -147,9 +158,16 @@
         )
         return revision
 
+    def _is_overdue(self) -> bool:
+        """Return whether this instance can no longer rely on others to follow the source."""
+        return (
+            self._instance.proof_age_s() >= self._timing.self_reading_age_s
+            or self._instance.source.configuration_behind_s() >= self._self_reading_behind_s
+        )
+
     def _fetch(self, host: str, revision: int) -> int:
         requested_s = self._clock.now_s()
-        relayed = source_relay.fetch(host, self._instance.options.first_port, revision)
+        relayed = source_relay.fetch(host, self._instance.options.first_port, revision, self._clock)
         transfer_s = self._clock.now_s() - requested_s
         update = self._source.take_over(dataclasses.replace(relayed.changes, transfer_s=transfer_s))
         is_recovering = relayed.steady_s < upstream_directory.REAPPEARANCE_GRACE_S
--- a/src/carawaydoor/platform/platform_settings.py
+++ b/src/carawaydoor/platform/platform_settings.py
@@ -156,6 +156,7 @@
             drain_s=bounds.drainMs / _MS_PER_S,
             cold_overshoot=bounds.coldOvershoot,
             cold_slack=bounds.coldSlack,
+            configuration_s=bounds.configurationMs / _MS_PER_S,
         ),
         max_descriptors=settings.limits.fileDescriptors,
         memory_bytes=int(settings.limits.memoryMb * _BYTES_PER_MB),
--- a/src/carawaydoor/policy/source_reading.py
+++ b/src/carawaydoor/policy/source_reading.py
@@ -27,6 +27,9 @@
 READER_WATCH_SHARE: Final = 0.3
 PROOF_REQUEST_SHARE: Final = 0.4
 SELF_READING_SHARE: Final = 0.52
+# Fraction of the time in which a configuration has to be in force. An instance that has been behind
+# its peers for so long reads the source itself, with the rest of that time left for it.
+SELF_READING_BEHIND_SHARE: Final = 0.4
 # An instance that found no proof elsewhere goes on to read the source for this time.
 MIN_SELF_READING_S: Final = 10.0
 
@@ -62,6 +65,14 @@
     )
 
 
+def self_reading_behind_s(configuration_s: float) -> float:
+    """Return for how many seconds an instance may be behind before it reads the source itself.
+
+    :param configuration_s: time in seconds in which a configuration has to be in force
+    """
+    return SELF_READING_BEHIND_SHARE * configuration_s
+
+
 def has_followers(instance_count: int) -> bool:
     """Return whether some instances of a failure domain of this size don't read the source."""
     return instance_count >= MIN_INSTANCES_WITH_FOLLOWERS
--- a/tests/platform_side/test_configuration_distribution.py
+++ b/tests/platform_side/test_configuration_distribution.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from carawaydoor.fleet import source_relay
-from carawaydoor.operating import configuration_source, platform_options, probe_app
+from carawaydoor.operating import clocks, configuration_source, platform_options, probe_app
 from carawaydoor.platform import names, store_source
 from carawaydoor.serving import http_servers
 from tests.platform_side import router_harness
@@ -60,13 +60,14 @@
 # its link longer than a configuration may take to be in force everywhere.
 def test_all_followers_of_one_reader_get_a_large_configuration_in_time(reader):
     link, before = reader
+    clock = clocks.SystemClock()
     deadline_s = time.monotonic() + CONFIGURATION_S
 
     def follow(_):
         # As a follower does that has no other reader.
         while time.monotonic() < deadline_s:
             with contextlib.suppress(source_relay.RelayError):
-                return source_relay.fetch("127.0.0.1", link.port, before)
+                return source_relay.fetch("127.0.0.1", link.port, before, clock)
         return None
 
     with concurrent.futures.ThreadPoolExecutor(FOLLOWERS) as pool:
--- a/tests/platform_side/test_source_relay.py
+++ b/tests/platform_side/test_source_relay.py
@@ -73,10 +73,10 @@
 class Follower:
     """An instance of a large failure domain, and another one that reads the store for it."""
 
-    def __init__(self, stack, fake_store, monkeypatch):
+    def __init__(self, stack, fake_store, monkeypatch, **options):
         monkeypatch.setattr(gossip, "silence_timeout_s", lambda _: 1e9)
-        self.reader = stack.enter_context(router_harness.running()).instance
-        self.follower = stack.enter_context(router_harness.running()).instance
+        self.reader = stack.enter_context(router_harness.running(**options)).instance
+        self.follower = stack.enter_context(router_harness.running(**options)).instance
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
@@ -84,9 +84,10 @@
             [source_reading.Candidate(f"x{n}", True) for n in range(DOMAIN_SIZE)]
         )
         self.reader_name, self.others = reader_name, others
-        options = router_harness.example_options(instance="follower", first_port=port)
-        self.follower.options = options
-        self.reader.options = router_harness.example_options(instance=reader_name)
+        self.follower.options = router_harness.example_options(
+            instance="follower", first_port=port, **options
+        )
+        self.reader.options = router_harness.example_options(instance=reader_name, **options)
         for each in (self.reader, self.follower):
             each.configuration = router_harness.entities.EMPTY_CONFIGURATION
             each.freshness = type(each.freshness)()
@@ -198,3 +199,28 @@
     assert not follower.follower.accepts_keys()
     store.mode = Mode.GOOD
     wait_until(follower.follower.accepts_keys)
+
+
+# Regression: readers that had fallen silent were asked one after the other, each until its timeout,
+# before the follower read the store, and a configuration was in force too late.
+def test_follower_of_silent_readers_gets_a_configuration_in_time(store, monkeypatch):
+    bounds = platform_options.Bounds(
+        5.0, 8.0, 0.2, 54.0, 10.0, 4.0, 8.0, 0.25, 3.0, configuration_s=3.0
+    )
+
+    def time_out(*_):
+        time.sleep(source_relay.TIMEOUT_S)
+        raise source_relay.RelayError("the test's reader is silent")
+
+    with contextlib.ExitStack() as stack:
+        running = Follower(stack, store, monkeypatch, bounds=bounds)
+        stack.callback(running.stop)
+        instance = running.follower
+        running.watchers[0].stop()
+        monkeypatch.setattr(source_relay, "fetch", time_out)
+        # The follower has just had a proof, so it doesn't expect another one for a while.
+        instance.confirm_revision(instance.configuration.revision, instance.clock.now_s())
+        acknowledged_s = time.monotonic()
+        store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 12})
+        wait_until(lambda: instance.configuration.version == 12)
+        assert time.monotonic() - acknowledged_s < bounds.configuration_s
