Fetch a newer configuration from peers while the store rejects this instance

The store may turn some instances away and serve the others. In small failure domains, where each instance reads it, one that was turned away kept its configuration until the store served it again, though its peers had the newer one.

Such an instance now fetches from peers that know more, if one of them reports a newer configuration.

test_instance_without_the_store_gets_a_configuration_from_a_peer: not within 10 s on the code before.

--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -31,6 +31,8 @@
 READER_WATCH_DELAY_S: Final = 0.4
 # Interval at which an instance that doesn't read the source checks whether it has to.
 FOLLOW_INTERVAL_S: Final = 0.2
+# Peers that are asked, one after the other, for what a source that does not respond would tell.
+MAX_INFORMED_PEERS: Final = 2
 # After this time behind peers of other failure domains an instance asks the readers of its own, which
 # announce changes to it as well.
 ASK_BEHIND_S: Final = 0.5
@@ -104,6 +106,7 @@
             except configuration_source.SourceError as error:
                 self._record_outage(error)
                 self._hear_evacuations(revision)
+                revision = self._fetch_from_informed(revision)
                 self._stop_requested.wait(RETRY_DELAY_S)
             except Exception:
                 eliot.write_traceback()
@@ -117,6 +120,20 @@
             # What a peer says must not end the thread that reads the source.
             eliot.write_traceback()
 
+    def _fetch_from_informed(self, revision: int) -> int:
+        """Fetch a newer configuration from peers while the source does not respond to this instance."""
+        if not revision or not self._instance.source.lacks_configuration():
+            return revision
+        for host in self._instance.source.informed_hosts(revision)[:MAX_INFORMED_PEERS]:
+            try:
+                return self._fetch(host, revision)
+            except source_relay.RelayError as error:
+                eliot.log_message(message_type="relay_failed", peer=host, detail=str(error))
+            except Exception:
+                # What a peer says must not end the thread that reads the source.
+                eliot.write_traceback()
+        return revision
+
     def _reads_source(self) -> bool:
         if self._clock.now_s() < self._self_reading_until_s:
             return True
--- a/tests/platform_side/test_source_relay.py
+++ b/tests/platform_side/test_source_relay.py
@@ -18,11 +18,12 @@
     source_watcher,
 )
 from carawaydoor.platform import names, store_source
-from carawaydoor.policy import source_reading
+from carawaydoor.policy import entities, source_reading
 from carawaydoor.serving import http_servers
 from tests.platform_side import router_harness
 from tests.platform_side.fake_store import Mode
 from tests.platform_side.stored_documents import CASES, put_server, wait_until
+from tools import local_cluster
 
 DOMAIN_SIZE = 12
 ITEMS = st.lists(
@@ -224,3 +225,42 @@
         store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 12})
         wait_until(lambda: instance.configuration.version == 12)
         assert time.monotonic() - acknowledged_s < bounds.configuration_s
+
+
+# Regression: an instance whose calls the store rejects learned what had changed from no peer.
+def test_instance_without_the_store_gets_a_configuration_from_a_peer(store, monkeypatch):
+    put_server(store, 1)
+    store.put(names.CONFIGURATION_KEY, CASES["configuration"])
+    address = platform_options.Address("127.0.0.1", store.port)
+    (port,) = local_cluster.free_ports(1)
+    with contextlib.ExitStack() as stack:
+        peer, late = (
+            stack.enter_context(
+                router_harness.running(instance=each, first_port=port, store=address)
+            ).instance
+            for each in ("peer", "late")
+        )
+        for each in (peer, late):
+            each.configuration = entities.EMPTY_CONFIGURATION
+        source, late_source = (store_source.StoreSource(address) for _ in range(2))
+        relay_address = platform_options.Address("127.0.0.1", port)
+        http_servers.OperatorServer(probe_app.RelayApp(peer, source), (relay_address,)).start()
+        first = source.read(1.0).revision
+        watcher = source_watcher.SourceWatcher(late, late_source, late.clock)
+        watcher.start()
+        stack.callback(watcher.stop)
+        wait_until(lambda: late.source.steady_s() > 0.0)
+
+        def fail(*_):
+            time.sleep(0.05)
+            raise configuration_source.SourceError("rejected")
+
+        monkeypatch.setattr(late_source, "watch", fail)
+        time.sleep(source_watcher.WATCH_WINDOW_SHARE * late.options.bounds.stable_window_s)
+        store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 13})
+        update = source.watch(first, 1.0, 2.0)
+        peer.adopt(update.configuration)
+        peer.source.revision = update.revision
+        peer.confirm_revision(update.configuration.revision, peer.clock.now_s())
+        late.handle_report(peer.compose_report()[0])
+        wait_until(lambda: late.configuration.version == 13)
