Refuse a request passed on that was judged by a newer configuration

An instance that reaches no upstream passes requests on to a peer, which judged them by its own configuration. Where that was older, callers of an instance that already served a newer one got 404 for an added route, or their requests ran by the route as it was before.

The request names the position by which it was judged. A peer with an older configuration refuses it with 503, and the next peer is asked.

--- a/src/carawaydoor/platform/http_adapter.py
+++ b/src/carawaydoor/platform/http_adapter.py
@@ -40,6 +40,8 @@
 # Standard headers for callers that begin like an upstream's notices to the router.
 _FORWARDED_NOTICE_HEADERS: Final = frozenset({"server-timing"})
 _MAX_TOKEN_DIGITS: Final = 9
+# Positions of the source have 63 bits.
+_MAX_POSITION_DIGITS: Final = 19
 _PROBLEM_TYPE: Final = "application/problem+json"
 
 
@@ -64,6 +66,7 @@
                 last_event_id=_header_text(environ, names.Header.LAST_EVENT_ID) or "",
                 resumes=_header_text(environ, names.Header.RESUMES) or "",
                 attempts_elsewhere=_header_count(environ, names.Header.ATTEMPTS_ELSEWHERE),
+                configuration_position=_header_position(environ),
                 is_gone=environ.get("waitress.client_disconnected", lambda: False),
             )
         except ValueError as error:
@@ -120,6 +123,7 @@
             (names.Header.TIME_LEFT_MS.value, str(max(1, int(time_left_s * _MS_PER_S)))),
             (names.Header.FORWARDED_BY.value, instance),
             (names.Header.ATTEMPTS_ELSEWHERE.value, str(attempts_elsewhere)),
+            (names.Header.CONFIGURATION_POSITION.value, str(exchange.revision)),
         ]
         if inbound.key is not None:
             headers.append((names.Header.KEY.value, inbound.key))
@@ -368,6 +372,11 @@
     return int(text) if _is_token_count(text) else 0
 
 
+def _header_position(environ: Mapping[str, Any]) -> int:
+    text = _header_text(environ, names.Header.CONFIGURATION_POSITION) or ""
+    return int(text) if text.isdecimal() and len(text) <= _MAX_POSITION_DIGITS else 0
+
+
 def _decode_prompt(environ: Mapping[str, Any]) -> entities.Prompt | None:
     text = _header_text(environ, names.Header.TOKENS)
     if text is None:
--- a/src/carawaydoor/platform/names.py
+++ b/src/carawaydoor/platform/names.py
@@ -32,6 +32,8 @@
     FORWARDED_BY = "Carawaydoor-Forwarded-By"
     # Between instances only: attempts of a request that other instances may have made or may make.
     ATTEMPTS_ELSEWHERE = "Carawaydoor-Attempts-Elsewhere"
+    # Between instances only: position of the configuration by which the first one judged a request.
+    CONFIGURATION_POSITION = "Carawaydoor-Configuration-Position"
     LAST_EVENT_ID = "Last-Event-Id"
     # Id of the caller's attempt that brought the first event of a stream that it takes up again.
     RESUMES = "Resumes"
@@ -68,6 +70,7 @@
         Header.HOLD,
         Header.FORWARDED_BY,
         Header.ATTEMPTS_ELSEWHERE,
+        Header.CONFIGURATION_POSITION,
     )
 )
 # What upstreams say of themselves to the router; not forwarded to callers.
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -25,6 +25,8 @@
         it names none
     :ivar attempts_elsewhere: attempts that other instances may have made or may make, if one of them
         has passed the request on
+    :ivar configuration_position: position of the configuration by which another instance has judged the
+        request before it passed it on, zero if it does not say
     :ivar is_gone: returns whether the caller has closed its connection
     """
 
@@ -41,6 +43,7 @@
     is_gone: Callable[[], bool]
     resumes: str = ""
     attempts_elsewhere: int = 0
+    configuration_position: int = 0
 
     @property
     def path(self) -> str:
--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -35,6 +35,10 @@
 CONNECT_TIMEOUT_S: Final = 0.2
 # A suspended peer counts as silent sooner; one that still reports may stay unable to respond.
 NO_RESPONSE_MEMORY_S: Final = 5.0
+# Refusals of a peer that another one may not share.
+_REASONS_TO_ASK_ANOTHER: Final = frozenset(
+    {refusals.Reason.CUT_OFF.value, refusals.Reason.CONFIGURATION_BEHIND.value}
+)
 # Of the responses that instances give themselves.
 _MIN_REFUSAL_STATUS: Final = 400
 
@@ -162,7 +166,7 @@
         deadline_s: float,
         attempts_elsewhere: int,
     ) -> request_filters.HandlerResult | None:
-        """Return what a peer responds, None if it reaches no upstream either.
+        """Return what a peer responds, None if it reaches no upstream either or is behind.
 
         :param attempts_elsewhere: attempts that other peers may have made or may make
 
@@ -211,7 +215,7 @@
         if not check.is_genuine and response.status == refusals.Status.UNAVAILABLE:
             reason = _reason(content)
             self._log(exchange, peer, f"refused: {reason}")
-            if reason == refusals.Reason.CUT_OFF.value:
+            if reason in _REASONS_TO_ASK_ANOTHER:
                 return None
         else:
             self._log(exchange, peer, f"status {response.status}")
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -12,6 +12,7 @@
 
     NOT_CONFIGURED = "not-configured"
     CONFIGURATION_STALE = "configuration-stale"
+    CONFIGURATION_BEHIND = "configuration-behind"
     ROUTE_UNKNOWN = "route-unknown"
     KEY_MISSING = "key-missing"
     KEY_UNKNOWN = "key-unknown"
@@ -58,6 +59,7 @@
 _STATUS_BY_REASON: Final = {
     Reason.NOT_CONFIGURED: Status.UNAVAILABLE,
     Reason.CONFIGURATION_STALE: Status.UNAVAILABLE,
+    Reason.CONFIGURATION_BEHIND: Status.UNAVAILABLE,
     Reason.ROUTE_UNKNOWN: Status.NOT_FOUND,
     Reason.KEY_MISSING: Status.UNAUTHORIZED,
     Reason.KEY_UNKNOWN: Status.UNAUTHORIZED,
--- a/src/carawaydoor/serving/request_filters.py
+++ b/src/carawaydoor/serving/request_filters.py
@@ -55,6 +55,12 @@
             )
         exchange.revision = configuration.revision
         inbound = exchange.inbound
+        if exchange.is_forwarded and configuration.revision < inbound.configuration_position:
+            return _refuse(
+                refusals.Reason.CONFIGURATION_BEHIND,
+                "the instance that passed the request on has a newer configuration",
+                NOT_READY_RETRY_AFTER_S,
+            )
         route = routes.match(configuration, inbound.host, inbound.path)
         if route is None:
             if not self._instance.accepts_keys():
