Don't answer 404 or 401 by a configuration that is known to be replaced

An instance whose peers had reported a newer configuration answered 404 and 401 by its own, and served by it for as long as it lacked the newer one, up to the 4.4 s for which proofs hold. Only the newer one can tell.

It answers 503 in these cases, and to all requests once it has known of the newer one for 0.6 of configurationMs; it is not ready then. The rest of that time is for the delay with which it heard of it.

--- a/src/carawaydoor/policy/freshness.py
+++ b/src/carawaydoor/policy/freshness.py
@@ -7,6 +7,9 @@
 
 # Part of the bound on withdrawn keys that is left for a request on its way to an upstream.
 REQUEST_MARGIN_S: Final = 0.6
+# Part of the time in which a configuration has to be in force, after which an instance that knows of a
+# newer one serves no more requests by its own. The rest is for the delay with which it heard of it.
+MAX_BEHIND_SHARE: Final = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,3 +51,12 @@
     :param withdrawal_s: longest time for which a withdrawn key may still be accepted
     """
     return age_s(state, now_s) < withdrawal_s - REQUEST_MARGIN_S
+
+
+def is_far_behind(behind_s: float, configuration_s: float) -> bool:
+    """Return whether a newer configuration has been known for too long to serve by an older one.
+
+    :param behind_s: seconds for which it has been known, zero if there is none
+    :param configuration_s: time in seconds in which a configuration has to be in force
+    """
+    return behind_s >= MAX_BEHIND_SHARE * configuration_s
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -189,7 +189,12 @@
         """Whether the load balancer should send callers to this instance."""
         if self.is_draining or self.configuration.revision == 0 or self.directory.revision == 0:
             return False
-        return self.accepts_keys() and not self._is_isolated()
+        return self.accepts_keys() and not self.is_far_behind() and not self._is_isolated()
+
+    def is_far_behind(self) -> bool:
+        """Return whether a newer configuration than that in force has been known for too long."""
+        behind_s = self.source.configuration_behind_s()
+        return freshness.is_far_behind(behind_s, self.options.bounds.configuration_s)
 
     def _is_isolated(self) -> bool:
         """Return whether neither upstreams nor peers that reach them can serve any request."""
--- a/src/carawaydoor/serving/request_filters.py
+++ b/src/carawaydoor/serving/request_filters.py
@@ -61,8 +61,12 @@
                 "the instance that passed the request on has a newer configuration",
                 NOT_READY_RETRY_AFTER_S,
             )
+        if self._instance.is_far_behind():
+            return _behind()
         route = routes.match(configuration, inbound.host, inbound.path)
         if route is None:
+            if self._instance.source.lacks_configuration():
+                return _behind()
             if not self._instance.accepts_keys():
                 return _refuse(
                     refusals.Reason.CONFIGURATION_STALE,
@@ -120,6 +124,8 @@
                 "the configuration is too old to rule out that the key was withdrawn",
                 NOT_READY_RETRY_AFTER_S,
             )
+        if workspace is None and self._instance.source.lacks_configuration():
+            return _behind()
         if not key:
             return _refuse(refusals.Reason.KEY_MISSING, "the request has no key")
         if workspace is None:
@@ -177,6 +183,14 @@
     return expression.Error(refusals.Refusal(reason, detail, retry_after_s))
 
 
+def _behind() -> expression.Result[http_exchange.HttpExchange, refusals.Refusal]:
+    return _refuse(
+        refusals.Reason.CONFIGURATION_BEHIND,
+        "a peer has a newer configuration, which this instance lacks",
+        NOT_READY_RETRY_AFTER_S,
+    )
+
+
 def leaving_refusal() -> refusals.Refusal:
     """Return the refusal of a request that the exit of this instance might cut off."""
     return refusals.Refusal(
