--- a/src/carawaydoor/policy/freshness.py
+++ b/src/carawaydoor/policy/freshness.py
@@ -8,7 +8,7 @@
 # Part of the bound on withdrawn keys that is left for a request on its way to an upstream.
 REQUEST_MARGIN_S: Final = 0.6
 # Part of the time in which a configuration has to be in force, after which an instance that knows of a
-# newer one serves no more requests by its own. The rest is for the delay with which it heard of it.
+# newer one serves no more requests by its own. The rest covers the delay until it learned of it.
 MAX_BEHIND_SHARE: Final = 0.6
 
 
