Ask one reader before reading the store even if proofs are old

A follower whose thread had been delayed, or whose proof was old for another reason, went to the store for 10 s without asking any reader, since the bound on silent readers was checked before the first one. That costs calls to the store. The first reader is asked again; the bound holds from the second one on.

Whether they become fewer was not played. test_source_relay.py passes, the case of silent readers included.

--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -150,9 +150,9 @@
         behind_s = self._instance.source.configuration_behind_s()
         if not has_news and is_proven and behind_s < ASK_BEHIND_S:
             return revision
-        for host in self._instance.source.reader_hosts(revision):
-            if self._is_overdue():
-                # Readers that are asked one after the other may all be silent.
+        for number, host in enumerate(self._instance.source.reader_hosts(revision)):
+            # A first reader may have a fresh proof. Several may be silent, one after the other.
+            if number > 0 and self._is_overdue():
                 break
             requested_s = self._clock.now_s()
             try:
