--- a/src/carawaydoor/platform/store_client.py
+++ b/src/carawaydoor/platform/store_client.py
@@ -79,8 +79,8 @@
 
     document: dict[str, Any]
     era: int
-    received_bytes: int
-    transfer_s: float
+    received_bytes: int = 0
+    transfer_s: float = 0.0
 
 
 class StoreClient:
