Name the status in the message of the crowd's check

test_mix_on_kept_connections_exhausts_nothing failed once without saying which status the request after the crowd had. The check is the same.

--- a/tests/platform_side/crowd.py
+++ b/tests/platform_side/crowd.py
@@ -134,6 +134,6 @@
             "bytes": True,
             "descriptors": True,
             "status": 200,
-        }, f"{largest} bytes, {most} descriptors"
+        }, f"{largest} bytes, {most} descriptors, status {status}"
     finally:
         crowd.stop()
