--- a/review/12/case.py
+++ b/review/12/case.py
@@ -26,6 +26,7 @@
 RESTARTED_AFTER_S = 1.0
 SERVER_BACK_AFTER_S = 1.6
 MAX_MIXED = 2
+MAX_TRIES = 3
 
 
 class Caller:
@@ -42,16 +43,16 @@
         """Read the stream until its channel breaks; without trouble, leave it after some events."""
         self._read(instance, self.first_id, {}, None if HAS_TROUBLE else self.leaves_after)
 
-    def take_up(self, instances: list[stand_ins.Instance], until_s: float) -> None:
-        """Take the stream up again, at an instance that answers."""
-        while self.events and time.monotonic() < until_s:
+    def take_up(self, instances: list[stand_ins.Instance]) -> None:
+        """Take the stream up again at instances that are ready, in a few tries."""
+        for _ in range(MAX_TRIES if self.events else 0):
             request_id = f"{random.getrandbits(64):016x}"
             headers = {"Last-Event-Id": str(self.events[-1][0]), "Resumes": self.first_id}
             known = len(self.events)
             self._read(random.choice(instances), request_id, headers, None)
             if len(self.events) > known or self.outcome.startswith("4"):
                 return
-            time.sleep(0.1)
+            time.sleep(0.5)
 
     def _read(
         self,
@@ -200,8 +201,9 @@
             (f"servers/{old.identifier}",),
         )
         expiry.start()
-    until_s = time.monotonic() + 8.0
-    threads = [threading.Thread(target=each.take_up, args=(instances, until_s)) for each in callers]
+    if not all(each.wait_until_ready(8.0) for each in instances):
+        return 2
+    threads = [threading.Thread(target=each.take_up, args=(instances,)) for each in callers]
     for each in threads:
         each.start()
     for each in threads:
