--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -319,10 +320,6 @@
         except (OSError, http.client.HTTPException):
             return 0
 
-    def close(self) -> None:
-        """Close the channel."""
-        self._socket.close()
-
 
 class StreamServer:
     """A server that writes streams of numbered events and goes on after ``Last-Event-Id``.
@@ -614,22 +611,10 @@
             time.sleep(0.1)
         return False
 
-    def memory_mb(self) -> float:
-        """Return the resident memory of the process in MB of a million bytes."""
-        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        line = next(each for each in status.splitlines() if each.startswith("VmRSS:"))
-        return int(line.split()[1]) * 1024 / 1e6
-
     def lives(self) -> bool:
         """Return whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
-    def kill(self) -> None:
-        """Send SIGKILL."""
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait()
-
     def end(self) -> None:
         """Kill the process."""
         if self.process is not None and self.process.poll() is None:
@@ -667,7 +652,11 @@
 
 
 def exit_code(main: Callable[[], int]) -> int:
-    """Run a case and return its exit code, 2 if it could not run."""
+    """Run a case and return its exit code, 2 if it could not run.
+
+    A case that is told to stop ends its processes too.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         return main()
     except Exception:
