Begin a stream at the version of its rank though no server of it can be reached

UpstreamClient.update_begin_version lifted the rank once all hosts of the ranked version had refused a connection. A crashed server stays listed until its entry lapses, so the instances that inferred the version later counted it as one that was there, and its version as that of the streams (origin_inferred: one possible). Refusals are the view of one instance at one moment, and a cut, a restart or a full backlog refuses as well, so nothing that is asked later can rule them out.

The version now follows from the list alone (serving/stream_beginning.py). Once the list has no upstream of the version any more, which the inference sees too, the stream is ranked again.

test_stream_does_not_go_on_at_a_version_whose_servers_were_down_when_it_began failed before. It replaces the case that expected such streams to begin elsewhere, whose servers test_stream_whose_version_can_not_be_reached_is_refused_until_its_entries_are_gone has too: these streams are refused with a time to return, all others begin, and all begin once the entries are gone.

--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -130,7 +130,7 @@
             result.is_error()
             and result.error.did_not_run
             and exchange.attempts == 0
-            and exchange.unreachable > 0
+            and exchange.unreachable_upstreams
         ):
             return self._handle_without_upstreams(exchange, result.error)
         return result
--- a/src/carawaydoor/serving/generation_handler.py
+++ b/src/carawaydoor/serving/generation_handler.py
@@ -19,6 +19,7 @@
     protocol_adapter,
     refusals,
     request_filters,
+    stream_beginning,
     stream_relay,
     upstream_client,
 )
@@ -93,6 +94,9 @@
         not_eligible = self._instance.eligibility.refusal(exchange, entities.Stage.DECODE)
         if not_eligible is not None:
             return not_eligible
+        unreachable = stream_beginning.unreachable_refusal(self._instance, exchange)
+        if unreachable is not None:
+            return unreachable
         regions = exchange.allowed_regions
         turned_away_s = self._instance.selector.turned_away_retry_s(
             service.name, entities.Stage.DECODE, regions
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -16,6 +16,7 @@
     instance_state,
     memory_holds,
     protocol_adapter,
+    stream_beginning,
     upstream_client,
 )
 
@@ -94,7 +95,7 @@
     ) -> PlacedGeneration | None:
         excluded: set[str] = set()
         while self.may_begin():
-            self._client.update_begin_version(exchange)
+            stream_beginning.choose_version(self._instance, exchange)
             chosen = None
             if turn.is_next():
                 chosen = self._instance.selector.reserve_generation(
@@ -163,7 +164,7 @@
 
     def connect_other_decode(self, placed: PlacedGeneration, excluded: frozenset[str]) -> bool:
         """Reserve and connect to another decode engine; return whether one was found."""
-        self._client.update_begin_version(placed.exchange)
+        stream_beginning.choose_version(self._instance, placed.exchange)
         tried = set(excluded)
         while True:
             decode = self._instance.selector.reserve_decode(
--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -66,11 +66,11 @@
     :ivar attempts: number of upstreams to which the request was sent
     :ivar admitted_amount: tokens or requests charged to the usage cap of the workspace
     :ivar is_forwarded: whether another instance has passed the request on
-    :ivar unreachable: number of failed attempts to connect to an upstream
-    :ivar ended_upstreams: ids of upstreams whose hosts refused a connection
+    :ivar unreachable_upstreams: ids of upstreams to which no connection could be made
     :ivar stream_key: name under which instances remember where the stream began
     :ivar begin_version: software version of the upstreams at which the stream has to begin, None
         if it may begin at any
+    :ivar is_begin_version_chosen: whether ``begin_version`` was chosen, if only that any will do
     :ivar required_version: software version of the upstreams at which the stream may go on, empty
         if it is unknown, None for a stream without events
     :ivar engine_priority: priority to tell engines, None where all requests have the same
@@ -90,10 +90,10 @@
     attempts: int = 0
     admitted_amount: float = 0.0
     is_forwarded: bool = False
-    unreachable: int = 0
-    ended_upstreams: set[str] = dataclasses.field(default_factory=set)
+    unreachable_upstreams: set[str] = dataclasses.field(default_factory=set)
     stream_key: str = ""
     begin_version: str | None = None
+    is_begin_version_chosen: bool = False
     required_version: str | None = None
     engine_priority: int | None = None
     find_regions: Callable[[HttpExchange], frozenset[str] | None] | None = None
--- a/src/carawaydoor/serving/plain_handler.py
+++ b/src/carawaydoor/serving/plain_handler.py
@@ -17,6 +17,7 @@
     protocol_adapter,
     refusals,
     request_filters,
+    stream_beginning,
     stream_relay,
     upstream_client,
 )
@@ -61,7 +62,7 @@
             is_retry = exchange.attempts > 0
             if is_retry and not self._instance.may_retry(exchange.inbound.id, service.name):
                 break
-            self._client.update_begin_version(exchange)
+            stream_beginning.choose_version(self._instance, exchange)
             upstream = self._instance.selector.reserve_plain(
                 service.name,
                 frozenset(excluded),
@@ -107,7 +108,11 @@
             detail = f"the limits of the upstreams of service {service.name} leave none"
             refusal = refusals.Refusal(refusals.Reason.LIMITED, detail, limited_s)
         if refusal.did_not_run:
-            refusal = self._instance.eligibility.refusal(exchange, entities.Stage.NONE) or refusal
+            refusal = (
+                self._instance.eligibility.refusal(exchange, entities.Stage.NONE)
+                or stream_beginning.unreachable_refusal(self._instance, exchange)
+                or refusal
+            )
         return expression.Error(refusal)
 
     def _attempt(
--- a/src/carawaydoor/serving/stream_resumption.py
+++ b/src/carawaydoor/serving/stream_resumption.py
@@ -14,6 +14,7 @@
     origin_inference,
     refusals,
     request_filters,
+    stream_beginning,
 )
 
 # By then an instance that has just started knows its peers.
@@ -38,10 +39,7 @@
             return expression.Ok(exchange)
         if not inbound.resumed_after:
             exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.id)
-            if route.kind is entities.RouteKind.RESUMABLE_STREAM and exchange.service is not None:
-                exchange.begin_version = self._instance.selector.begin_version(
-                    exchange.service, exchange.stream_key, exchange.allowed_regions
-                )
+            stream_beginning.choose_version(self._instance, exchange)
             return expression.Ok(exchange)
         exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.resumes)
         result = self._find_origin(exchange, route)
--- a/src/carawaydoor/serving/upstream_client.py
+++ b/src/carawaydoor/serving/upstream_client.py
@@ -170,9 +170,7 @@
         try:
             return self._instance.connection_pool.acquire(upstream, request_id=exchange.inbound.id)
         except connections.NotSentError as error:
-            exchange.unreachable += 1
-            if isinstance(error, connections.NoListenerError):
-                self._record_ended(exchange, upstream)
+            exchange.unreachable_upstreams.add(upstream.id)
             raise self._call_error(exchange, upstream, Failure.NOT_SENT, error) from error
 
     def _check_eligible(
@@ -195,23 +193,6 @@
             detail = "it wants no requests for a while"
             raise self._call_error(exchange, upstream, Failure.TURNED_AWAY, detail)
 
-    def _record_ended(
-        self, exchange: http_exchange.HttpExchange, upstream: entities.Upstream
-    ) -> None:
-        """Let a stream begin at any version if all upstreams of its version have ended."""
-        exchange.ended_upstreams.add(upstream.id)
-        self.update_begin_version(exchange)
-
-    def update_begin_version(self, exchange: http_exchange.HttpExchange) -> None:
-        """Let a stream begin at any version if its own has no upstream any more."""
-        version, service = exchange.begin_version, exchange.service
-        if version is None or service is None:
-            return
-        if not self._instance.selector.serves_version(
-            service.name, version, exchange.ended_upstreams, exchange.allowed_regions
-        ):
-            exchange.begin_version = None
-
     def send(
         self,
         exchange: http_exchange.HttpExchange,
--- a/tests/platform_side/test_stream_inference.py
+++ b/tests/platform_side/test_stream_inference.py
@@ -143,18 +143,17 @@
     return ranked[:STREAMS]
 
 
+def version_of(served, request_id):
+    """Return the version at which a stream has to begin, None for any."""
+    upstreams = served.fleet.members[0].instance.directory.upstream_by_id.values()
+    key = stream_versions.stream_key(router_harness.WORKSPACE.name, request_id)
+    return stream_ranking.begin_version(key, upstreams, time.time())
+
+
 def id_that_begins_at(served, version):
     """Return a ranked id; few of them begin at an engine that has just started."""
-    upstreams = served.fleet.members[0].instance.directory.upstream_by_id.values()
-    workspace = router_harness.WORKSPACE.name
-    return next(
-        each
-        for each in (f"first-{number}" for number in itertools.count())
-        if stream_ranking.begin_version(
-            stream_versions.stream_key(workspace, each), upstreams, time.time()
-        )
-        == version
-    )
+    numbered = (f"first-{number}" for number in itertools.count())
+    return next(each for each in numbered if version_of(served, each) == version)
 
 
 @pytest.mark.parametrize("kills", [1, 2])
@@ -239,18 +238,53 @@
     assert {served.take_up(each).status for each in ids(only_ranked=True)} == {503}
 
 
-def test_stream_begins_at_another_version_if_all_engines_of_its_own_have_ended(served):
+def begin_whole(served, request_id: str, number: int = 0):
+    headers = {names.Header.REQUEST_ID: request_id}
+    return served.fleet.members[number].stream("/stream-once/1", headers=headers).read()
+
+
+def test_stream_whose_version_can_not_be_reached_is_refused_until_its_entries_are_gone(served):
+    """Whichever instance meets refused connections, the version that a stream begins at is the same."""
     add_two_versions(served)
     served.fleet.exchange_reports()
     served.prove()
+    bound = {each for each in ids() if version_of(served, each) == "v2"}
+    assert 0 < len(bound) < STREAMS
     for name in ("e-0", "e-1"):
         served.fleet.members[0].upstreams[name].stop()
     for each in ids():
-        headers = {names.Header.REQUEST_ID: each}
-        response = served.fleet.members[0].stream("/stream-once/1", headers=headers).read()
+        response = begin_whole(served, each)
+        assert (response.status, response.is_truncated) == (503 if each in bound else 200, False)
+        assert ("retry-after" in response.headers) == (each in bound)
+    for name in ("e-0", "e-1"):
+        served.fleet.remove_upstream(name)
+    for each in bound:
+        response = begin_whole(served, each)
         assert (response.status, response.is_truncated) == (200, False)
 
 
+# Streams that had begun while the servers of their version refused connections went on at that version
+# after a loss of all memory, though another one had begun them.
+def test_stream_does_not_go_on_at_a_version_whose_servers_were_down_when_it_began(served):
+    add_two_versions(served)
+    served.fleet.exchange_reports()
+    served.prove()
+    for name in ("e-0", "e-1"):
+        served.fleet.members[0].upstreams[name].stop()
+    for name in ("d-0", "d-1"):
+        served.fleet.members[0].upstreams[name].behaviours = [Behaviour.BREAK_STREAM] * STREAMS
+    begun = {each: begin_whole(served, each, n % 3) for n, each in enumerate(ids())}
+    served.kill_all()
+    for each in served.engines():
+        each.behaviours = []
+    served.add_engine("f-0", "v2", int(time.time() * 1000)).version = "v2"
+    for number, (each, events) in enumerate(begun.items()):
+        if events.status == 200:
+            answer = served.take_up(each, number % 3)
+            both = versions_of(events.body + answer.body)
+            assert answer.status == 503 or both == {b"v1"}, each
+
+
 class TestStoreLists:
     """What the store shows of its past."""
 
