Rank a waiting stream again when the list of upstreams changes

A stream that arrived while one version served was not bound to any, and stayed so while it waited for room. If the first server of a second version joined meanwhile, it began wherever there was room; the inference ranks the servers of every list that there was since, and could take the other version for the one that began it.

The version is now chosen again whenever the list has changed since it was chosen, which an identity tells. test_stream_that_waited_while_a_version_joined_begins_at_the_version_of_its_rank failed before: it began at the new server, against its rank.

--- a/src/carawaydoor/serving/http_exchange.py
+++ b/src/carawaydoor/serving/http_exchange.py
@@ -6,7 +6,7 @@
 import dataclasses
 from collections.abc import Callable, Iterator
 
-from carawaydoor.policy import entities, stream_sequence
+from carawaydoor.policy import entities, stream_sequence, upstream_directory
 from carawaydoor.serving import upstream_limiter
 
 Headers = tuple[tuple[str, str], ...]
@@ -70,7 +70,7 @@
     :ivar stream_key: name under which instances remember where the stream began
     :ivar begin_version: software version of the upstreams at which the stream has to begin, None
         if it may begin at any
-    :ivar is_begin_version_chosen: whether ``begin_version`` was chosen, if only that any will do
+    :ivar ranked_directory: upstreams by which ``begin_version`` was chosen, None before that
     :ivar required_version: software version of the upstreams at which the stream may go on, empty
         if it is unknown, None for a stream without events
     :ivar engine_priority: priority to tell engines, None where all requests have the same
@@ -93,7 +93,7 @@
     unreachable_upstreams: set[str] = dataclasses.field(default_factory=set)
     stream_key: str = ""
     begin_version: str | None = None
-    is_begin_version_chosen: bool = False
+    ranked_directory: upstream_directory.Directory | None = None
     required_version: str | None = None
     engine_priority: int | None = None
     find_regions: Callable[[HttpExchange], frozenset[str] | None] | None = None
--- a/src/carawaydoor/serving/stream_beginning.py
+++ b/src/carawaydoor/serving/stream_beginning.py
@@ -27,15 +27,10 @@
         or exchange.inbound.resumed_after
     ):
         return
-    version = exchange.begin_version
-    if exchange.is_begin_version_chosen and (
-        version is None
-        or instance.selector.serves_version(
-            service.name, version, regions=exchange.allowed_regions
-        )
-    ):
+    directory = instance.evacuation.remaining()
+    if exchange.ranked_directory is directory:
         return
-    exchange.is_begin_version_chosen = True
+    exchange.ranked_directory = directory
     exchange.begin_version = instance.selector.begin_version(
         service, exchange.stream_key, exchange.allowed_regions
     )
--- a/tests/platform_side/test_stream_versions.py
+++ b/tests/platform_side/test_stream_versions.py
@@ -13,7 +13,13 @@
 
 from carawaydoor.operating import clocks
 from carawaydoor.platform import names
-from carawaydoor.policy import entities, stream_ranking, stream_versions
+from carawaydoor.policy import (
+    entities,
+    load,
+    stream_ranking,
+    stream_versions,
+    upstream_directory,
+)
 from tests.platform_side import harness_fleet, router_harness
 from tests.platform_side.fake_upstream import Behaviour
 
@@ -191,3 +197,25 @@
     fleet.exchange_reports()
     assert take_up(fleet.members[0], "", 3).status == 503
     assert [each.received for each in engines] == [[], []]
+
+
+# A stream that waited while the first server of a second version joined began there by load, against its rank.
+def test_stream_that_waited_while_a_version_joined_begins_at_the_version_of_its_rank(
+    harness, monkeypatch
+):
+    old, new = add_engine(harness, "d", "v1"), add_engine(harness, "e", "v2")
+    resumes, instance = id_that_begins_at(harness, "v1"), harness.instance
+    entry = instance.directory.upstream_by_id["e"]
+    instance.update_directory(upstream_directory.Changes({"e": None}, 2))
+    rank = instance.selector.begin_version
+
+    def rank_and_join(*arguments):
+        version = rank(*arguments)
+        instance.update_directory(upstream_directory.Changes({"e": entry}, 3))
+        return version
+
+    monkeypatch.setattr(instance.selector, "begin_version", rank_and_join)
+    instance.selector._add_load("d", load.Work(1, 20_000))
+    headers = {names.Header.REQUEST_ID: resumes}
+    assert harness.stream("/resumable/1", headers=headers).read().status == 200
+    assert (len(old.received), len(new.received)) == (1, 0)
