Begin resumable streams only by a list of upstreams that can be reconstructed

The inference assumes that streams began by a list that is 5 s old at most. Only the age of the configuration was ever bounded, and only for requests with keys: routes without keys, and configurations without workspaces, pass before it is asked for, and peers prove a configuration without saying anything of the list.

An instance now knows how old its list is: each answer of the source, of an instance that relays it, or of a peer that knows the source up to the same position proves it (list_age_s in reports and relayed changes; earlier releases that read the source count as old as a watch can be). Resumable streams begin by a list of 5 s at most. On routes without keys the age may be as much as the source's history shows beside the longest life of the stream, 15 s at most, and the inference counts with lists of that age there. With older ones they are refused with a time to return (upstreams-stale). Plain requests and streams that can't be taken up are served as before. Nothing is inferred from ranks beside instances that don't say that they rank by the list alone (ranks_by_list).

--- a/src/carawaydoor/fleet/codec.py
+++ b/src/carawaydoor/fleet/codec.py
@@ -174,6 +174,8 @@
         demands=_demand_structs(report.demands),
         capacities=_capacity_structs(report.capacities),
         link_mbps=report.link_mbps,
+        list_age_s=report.list_age_s,
+        ranks_by_list=report.ranks_by_list,
     )
 
 
@@ -334,9 +336,18 @@
         demands=_demands(message),
         capacities=_capacities(message.capacities),
         link_mbps=_link_mbps(message.link_mbps),
+        list_age_s=_list_age_s(message.list_age_s),
+        ranks_by_list=bool(message.ranks_by_list),
     )
 
 
+def _list_age_s(value: float | None) -> float | None:
+    """Return an age, None for one that is unknown or can't be true."""
+    if value is None or not math.isfinite(value) or value < 0.0:
+        return None
+    return float(value)
+
+
 def _link_mbps(value: float | None) -> float:
     """Return a bandwidth, zero for one that is unknown or can't be true."""
     if value is None or not math.isfinite(value) or value < 0.0:
--- a/src/carawaydoor/fleet/gossip.py
+++ b/src/carawaydoor/fleet/gossip.py
@@ -130,6 +130,9 @@
     echo_s = report.echo_by_instance.get(state.instance)
     if echo_s is not None and echo_s <= now_s:
         effects.append(report_effects.FreshnessProof(report.revision, echo_s - report.proof_age_s))
+        if report.list_age_s is not None:
+            proven_s = echo_s - report.list_age_s
+            effects.append(report_effects.ListProof(report.source_revision, proven_s))
     # In a large fleet some peer is always silent for a moment, since datagrams are lost.
     is_tolerated = (
         known_peer is not None
@@ -372,9 +375,9 @@
 
 
 def all_rank_streams(state: Membership) -> bool:
-    """Return whether all peers have reported that streams begin at the version of their rank by age."""
+    """Return whether all peers have reported that streams begin by rank, by age and the list alone."""
     return all(
-        each.report is not None and each.report.ranks_by_age
+        each.report is not None and each.report.ranks_by_age and each.report.ranks_by_list
         for each in state.peer_by_instance.values()
     )
 
--- a/src/carawaydoor/fleet/report_effects.py
+++ b/src/carawaydoor/fleet/report_effects.py
@@ -16,6 +16,14 @@
     proven_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListProof:
+    """A peer confirmed that the source held nothing after a position at ``proven_s``."""
+
+    position: int
+    proven_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerUsage:
     """Counters of a peer since its start: usage of workspaces, and requests and retries by service.
@@ -82,6 +90,7 @@
 
 Effect = (
     FreshnessProof
+    | ListProof
     | PeerUsage
     | PeerJoined
     | PeerLost
--- a/src/carawaydoor/fleet/report_structs.py
+++ b/src/carawaydoor/fleet/report_structs.py
@@ -118,6 +118,8 @@
         34: (_BOOL, "reads_compressed"),
         35: (_DOUBLE, "link_mbps"),
         36: (_BOOL, "ranks_by_age"),
+        37: (_DOUBLE, "list_age_s"),
+        38: (_BOOL, "ranks_by_list"),
     },
 )
 WorkReport: Final = _declare(
--- a/src/carawaydoor/fleet/reports.py
+++ b/src/carawaydoor/fleet/reports.py
@@ -165,6 +165,10 @@
     :ivar capacities: how fast upstreams work, by the sender's own calls; empty if nothing is said
     :ivar link_mbps: bandwidth of the sender's link in megabits a second, zero if unknown; earlier
         releases don't say
+    :ivar list_age_s: seconds since the source was last known to hold nothing after ``source_revision``,
+        None from earlier releases, which don't say
+    :ivar ranks_by_list: whether streams begin at the sender by a list of bounded age alone; earlier
+        releases don't say
     """
 
     contact: Contact
@@ -200,6 +204,8 @@
     demands: tuple[urgency.Demand, ...] | None = None
     capacities: tuple[SharedCapacity, ...] = ()
     link_mbps: float = 0.0
+    list_age_s: float | None = None
+    ranks_by_list: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/fleet/source_relay.py
+++ b/src/carawaydoor/fleet/source_relay.py
@@ -54,6 +54,7 @@
     revision: _Position
     proof_age_s: _Seconds
     steady_s: _Seconds
+    list_age_s: _Seconds | None = None
     items: list[tuple[str, str | None, _Position]]
 
 
@@ -74,11 +75,14 @@
 
     :ivar proof_age_s: seconds since the other instance's configuration was last proven newest
     :ivar steady_s: seconds for which the other instance has been connected to the source
+    :ivar list_age_s: seconds since the source was last known to hold no further changes, None if that
+        is not known, or from earlier releases, which don't say
     """
 
     changes: configuration_source.SourceChanges
     proof_age_s: float
     steady_s: float
+    list_age_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +133,7 @@
             "revision": relayed.changes.revision,
             "proof_age_s": relayed.proof_age_s,
             "steady_s": relayed.steady_s,
+            "list_age_s": relayed.list_age_s,
         }
         opening = json.dumps(head)[:-1].encode() + b', "items": '
         items = self._encode_items(relayed.changes.items, compresses)
@@ -215,7 +220,7 @@
     except ValueError as error:
         raise RelayError(f"malformed response: {error!r}") from error
     changes = configuration_source.SourceChanges(items, document.revision)
-    return RelayedChanges(changes, document.proof_age_s, document.steady_s)
+    return RelayedChanges(changes, document.proof_age_s, document.steady_s, document.list_age_s)
 
 
 def fetch(host: str, port: int, after: int, clock: clocks.Clock) -> RelayedChanges:
--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -85,13 +85,14 @@
 
     def _send_changes(self, query: dict[str, list[str]], start_response: Any) -> Iterable[bytes]:
         after = query.get("after", [""])[0]
-        # Taken before the content, which is then at least as new as this proof.
+        # Taken before the content, which is then at least as new as these proofs.
         proof_age_s = self._instance.proof_age_s()
+        list_age_s = self._instance.source.reported_list_age_s()
         changes = self._source.changes_after(int(after)) if after.isdecimal() else None
         if changes is None or not math.isfinite(proof_age_s):
             return _respond(start_response, "410 Gone", TEXT_CONTENT_TYPE, b"")
         relayed = source_relay.RelayedChanges(
-            changes, proof_age_s, self._instance.source.steady_s()
+            changes, proof_age_s, self._instance.source.steady_s(), list_age_s
         )
         compresses = source_relay.COMPRESSED_PARAMETER in query
         content = self._changes_encoder.encode(relayed, compresses)
@@ -115,6 +116,7 @@
             "version": configuration.version,
             "revision": configuration.revision,
             "proven_age_s": round(instance.proof_age_s(), 3),
+            "list_age_s": _finite(instance.source.list_age_s()),
             "behind_s": round(instance.source.configuration_behind_s(), 3),
         },
         "evacuated": [
--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 import threading
 from typing import Final
 
@@ -11,7 +12,13 @@
 
 from carawaydoor.fleet import source_relay
 from carawaydoor.operating import clocks, configuration_source, peer_evacuations
-from carawaydoor.policy import evacuation, source_position, source_reading, upstream_directory
+from carawaydoor.policy import (
+    evacuation,
+    source_position,
+    source_reading,
+    stream_ranking,
+    upstream_directory,
+)
 from carawaydoor.serving import instance_state
 
 # The source responds to a watch after this fraction of the stable window even if nothing has
@@ -32,6 +39,9 @@
 # Several configurations in one response that took longer follow each other faster than the link
 # carries them.
 SLOW_TRANSFER_S: Final = 0.2
+# Part of the age up to which streams go on by a list, after which an instance that doesn't read the source asks
+# for a newer one, and reads the source if nobody has one.
+MAX_FOLLOWED_LIST_AGE_S: Final = 0.6 * stream_ranking.MAX_LIST_AGE_S
 # Interval at which an instance that doesn't read the source checks whether it has to.
 FOLLOW_INTERVAL_S: Final = 0.2
 # Peers that are asked, one after the other, for what a source that does not respond would tell.
@@ -146,7 +156,10 @@
         """Wait for news from the instances that read the source, and fetch what they have read."""
         self._instance.source.mark_unused()
         has_news = self._instance.source.wait_for_news(revision, FOLLOW_INTERVAL_S)
-        is_proven = self._instance.proof_age_s() < self._timing.proof_request_age_s
+        is_proven = (
+            self._instance.proof_age_s() < self._timing.proof_request_age_s
+            and self._instance.source.list_age_s() < MAX_FOLLOWED_LIST_AGE_S
+        )
         behind_s = self._instance.source.configuration_behind_s()
         if not has_news and is_proven and behind_s < ASK_BEHIND_S:
             return revision
@@ -182,6 +195,7 @@
         """Return whether this instance can no longer rely on others to follow the source."""
         return (
             self._instance.proof_age_s() >= self._timing.self_reading_age_s
+            or self._instance.source.list_age_s() >= MAX_FOLLOWED_LIST_AGE_S
             or self._instance.source.configuration_behind_s() >= self._self_reading_behind_s
         )
 
@@ -203,9 +217,18 @@
             self._instance.configuration.revision, requested_s - relayed.proof_age_s
         )
         self._count_store_call("relayed")
-        self._instance.source.revision = max(revision, update.revision)
+        self._instance.source.record_list(
+            max(revision, update.revision), requested_s - self._relayed_list_age_s(relayed)
+        )
         return self._instance.source.revision
 
+    def _relayed_list_age_s(self, relayed: source_relay.RelayedChanges) -> float:
+        """Return the age of what another instance told, which reads the source if it doesn't say."""
+        if relayed.list_age_s is not None:
+            return relayed.list_age_s
+        is_reading = relayed.steady_s > 0.0
+        return self._longest_watch_s + RESPONSE_MARGIN_S if is_reading else math.inf
+
     def _watch_times_s(self) -> tuple[float, float]:
         """Return how long a watch lasts, and the delay after one with changes, in seconds."""
         if self._instance.source.has_followers():
@@ -237,6 +260,7 @@
         self._instance.confirm_revision(self._instance.configuration.revision, requested_s)
         self._count_store_call("read")
         self._instance.source.revision = update.revision
+        self._instance.source.record_list(update.revision, requested_s)
         return update.revision
 
     def _watch(self, revision: int) -> int:
@@ -261,7 +285,7 @@
         confirmed_s = requested_s + (watch_s if lasted_whole_watch else 0.0)
         self._instance.confirm_revision(self._instance.configuration.revision, confirmed_s)
         self._count_store_call("watch")
-        self._instance.source.revision = max(revision, update.revision)
+        self._instance.source.record_list(max(revision, update.revision), confirmed_s)
         if not is_unchanged:
             if self._instance.source.has_followers():
                 self._instance.source.on_changed()
--- a/src/carawaydoor/policy/stream_ranking.py
+++ b/src/carawaydoor/policy/stream_ranking.py
@@ -22,8 +22,13 @@
 # Part of the streams that begin at the version of their rank. The others go where there is room, which
 # evens out the versions, and can't be taken up once no instance remembers them.
 RANKED_SHARE: Final = 0.9
-# Oldest list by which an instance places streams; with an older one it refuses requests with keys.
+# Oldest list by which an instance begins streams, and goes on with them.
 MAX_LIST_AGE_S: Final = 5.0
+# The same for streams that begin on routes without keys, which a failure domain goes on to serve while it is
+# cut off from the source. The source has to show the changes of as long a time before the stream.
+MAX_OPEN_LIST_AGE_S: Final = 15.0
+# The source may begin to drop its history a little early.
+HISTORY_MARGIN_S: Final = 1.0
 # Several times as long as callers go on with one stream, so that a small part of the ids changes its rank
 # meanwhile.
 FULL_WEIGHT_AGE_S: Final = 45.0
@@ -93,16 +98,18 @@
     :ivar since_s: earliest time in seconds, by the clock of the change log
     :ivar since_wall_s: the same time in seconds since the Unix epoch
     :ivar until_wall_s: latest time in seconds since the Unix epoch
+    :ivar list_age_s: age in seconds of the oldest list by which the stream can have begun
     """
 
     since_s: float
     since_wall_s: float
     until_wall_s: float
+    list_age_s: float = MAX_LIST_AGE_S
 
     @property
     def listed_since_s(self) -> float:
         """Time in seconds of the oldest list by which the stream can have been placed."""
-        return self.since_s - MAX_LIST_AGE_S
+        return self.since_s - self.list_age_s
 
     def wall_s(self, at_s: float) -> float:
         """Return a time of the change log in seconds since the Unix epoch, as late as it may be."""
@@ -154,6 +161,20 @@
     possible: tuple[str, ...]
 
 
+def max_list_age_s(needs_key: bool, timeout_s: float, history_s: float) -> float:
+    """Return the age in seconds of the oldest list by which streams of a route begin, at any instance.
+
+    :param needs_key: whether requests of the route need a key
+    :param timeout_s: timeout of the route in seconds
+    :param history_s: time in seconds for which the source keeps changes
+    """
+    if needs_key:
+        return MAX_LIST_AGE_S
+    longest_s = timeout_s * (1.0 + stream_versions.AGE_MARGIN_SHARE)
+    shown_s = history_s - longest_s - HISTORY_MARGIN_S
+    return min(MAX_OPEN_LIST_AGE_S, max(MAX_LIST_AGE_S, shown_s))
+
+
 def is_ranked(key: str) -> bool:
     """Return whether a stream begins at the version of its rank.
 
@@ -375,7 +396,7 @@
 
 
 def _is_born_before(upstream: entities.Upstream, window: Window) -> bool:
-    certain_s = window.since_wall_s - MAX_LIST_AGE_S - MAX_CLOCK_ERROR_S
+    certain_s = window.since_wall_s - window.list_age_s - MAX_CLOCK_ERROR_S
     return 0.0 < _born_s(upstream) <= certain_s
 
 
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -227,6 +227,13 @@
         """Return the time in seconds since the configuration was last proven newest."""
         return freshness.age_s(self.freshness, self.clock.now_s())
 
+    def max_list_age_s(self, route: entities.Route) -> float:
+        """Return the age in seconds of the oldest list by which streams of a route begin."""
+        needs_key = self.configuration.has_workspaces and not route.is_open_to_all
+        return stream_ranking.max_list_age_s(
+            needs_key, route.timeout_s, self.options.store_history_s
+        )
+
     def adopt(self, configuration: entities.Configuration) -> bool:
         """Replace the configuration by a newer one; return whether it was newer."""
         with self._lock:
@@ -427,6 +434,8 @@
                 sound_age_s_by_part=crash_evidence.sound_age_s_by_part,
                 sound_age_s_by_request=crash_evidence.sound_age_s_by_request,
                 ranks_by_age=True,
+                ranks_by_list=True,
+                list_age_s=self.source.reported_list_age_s(),
                 bounds_attempts=True,
                 reads_compressed=True,
                 limits=self.upstream_limiter.share(),
@@ -576,6 +585,8 @@
             case report_effects.FreshnessProof(revision, proven_s):
                 if revision == self.configuration.revision:
                     self.freshness = freshness.record_proof(self.freshness, revision, proven_s)
+            case report_effects.ListProof(position, proven_s):
+                self.source.record_list_of_peer(position, proven_s)
             case report_effects.PeerUsage(peer, used_by_workspace, requests, retries):
                 self.caps = usage_caps.merge_peer_totals(self.caps, now_s, peer, used_by_workspace)
                 self.retry_budget = fleet_retry_budget.merge_peer_totals(
--- a/src/carawaydoor/serving/origin_inference.py
+++ b/src/carawaydoor/serving/origin_inference.py
@@ -32,7 +32,7 @@
 
         The answer is incomplete if more may be known soon.
         """
-        if self._instance.proof_age_s() > stream_ranking.MAX_LIST_AGE_S:
+        if self._instance.source.list_age_s() > stream_ranking.MAX_LIST_AGE_S:
             # Upstreams may have come and gone meanwhile.
             return stream_origins.Answer(None, False)
         try:
@@ -127,4 +127,7 @@
         longest_s = self._instance.longest_timeout_s(route)
         since_s = stream_versions.earliest_begin_s(exchange.received_s, longest_s, left_s)
         wall_s = clock.wall_s()
-        return stream_ranking.Window(since_s, wall_s - (clock.now_s() - since_s), wall_s)
+        list_age_s = self._instance.max_list_age_s(route)
+        return stream_ranking.Window(
+            since_s, wall_s - (clock.now_s() - since_s), wall_s, list_age_s
+        )
--- a/src/carawaydoor/serving/peer_forwarding.py
+++ b/src/carawaydoor/serving/peer_forwarding.py
@@ -37,7 +37,11 @@
 NO_RESPONSE_MEMORY_S: Final = 5.0
 # Refusals of a peer that another one may not share.
 _REASONS_TO_ASK_ANOTHER: Final = frozenset(
-    {refusals.Reason.CUT_OFF.value, refusals.Reason.CONFIGURATION_BEHIND.value}
+    {
+        refusals.Reason.CUT_OFF.value,
+        refusals.Reason.CONFIGURATION_BEHIND.value,
+        refusals.Reason.UPSTREAMS_STALE.value,
+    }
 )
 # Of the responses that instances give themselves.
 _MIN_REFUSAL_STATUS: Final = 400
--- a/src/carawaydoor/serving/refusals.py
+++ b/src/carawaydoor/serving/refusals.py
@@ -26,6 +26,7 @@
     INSTANCE_BUSY = "instance-busy"
     INSTANCE_LEAVING = "instance-leaving"
     STREAM_LOST = "stream-lost"
+    UPSTREAMS_STALE = "upstreams-stale"
     UPSTREAM_FULL = "upstream-full"
     TURNED_AWAY = "turned-away"
     LIMITED = "upstream-limited"
@@ -73,6 +74,7 @@
     Reason.INSTANCE_BUSY: Status.UNAVAILABLE,
     Reason.INSTANCE_LEAVING: Status.UNAVAILABLE,
     Reason.STREAM_LOST: Status.UNAVAILABLE,
+    Reason.UPSTREAMS_STALE: Status.UNAVAILABLE,
     Reason.UPSTREAM_FULL: Status.UNAVAILABLE,
     Reason.TURNED_AWAY: Status.UNAVAILABLE,
     Reason.LIMITED: Status.UNAVAILABLE,
--- a/src/carawaydoor/serving/source_state.py
+++ b/src/carawaydoor/serving/source_state.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable
 
 from carawaydoor.fleet import gossip
 from carawaydoor.operating import clocks
-from carawaydoor.policy import source_lag, source_reading, upstream_directory
+from carawaydoor.policy import (
+    source_lag,
+    source_position,
+    source_reading,
+    upstream_directory,
+)
 
 
 class SourceState:
@@ -30,6 +36,7 @@
     ) -> None:
         self.revision = 0
         self.on_changed: Callable[[], None] = _do_nothing
+        self._list_proven_s = float("-inf")
         self._instance = instance
         self._domain = domain
         self._link_mbps = link_mbps
@@ -80,6 +87,32 @@
         since_s = self._reachable_since_s
         return 0.0 if since_s is None else self._clock.now_s() - since_s
 
+    def record_list(self, position: int, proven_s: float) -> None:
+        """Record that the list of upstreams was updated.
+
+        :param position: position up to which the content of the source is known
+        :param proven_s: time in seconds at which the source held nothing that is missing here
+        """
+        with self._lock:
+            self.revision = max(self.revision, position)
+            self._list_proven_s = max(self._list_proven_s, proven_s)
+
+    def record_list_of_peer(self, position: int, proven_s: float) -> None:
+        """Record that a peer knew the source up to a position, after which it held nothing."""
+        with self._lock:
+            is_same_era = source_position.era_of(position) == source_position.era_of(self.revision)
+            if is_same_era and 0 < position <= self.revision:
+                self._list_proven_s = max(self._list_proven_s, proven_s)
+
+    def list_age_s(self) -> float:
+        """Return for how many seconds the source may have held changes of upstreams unknown here."""
+        return self._clock.now_s() - self._list_proven_s
+
+    def reported_list_age_s(self) -> float | None:
+        """Return the same for other instances, None before the first list."""
+        age_s = self.list_age_s()
+        return max(0.0, age_s) if math.isfinite(age_s) else None
+
     def readers(self) -> tuple[str, ...]:
         """Return the instances that read the source for this failure domain."""
         return source_reading.readers(self._candidates())
--- a/src/carawaydoor/serving/stream_resumption.py
+++ b/src/carawaydoor/serving/stream_resumption.py
@@ -38,6 +38,9 @@
         if route is None or not route.kind.is_stream:
             return expression.Ok(exchange)
         if not inbound.resumed_after:
+            outdated = self._outdated_refusal(route)
+            if outdated is not None:
+                return expression.Error(outdated)
             exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.id)
             stream_beginning.choose_version(self._instance, exchange)
             return expression.Ok(exchange)
@@ -65,6 +68,18 @@
             )
         return expression.Ok(exchange)
 
+    def _outdated_refusal(self, route: entities.Route) -> refusals.Refusal | None:
+        """Return the refusal of a stream that can't begin by a list of this age, else None."""
+        age_s = self._instance.source.list_age_s()
+        is_resumable = route.kind is entities.RouteKind.RESUMABLE_STREAM
+        if not is_resumable or age_s <= self._instance.max_list_age_s(route):
+            return None
+        return refusals.Refusal(
+            refusals.Reason.UPSTREAMS_STALE,
+            f"the list of upstreams is {age_s:.1f} s old",
+            request_filters.NOT_READY_RETRY_AFTER_S,
+        )
+
     def _find_origin(
         self, exchange: http_exchange.HttpExchange, route: entities.Route
     ) -> expression.Result[stream_versions.Origin, refusals.Refusal]:
@@ -86,7 +101,7 @@
             service=origin.service if origin else "",
             version=origin.version if origin else "",
             source=source if origin else "",
-            list_age_s=round(self._instance.proof_age_s(), 3),
+            list_age_s=round(self._instance.source.list_age_s(), 3),
         )
         if origin is None:
             return expression.Error(
--- a/tests/platform_side/router_harness.py
+++ b/tests/platform_side/router_harness.py
@@ -29,6 +29,8 @@
     target_s=0.9,
     max_attempts=1,
 )
+# Longer than any test.
+LIST_PROVEN_FOR_S = 3600.0
 RESUMABLE = builders.route(
     entities.RouteKind.RESUMABLE_STREAM,
     path_prefix="/resumable/",
@@ -99,8 +101,14 @@
         self.app = caller_app.CallerApp(self.instance, http_adapter.PlatformHttpAdapter())
         self.upstreams: dict[str, fake_upstream.FakeUpstream] = {}
         self._numbers = itertools.count(1)
+        # No watcher renews the proof.
+        self.instance.source.record_list(0, self.clock.now_s() + LIST_PROVEN_FOR_S)
         self.configure()
 
+    def outdate_list(self, age_s: float) -> None:
+        """Have the list of upstreams be of an age in seconds, with no newer one in sight."""
+        self.instance.source._list_proven_s = self.clock.now_s() - age_s
+
     def configure(
         self,
         *routes: entities.Route,
--- a/tests/platform_side/test_source_relay.py
+++ b/tests/platform_side/test_source_relay.py
@@ -33,10 +33,13 @@
 )
 
 
-@given(ITEMS, st.integers(0, 2**40), st.floats(0.0, 1e6), st.booleans())
-def test_relayed_changes_survive_encoding(items, revision, age_s, compresses):
+AGES_S = st.floats(0.0, 1e6)
+
+
+@given(ITEMS, st.integers(0, 2**40), AGES_S, AGES_S | st.none(), st.booleans())
+def test_relayed_changes_survive_encoding(items, revision, age_s, list_age_s, compresses):
     relayed = source_relay.RelayedChanges(
-        configuration_source.SourceChanges(tuple(items), revision), age_s, 1.0
+        configuration_source.SourceChanges(tuple(items), revision), age_s, 1.0, list_age_s
     )
     assert source_relay.decode(source_relay.encode(relayed, compresses)) == relayed
 
--- a/tests/platform_side/test_stream_inference.py
+++ b/tests/platform_side/test_stream_inference.py
@@ -285,6 +285,66 @@
             assert answer.status == 503 or both == {b"v1"}, each
 
 
+OPEN_ROUTE = dataclasses.replace(ROUTE, is_open_to_all=True)
+
+
+# Streams of a route without keys began by a list of any age, which no instance can reconstruct later.
+@pytest.mark.parametrize(
+    ("route", "age_s", "status"),
+    [
+        (ROUTE, stream_ranking.MAX_LIST_AGE_S - 1.0, 200),
+        (ROUTE, stream_ranking.MAX_LIST_AGE_S + 0.1, 503),
+        # The store shows the changes of 20 s, of which 12.5 s are for the stream itself.
+        (OPEN_ROUTE, 6.0, 200),
+        (OPEN_ROUTE, 6.6, 503),
+        (OPEN_ROUTE, 600.0, 503),
+        (dataclasses.replace(OPEN_ROUTE, kind=entities.RouteKind.STREAM), 600.0, 200),
+    ],
+)
+def test_stream_begins_only_by_a_list_that_can_be_reconstructed(served, route, age_s, status):
+    served.add_engine("d", "v1")
+    member = served.fleet.members[0]
+    member.instance.options = dataclasses.replace(
+        member.instance.options, store_history_s=HISTORY_S
+    )
+    member.configure(route, router_harness.SAFE, revision=3)
+    member.add_upstream("u")
+    member.outdate_list(age_s)
+    response = begin_whole(served, "first")
+    assert response.status == status
+    assert ("retry-after" in response.headers) == (status == 503)
+    assert member.call("/safe/1").read().status == 200, "plain requests need no such list"
+
+
+# Streams that began at an instance which was cut off, by a list without the servers of a release, went on at the
+# new version when their callers took them up elsewhere.
+@pytest.mark.parametrize("age_s", [6.0, 30.0])
+def test_stream_that_began_by_an_old_list_does_not_go_on_at_another_version(served, age_s):
+    old = served.add_engine("d", "v1")
+    served.fleet.exchange_reports()
+    for number, each in enumerate(served.fleet.members):
+        each.instance.options = dataclasses.replace(each.instance.options, store_history_s=30.0)
+        each.configure(OPEN_ROUTE, revision=3)
+        if number < 2:
+            each.instance.streams.on_origins = lambda *_: None
+    cut_off = served.fleet.members[2]
+    cut_off.instance.streams.on_origins = lambda *_: None
+    known = dict(cut_off.instance.directory.upstream_by_id)
+    served.add_engine("e", "v2", born_ms=int((time.time() - age_s) * 1000)).version = "v2"
+    cut_off.instance.update_directory(upstream_directory.Snapshot(known, 1))
+    cut_off.outdate_list(age_s)
+    old.behaviours = [Behaviour.BREAK_STREAM] * STREAMS
+    begun = {each: begin_whole(served, each, 2) for each in ids()}
+    assert {each.status for each in begun.values()} == {200 if age_s < 10.0 else 503}
+    served.store.delete(f"{names.SERVERS_PREFIX}d")
+    for each in served.fleet.members[:2]:
+        each.instance.update_directory(upstream_directory.Changes({"d": None}, 2))
+    for number, (each, events) in enumerate(begun.items()):
+        if events.status == 200:
+            answer = served.take_up(each, number % 2)
+            assert answer.status == 503 or len(versions_of(events.body + answer.body)) == 1, each
+
+
 class TestStoreLists:
     """What the store shows of its past."""
 
--- a/tests/policy/test_gossip.py
+++ b/tests/policy/test_gossip.py
@@ -52,14 +52,27 @@
     assert report_effects.FreshnessProof(7, 89.5) in effects
 
 
+def test_list_is_proven_by_peers_that_say_how_old_theirs_is():
+    """Regression: a proof of the configuration stood for one of the list of upstreams."""
+    told = report(echo_by_instance={OWN_NAME: 90.0}, source_revision=12)
+    _, effects = apply_reports(dataclasses.replace(told, list_age_s=2.5))
+    assert report_effects.ListProof(12, 87.5) in effects
+    _, effects = apply_reports(told)
+    assert not any(isinstance(each, report_effects.ListProof) for each in effects)
+
+
+PROOFS = (report_effects.FreshnessProof, report_effects.ListProof)
+
+
 def test_report_without_an_echo_proves_no_freshness():
-    _, effects = apply_reports(report())
-    assert not any(isinstance(each, report_effects.FreshnessProof) for each in effects)
+    _, effects = apply_reports(report(list_age_s=0.5))
+    assert not any(isinstance(each, PROOFS) for each in effects)
 
 
 def test_echo_from_the_future_proves_no_freshness():
-    _, effects = apply_reports(report(echo_by_instance={OWN_NAME: 101.0}), now_s=100.0)
-    assert not any(isinstance(each, report_effects.FreshnessProof) for each in effects)
+    told = report(echo_by_instance={OWN_NAME: 101.0}, list_age_s=0.5)
+    _, effects = apply_reports(told, now_s=100.0)
+    assert not any(isinstance(each, PROOFS) for each in effects)
 
 
 def test_older_report_of_the_same_incarnation_is_ignored():
@@ -229,6 +242,8 @@
     source_steady_s=FLOATS,
     requests_by_service=st.dictionaries(NAMES, FLOATS),
     repeats_by_service=st.dictionaries(NAMES, FLOATS),
+    list_age_s=st.none() | st.floats(0.0, 1e9),
+    ranks_by_list=st.booleans(),
 )
 
 
