Go on with a stream only by a list that no peer knows to be outdated

The store did not answer one machine of three for 9 s, and four servers were upgraded under their ids, one after the other.

The versions of the next server and of the stream were compared by the instance's own list, and nothing asked how old that is. Peers knew the newer entries, and their reports said so (source_revision), but an instance that the store turns away asked them for configurations only, and a call that hangs kept it from asking for up to 2.6 s at a time.

A stream goes on, after a break or when its caller takes it up, only while the list is 5 s old at most and no peer has reported a later position of the source. A break waits for that within the 1.5 s that a continuation may take, a take-up for 0.5 s and is refused with a time to return then.

With the checks taken out of a copy, the case "never" of test_stream_does_not_go_on_by_a_list_that_a_peer_knows_to_be_outdated and test_stream_does_not_go_on_by_a_list_that_is_too_old failed; test_instance_without_the_store_gets_changes_from_a_peer has the cases of servers and of calls that hang beside those that there were.

--- a/src/carawaydoor/serving/source_state.py
+++ b/src/carawaydoor/serving/source_state.py
@@ -4,7 +4,9 @@
 
 import math
 import threading
+import time
 from collections.abc import Callable
+from typing import Final
 
 from carawaydoor.fleet import gossip
 from carawaydoor.operating import clocks
@@ -12,9 +14,12 @@
     source_lag,
     source_position,
     source_reading,
+    stream_ranking,
     upstream_directory,
 )
 
+CURRENT_CHECK_INTERVAL_S: Final = 0.05
+
 
 class SourceState:
     """The connection of an instance to its source of configuration and upstreams.
@@ -113,6 +118,23 @@
         age_s = self.list_age_s()
         return max(0.0, age_s) if math.isfinite(age_s) else None
 
+    def is_list_current(self) -> bool:
+        """Return whether no peer knows the source beyond what this instance does, and that is not old."""
+        return self.behind_s() <= 0.0 and self.list_age_s() <= stream_ranking.MAX_LIST_AGE_S
+
+    def wait_until_current(self, timeout_s: float) -> bool:
+        """Wait until the list of upstreams is current; return whether it is.
+
+        :param timeout_s: longest wait in seconds
+        """
+        waited_s = 0.0
+        while not self.is_list_current():
+            if waited_s >= timeout_s:
+                return False
+            time.sleep(CURRENT_CHECK_INTERVAL_S)
+            waited_s += CURRENT_CHECK_INTERVAL_S
+        return True
+
     def readers(self) -> tuple[str, ...]:
         """Return the instances that read the source for this failure domain."""
         return source_reading.readers(self._candidates())
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -252,7 +252,11 @@
         The stream is kept until then, since its upstream may only be slow, and it goes on there if
         an event arrives meanwhile.
         """
-        if not self._may_continue() or source.opened.connection.has_bytes():
+        if (
+            not self._may_continue()
+            or not self._instance.source.is_list_current()
+            or source.opened.connection.has_bytes()
+        ):
             return False
         clock = self._instance.clock
         deadline_s = min(self._exchange.deadline_s, clock.now_s() + timeout_s)
@@ -274,9 +278,11 @@
         clock = self._instance.clock
         give_up_s = min(self._exchange.deadline_s, clock.now_s() + MAX_CONTINUATION_TIME_S)
         while self._may_continue() and not self._exchange.inbound.is_gone():
-            continuation = self._continue_once()
-            if continuation is not None:
-                return continuation
+            # Another server may have taken the id of one in an outdated list.
+            if self._instance.source.is_list_current():
+                continuation = self._continue_once()
+                if continuation is not None:
+                    return continuation
             if clock.now_s() + CONTINUATION_RETRY_INTERVAL_S >= give_up_s:
                 break
             self._instance.selector.wait_for_release(CONTINUATION_RETRY_INTERVAL_S)
--- a/src/carawaydoor/serving/stream_resumption.py
+++ b/src/carawaydoor/serving/stream_resumption.py
@@ -19,6 +19,8 @@
 
 # By then an instance that has just started knows its peers.
 UNKNOWN_RETRY_AFTER_S: Final = 0.5
+# An instance that the source serves knows what its peers do within this time.
+MAX_CURRENT_WAIT_S: Final = 0.5
 
 
 class ResumptionFilter(request_filters.Filter):
@@ -37,10 +39,11 @@
         route, inbound = exchange.route, exchange.inbound
         if route is None or not route.kind.is_stream:
             return expression.Ok(exchange)
-        if not inbound.resumed_after:
-            outdated = self._outdated_refusal(route)
+        if route.kind is entities.RouteKind.RESUMABLE_STREAM:
+            outdated = self._outdated_refusal(exchange, route)
             if outdated is not None:
                 return expression.Error(outdated)
+        if not inbound.resumed_after:
             exchange.stream_key = stream_versions.stream_key(exchange.workspace_name, inbound.id)
             stream_beginning.choose_version(self._instance, exchange)
             return expression.Ok(exchange)
@@ -68,15 +71,21 @@
             )
         return expression.Ok(exchange)
 
-    def _outdated_refusal(self, route: entities.Route) -> refusals.Refusal | None:
-        """Return the refusal of a stream that can't begin by a list of this age, else None."""
-        age_s = self._instance.source.list_age_s()
-        is_resumable = route.kind is entities.RouteKind.RESUMABLE_STREAM
-        if not is_resumable or age_s <= self._instance.max_list_age_s(route):
+    def _outdated_refusal(
+        self, exchange: http_exchange.HttpExchange, route: entities.Route
+    ) -> refusals.Refusal | None:
+        """Return the refusal of a stream if the list of upstreams is too old for it, else None."""
+        source = self._instance.source
+        if not exchange.inbound.resumed_after:
+            max_age_s = self._instance.max_list_age_s(route)
+            is_current = source.list_age_s() <= max_age_s
+        else:
+            is_current = source.wait_until_current(MAX_CURRENT_WAIT_S)
+        if is_current:
             return None
         return refusals.Refusal(
             refusals.Reason.UPSTREAMS_STALE,
-            f"the list of upstreams is {age_s:.1f} s old",
+            f"the list of upstreams is {source.list_age_s():.1f} s old",
             request_filters.NOT_READY_RETRY_AFTER_S,
         )
 
--- a/tests/platform_side/test_source_relay.py
+++ b/tests/platform_side/test_source_relay.py
@@ -230,8 +230,13 @@
         assert time.monotonic() - acknowledged_s < bounds.configuration_s
 
 
-# Regression: an instance whose calls the store rejects learned what had changed from no peer.
-def test_instance_without_the_store_gets_a_configuration_from_a_peer(store, monkeypatch):
+# Regression: an instance whose calls the store rejects learned what had changed from no peer, and later only
+# what had changed in the configuration.
+@pytest.mark.parametrize("hangs", [False, True], ids=["rejected", "unanswered"])
+@pytest.mark.parametrize("changes_configuration", [False, True], ids=["server", "configuration"])
+def test_instance_without_the_store_gets_changes_from_a_peer(
+    store, monkeypatch, hangs, changes_configuration
+):
     put_server(store, 1)
     store.put(names.CONFIGURATION_KEY, CASES["configuration"])
     address = platform_options.Address("127.0.0.1", store.port)
@@ -254,19 +259,32 @@
         stack.callback(watcher.stop)
         wait_until(lambda: late.source.steady_s() > 0.0)
 
-        def fail(*_):
-            time.sleep(0.05)
+        def fail(_revision, _wait_s, timeout_s):
+            time.sleep(timeout_s if hangs else 0.05)
             raise configuration_source.SourceError("rejected")
 
         monkeypatch.setattr(late_source, "watch", fail)
         time.sleep(source_watcher.WATCH_WINDOW_SHARE * late.options.bounds.stable_window_s)
-        store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 13})
+        if changes_configuration:
+            store.put(names.CONFIGURATION_KEY, {**CASES["configuration"], "version": 13})
+        else:
+            put_server(store, 1, version="another")
         update = source.watch(first, 1.0, 2.0)
-        peer.adopt(update.configuration)
-        peer.source.revision = update.revision
-        peer.confirm_revision(update.configuration.revision, peer.clock.now_s())
+        if update.configuration is not None:
+            peer.adopt(update.configuration)
+        peer.source.record_list(update.revision, peer.clock.now_s())
+        peer.confirm_revision(peer.configuration.revision, peer.clock.now_s())
         late.handle_report(peer.compose_report()[0])
-        wait_until(lambda: late.configuration.version == 13)
+        assert not late.source.is_list_current()
+
+        def is_known():
+            late.handle_report(peer.compose_report()[0])
+            if changes_configuration:
+                return late.configuration.version == 13
+            return late.directory.upstream_by_id["i-1"].version == "another"
+
+        wait_until(is_known)
+        wait_until(late.source.is_list_current)
 
 
 # Regression: a reader that had read the store anew no longer knew what had changed before, so that all
--- a/tests/platform_side/test_stream_versions.py
+++ b/tests/platform_side/test_stream_versions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import threading
 import time
 
 import pytest
@@ -219,3 +220,35 @@
     headers = {names.Header.REQUEST_ID: resumes}
     assert harness.stream("/resumable/1", headers=headers).read().status == 200
     assert (len(old.received), len(new.received)) == (1, 0)
+
+
+# An instance that the store did not answer went on with streams at servers that had been replaced under their ids
+# by another version, which its peers knew.
+@pytest.mark.parametrize(
+    ("learns_after_s", "goes_on"), [(None, False), (0.3, True)], ids=["never", "in time"]
+)
+def test_stream_does_not_go_on_by_a_list_that_a_peer_knows_to_be_outdated(
+    harness, learns_after_s, goes_on
+):
+    begun, other = (add_engine(harness, each, "v1", Behaviour.BREAK_STREAM) for each in "de")
+    source = harness.instance.source
+    source.note_peer_revision(7)
+    if learns_after_s is not None:
+        threading.Timer(learns_after_s, source.record_list, (7, harness.clock.now_s())).start()
+    response = harness.stream("/resumable/1", headers={names.Header.REQUEST_ID: "first"}).read()
+    assert response.is_truncated
+    assert len(continued(begun) + continued(other)) == goes_on
+    taken_up = take_up(harness, "first", 2)
+    assert (taken_up.status, "retry-after" in taken_up.headers) == (
+        (200, False) if goes_on else (503, True)
+    )
+
+
+def test_stream_does_not_go_on_by_a_list_that_is_too_old(harness):
+    begun, other = (add_engine(harness, each, "v1", Behaviour.BREAK_STREAM) for each in "de")
+    harness.outdate_list(stream_ranking.MAX_LIST_AGE_S - 0.3)
+    response = harness.stream("/resumable/1", headers={names.Header.REQUEST_ID: "first"})
+    time.sleep(0.4)
+    assert response.read().is_truncated
+    assert continued(begun) + continued(other) == []
+    assert take_up(harness, "first", 2).status == 503
