Don't trust the record of changes over a time in which the list was not renewed

An instance that the source had not served for a while read the changes meanwhile as far as the source or a peer showed them, which is only the last one of each server. A server that had come and gone unseen was missing in its record, so that a stream it had begun was inferred to be of the only other version. The age of the configuration was asked for in its place, and only at that moment.

test_upstream_that_came_and_went_unseen_is_no_evidence_for_the_other_version failed with the callback taken out of a copy.

--- a/src/carawaydoor/policy/upstream_changes.py
+++ b/src/carawaydoor/policy/upstream_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Iterator, Mapping
 from typing import Final
 
@@ -41,6 +42,13 @@
     return dataclasses.replace(log, known_since_s=now_s)
 
 
+def forget(log: ChangeLog, now_s: float) -> ChangeLog:
+    """Return the log after changes may have been missed, so that only those from now on are known."""
+    if math.isinf(log.known_since_s):
+        return log
+    return dataclasses.replace(log, known_since_s=now_s)
+
+
 def record(log: ChangeLog, change: Change, oldest_s: float) -> ChangeLog:
     """Return the log with a change, without those before a time in seconds.
 
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -127,6 +127,7 @@
             self.update_directory,
             lambda: self.configuration.revision,
         )
+        self.source.on_list_gap = self.streams.record_list_gap
         self.evacuation: Final = evacuation_state.EvacuationState(
             clock, metrics, self._lock, self.connection_pool, lambda: self.directory
         )
--- a/src/carawaydoor/serving/origin_inference.py
+++ b/src/carawaydoor/serving/origin_inference.py
@@ -52,7 +52,11 @@
         current = instance.lists.current(exchange.received_s)
         window = self._window(exchange, route)
         log = instance.changes_beside(current)
-        past = None if log.known_since_s <= window.listed_since_s else instance.lists.past()
+        past = (
+            None
+            if log.known_since_s <= window.listed_since_s
+            else instance.lists.past(log.known_since_s)
+        )
         key = exchange.stream_key if self._can_rank(exchange, route, window) else ""
         origins = set()
         for name in {each.service for each in route.shares}:
--- a/src/carawaydoor/serving/source_state.py
+++ b/src/carawaydoor/serving/source_state.py
@@ -25,6 +25,7 @@
     """The connection of an instance to its source of configuration and upstreams.
 
     :ivar revision: position up to which this instance knows the content of the source
+    :ivar on_list_gap: called when changes may have been missed, since the list was too old before
     :ivar on_changed: called when this instance has read a change that others of its domain wait for
     """
 
@@ -41,6 +42,7 @@
     ) -> None:
         self.revision = 0
         self.on_changed: Callable[[], None] = _do_nothing
+        self.on_list_gap: Callable[[], None] = _do_nothing
         self._list_proven_s = float("-inf")
         self._instance = instance
         self._domain = domain
@@ -99,8 +101,11 @@
         :param proven_s: time in seconds at which the source held nothing that is missing here
         """
         with self._lock:
+            has_gap = proven_s - self._list_proven_s > stream_ranking.MAX_LIST_AGE_S
             self.revision = max(self.revision, position)
             self._list_proven_s = max(self._list_proven_s, proven_s)
+        if has_gap:
+            self.on_list_gap()
 
     def record_list_of_peer(self, position: int, proven_s: float) -> None:
         """Record that a peer knew the source up to a position, after which it held nothing."""
--- a/src/carawaydoor/serving/stream_origins.py
+++ b/src/carawaydoor/serving/stream_origins.py
@@ -164,6 +164,10 @@
         """Record that the list of upstreams has been read, so that its changes are known now."""
         self.changes = upstream_changes.start(self.changes, self._clock.now_s())
 
+    def record_list_gap(self) -> None:
+        """Record that changes of upstreams before now may have been missed."""
+        self.changes = upstream_changes.forget(self.changes, self._clock.now_s())
+
     def record_change(self, upstream: entities.Upstream) -> None:
         """Record a change of an upstream, which may have begun streams before or begins some now.
 
--- a/src/carawaydoor/serving/upstream_lists.py
+++ b/src/carawaydoor/serving/upstream_lists.py
@@ -46,15 +46,16 @@
             raise result
         return result
 
-    def past(self) -> stream_ranking.PastChanges:
-        """Return the changes that the source still knew when it was first asked.
+    def past(self, since_s: float) -> stream_ranking.PastChanges:
+        """Return the changes that the source still knew when it was asked at a time in seconds or later.
 
         :raises SourceError: if the source did not say
         """
         with self._lock:
             now_s = self._clock.now_s()
             is_due = now_s - self._past_read_s >= PAST_RETRY_INTERVAL_S
-            if self._past is None or (isinstance(self._past, Exception) and is_due):
+            is_outdated = self._past_read_s < since_s
+            if self._past is None or is_outdated or (isinstance(self._past, Exception) and is_due):
                 self._past_read_s = now_s
                 try:
                     self._past = self.source.read_past(now_s, READ_TIMEOUT_S)
--- a/tests/platform_side/test_stream_inference.py
+++ b/tests/platform_side/test_stream_inference.py
@@ -345,6 +345,20 @@
             assert answer.status == 503 or len(versions_of(events.body + answer.body)) == 1, each
 
 
+# An instance that missed changes while the source did not serve it believed its own record of them.
+def test_upstream_that_came_and_went_unseen_is_no_evidence_for_the_other_version(served):
+    served.add_engine("d", "v1")
+    served.fleet.exchange_reports()
+    served.prove()
+    member = served.fleet.members[0]
+    assert served.take_up("never-seen").status == 200, "one version alone has served"
+    member.outdate_list(stream_ranking.MAX_LIST_AGE_S + 1.0)
+    served.write("unseen", 1, "v2", LONG_AGO_MS)
+    served.store.delete(f"{names.SERVERS_PREFIX}unseen")
+    member.instance.source.record_list(0, served.fleet.clock.now_s())
+    assert served.take_up("seen-neither").status == 503
+
+
 class TestStoreLists:
     """What the store shows of its past."""
 
