Rank upstreams as the source lists them, whatever they say themselves

A server may say in its answers that it leaves before its entry does, or without its entry ever doing so. An instance that had got such a notice, or heard of it from a peer, ranked streams without that server, and they began at another version; the inference ranks by the entries.

The rank now counts a server as its entry does. Generations no longer wait for a version that has no engine which may be used.

test_notice_of_a_server_that_leaves_does_not_change_the_version_of_a_rank: both cases failed without the change of the rank.

--- a/src/carawaydoor/policy/upstream_directory.py
+++ b/src/carawaydoor/policy/upstream_directory.py
@@ -44,6 +44,7 @@
     :ivar gone_born_ms_by_id: the start of the latest incarnation whose entry was removed, oldest
         first
     :ivar leaving_since_s_by_id: when upstreams began to leave that this instance knew before
+    :ivar noticed_leaving_ids: upstreams that are known to leave though their entries don't say so
     :ivar grace_until_s: until then a missing entry may still reappear
     :ivar revision: revision of the store that this reflects, zero before the first read
     """
@@ -56,6 +57,7 @@
     leaving_born_ms_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
     gone_born_ms_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
     leaving_since_s_by_id: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    noticed_leaving_ids: frozenset[str] = frozenset()
 
 
 EMPTY: Final = Directory({}, {}, 0.0, False, 0)
@@ -257,13 +259,17 @@
     removal_due = dict(state.removal_due_s_by_id)
     leaving_born_ms_by_id = dict(state.leaving_born_ms_by_id)
     gone_born_ms_by_id = dict(state.gone_born_ms_by_id)
+    noticed_leaving_ids = set(state.noticed_leaving_ids)
     effects: list[Effect] = []
     for key, listed in changes.items():
         before = upstream_by_id.get(key)
         upstream = listed
+        noticed_leaving_ids.discard(key)
         if listed is not None and leaving_born_ms_by_id.get(key) == listed.born_ms:
             # The store may show an older entry again, but an incarnation that leaves never stays.
             upstream = dataclasses.replace(listed, is_leaving=True)
+            if not listed.is_leaving:
+                noticed_leaving_ids.add(key)
         if upstream is not None:
             gone_born_ms_by_id.pop(key, None)
             if upstream.is_leaving:
@@ -289,6 +295,7 @@
         removal_due_s_by_id=removal_due,
         leaving_born_ms_by_id=leaving_born_ms_by_id,
         gone_born_ms_by_id=gone_born_ms_by_id,
+        noticed_leaving_ids=frozenset(noticed_leaving_ids),
         revision=revision,
     )
     return after, tuple(effects)
@@ -332,6 +339,7 @@
         after,
         upstream_by_id={**state.upstream_by_id, leaving.id: leaving},
         leaving_since_s_by_id={**state.leaving_since_s_by_id, leaving.id: now_s},
+        noticed_leaving_ids=state.noticed_leaving_ids | {leaving.id},
     )
     return after, (Leaving(leaving),)
 
--- a/src/carawaydoor/serving/generation_placement.py
+++ b/src/carawaydoor/serving/generation_placement.py
@@ -252,14 +252,10 @@
         service: entities.Service,
         unreachable: set[str],
     ) -> bool:
-        """Return whether all engines of the version at which a stream has to begin have failed."""
+        """Return whether no engine of the version at which a stream has to begin can be used."""
         version = exchange.placement_version
-        return (
-            bool(unreachable)
-            and version is not None
-            and not self._instance.selector.serves_version(
-                service.name, version, unreachable, exchange.allowed_regions
-            )
+        return version is not None and not self._instance.selector.serves_version(
+            service.name, version, unreachable, exchange.allowed_regions
         )
 
     def _connect(
--- a/src/carawaydoor/serving/instance_state.py
+++ b/src/carawaydoor/serving/instance_state.py
@@ -161,6 +161,7 @@
             self.reach,
             lambda: self.options.region_by_domain,
             self.capacity,
+            lambda: self.directory.noticed_leaving_ids,
         )
         self.urgency: Final = urgency_state.UrgencyState(
             clock,
--- a/src/carawaydoor/serving/stream_beginning.py
+++ b/src/carawaydoor/serving/stream_beginning.py
@@ -39,7 +39,7 @@
 def unreachable_refusal(
     instance: instance_state.InstanceState, exchange: http_exchange.HttpExchange
 ) -> refusals.Refusal | None:
-    """Return the refusal of a new stream that reaches no upstream of its version, else None."""
+    """Return the refusal of a new stream that can use no upstream of its version, else None."""
     version, service = exchange.begin_version, exchange.service
     if version is None or service is None:
         return None
@@ -47,5 +47,5 @@
         service.name, version, exchange.unreachable_upstreams, exchange.allowed_regions
     ):
         return None
-    detail = f"no upstream of {service.name} with version {version!r} can be reached"
+    detail = f"no upstream of {service.name} with version {version!r} can be used"
     return refusals.Refusal(refusals.Reason.NO_UPSTREAM, detail, RETRY_AFTER_S)
--- a/src/carawaydoor/serving/upstream_selection.py
+++ b/src/carawaydoor/serving/upstream_selection.py
@@ -62,6 +62,7 @@
         reach: reachability.Reachability,
         region_by_domain: Callable[[], Mapping[str, str]],
         capacity: capacity_observer.CapacityObserver,
+        noticed_leaving_ids: Callable[[], Collection[str]],
     ) -> None:
         self.load = load.EMPTY
         self.health: health.Health = {}
@@ -80,6 +81,7 @@
         self._reach = reach
         self._region_by_domain = region_by_domain
         self._capacity = capacity
+        self._noticed_leaving_ids = noticed_leaving_ids
         self._peer_load_summed_s = float("-inf")
         self._peer_failures = peer_failures.PeerFailures(domain)
         self._balance = stage_balance.Balance()
@@ -269,13 +271,15 @@
     ) -> str | None:
         """Return the software version at which a new stream has to begin, None for any.
 
+        Upstreams are ranked as the source lists them, whatever this instance has learned of them besides.
+
         :param key: name of the stream
         """
-        stage = entities.stage_of_streams(service)
+        stage, noticed = entities.stage_of_streams(service), self._noticed_leaving_ids()
         return stream_ranking.begin_version(
             key,
             [
-                each
+                dataclasses.replace(each, is_leaving=False) if each.id in noticed else each
                 for each in self._allowed_upstreams(regions)
                 if each.service == service.name and each.stage is stage
             ],
--- a/tests/platform_side/test_stream_versions.py
+++ b/tests/platform_side/test_stream_versions.py
@@ -27,6 +27,9 @@
 PREFILL, DECODE = entities.Stage.PREFILL, entities.Stage.DECODE
 EVENTS = 6
 OTHER = dataclasses.replace(router_harness.WORKSPACE, name="other")
+PLAIN_STREAM = dataclasses.replace(
+    router_harness.RESUMABLE, path_prefix="/plain-stream/", shares=router_harness.SAFE.shares
+)
 
 
 @pytest.fixture
@@ -43,10 +46,10 @@
         yield running
 
 
-def id_that_begins_at(harness, version):
+def id_that_begins_at(harness, version, stage=DECODE):
     """Return an id of a request whose stream begins at a version while several serve."""
     upstreams = [
-        each for each in harness.instance.directory.upstream_by_id.values() if each.stage is DECODE
+        each for each in harness.instance.directory.upstream_by_id.values() if each.stage is stage
     ]
     ids = (f"id-of-{version}-{number}" for number in range(100))
     workspace = router_harness.WORKSPACE.name
@@ -252,3 +255,25 @@
     assert response.read().is_truncated
     assert continued(begun) + continued(other) == []
     assert take_up(harness, "first", 2).status == 503
+
+
+# A server's notice that it leaves, which its entry did not say yet, moved streams to another version than the one
+# that instances infer from the entries.
+@pytest.mark.parametrize("route", ["/resumable/", "/plain-stream/"])
+def test_notice_of_a_server_that_leaves_does_not_change_the_version_of_a_rank(harness, route):
+    stage = DECODE if route == "/resumable/" else entities.Stage.NONE
+    harness.configure(router_harness.RESUMABLE, PLAIN_STREAM, revision=2)
+    staying, leaving = (
+        harness.add_upstream(name, stage, EVENTS, version)
+        for name, version in (("d", "v1"), ("e", "v2"))
+    )
+    request_id = id_that_begins_at(harness, "v2", stage)
+    entry = harness.instance.directory.upstream_by_id["e"]
+    harness.instance.update_directory(upstream_directory.SaidLeaving("e", entry.born_ms))
+    headers = {names.Header.REQUEST_ID: request_id}
+    refused = harness.stream(f"{route}1", headers=headers).read()
+    assert (refused.status, "retry-after" in refused.headers) == (503, True)
+    entry = dataclasses.replace(entry, is_leaving=True)
+    harness.instance.update_directory(upstream_directory.Changes({"e": entry}, 2))
+    assert harness.stream(f"{route}1", headers=headers).read().status == 200
+    assert (len(staying.received), leaving.received) == (1, [])
