Infer no version by rank if upstreams may have been evacuated or not allowed before a restart

Streams begin among the upstreams that are neither evacuated nor outside the allowed regions, and the inference refuses to rank if either has changed since. It only knew of changes that the instance itself had seen, so that after the loss of all memory a stream that had begun while a failure domain was evacuated went on at the version of an upstream there.

An instance that needs the source's history for a stream now looks for changes of evacuations in it as well, and for a change of a configuration that has lists of regions. One that removed all lists is not noticed, as its predecessor isn't shown.

test_stream_that_began_among_fewer_upstreams_is_lost_with_all_memory: both cases failed before.

--- a/src/carawaydoor/platform/store_lists.py
+++ b/src/carawaydoor/platform/store_lists.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -68,30 +69,42 @@
         era = source_position.era_of(newest)
         # The changes after the first one are not known, those after the second one are.
         unknown, known = 0, source_position.revision_of(newest)
-        batch = _changes(client, source_position.create(era, 1), timeout_s)
+        batch = _changes(client, names.SERVERS_PREFIX, source_position.create(era, 1), timeout_s)
         if batch is not None:
             after = source_position.create(era, 1)
-            return _past_changes(after, _WHOLE_HISTORY_S, batch.items)
+            past = _past_changes(after, _WHOLE_HISTORY_S, batch.items)
+            return _with_evacuations(client, past, timeout_s)
         while known - unknown > 1:
             middle = (unknown + known) // 2
-            found = _changes(client, source_position.create(era, middle), timeout_s)
+            found = _changes(
+                client, names.SERVERS_PREFIX, source_position.create(era, middle), timeout_s
+            )
             if found is None:
                 unknown = middle
             else:
                 known, batch = middle, found
-        return _past_changes(
+        past = _past_changes(
             source_position.create(era, known),
             now_s - self._history_s,
             batch.items if batch is not None else (),
         )
+        return _with_evacuations(client, past, timeout_s)
+
+
+def _with_evacuations(
+    client: store_client.StoreClient, past: stream_ranking.PastChanges, timeout_s: float
+) -> stream_ranking.PastChanges:
+    """Return changes with whether there were any of evacuations, which is assumed if that is not known."""
+    changes = _changes(client, names.EVACUATION_PREFIX, past.after, timeout_s)
+    return dataclasses.replace(past, has_evacuations=changes is None or bool(changes.items))
 
 
 def _changes(
-    client: store_client.StoreClient, after: int, timeout_s: float
+    client: store_client.StoreClient, prefix: str, after: int, timeout_s: float
 ) -> store_client.ItemBatch | None:
-    """Return the changes of servers after a position, None if the store no longer has them."""
+    """Return the changes below a prefix after a position, None if the store no longer has them."""
     try:
-        return client.watch(names.SERVERS_PREFIX, after, _NO_WAIT_S, timeout_s)
+        return client.watch(prefix, after, _NO_WAIT_S, timeout_s)
     except store_client.HistoryGoneError:
         return None
 
--- a/src/carawaydoor/policy/stream_ranking.py
+++ b/src/carawaydoor/policy/stream_ranking.py
@@ -83,12 +83,14 @@
     :ivar since_s: time in seconds from which on all changes are known
     :ivar upstreams_by_id: the entries that were written, in order; None for a removal
     :ivar created_by_id: positions at which the first of these entries were created, as far as known
+    :ivar has_evacuations: whether failure domains were evacuated, or ceased to be
     """
 
     after: int
     since_s: float
     upstreams_by_id: Mapping[str, tuple[entities.Upstream | None, ...]]
     created_by_id: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    has_evacuations: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/carawaydoor/serving/origin_inference.py
+++ b/src/carawaydoor/serving/origin_inference.py
@@ -57,7 +57,10 @@
             if log.known_since_s <= window.listed_since_s
             else instance.lists.past(log.known_since_s)
         )
-        key = exchange.stream_key if self._can_rank(exchange, route, window) else ""
+        can_rank = self._can_rank(exchange, route, window) and not (
+            past is not None and self._may_have_been_limited(current, past)
+        )
+        key = exchange.stream_key if can_rank else ""
         origins = set()
         for name in {each.service for each in route.shares}:
             service = instance.configuration.service_by_name.get(name)
@@ -123,6 +126,14 @@
             and self._instance.eligibility.lists_changed_s < window.listed_since_s
         )
 
+    def _may_have_been_limited(
+        self, current: stream_ranking.UpstreamList, past: stream_ranking.PastChanges
+    ) -> bool:
+        """Return whether upstreams may have been left out at a time that this instance has not seen."""
+        unchanged_since = max(past.after, current.configuration_created)
+        has_changed = self._instance.configuration.revision > unchanged_since
+        return past.has_evacuations or (has_changed and self._instance.eligibility.has_lists)
+
     def _window(
         self, exchange: http_exchange.HttpExchange, route: entities.Route
     ) -> stream_ranking.Window:
--- a/src/carawaydoor/serving/upstream_eligibility.py
+++ b/src/carawaydoor/serving/upstream_eligibility.py
@@ -63,6 +63,11 @@
         self.lists_changed_s = float("-inf")
         self._lists: Mapping[tuple[str, ...], allowed_regions.Regions] | None = None
 
+    @property
+    def has_lists(self) -> bool:
+        """Whether the configuration in force has lists of regions."""
+        return bool(self._lists)
+
     def regions(self, exchange: http_exchange.HttpExchange) -> allowed_regions.Regions:
         """Return the regions that the configuration in force now allows a request."""
         inbound, route, workspace = exchange.inbound, exchange.route, exchange.workspace
--- a/tests/platform_side/test_stream_inference.py
+++ b/tests/platform_side/test_stream_inference.py
@@ -463,3 +463,36 @@
     for key, events in begun.items():
         answer = served.take_up(key, 1)
         assert answer.status == 503 or versions_of(answer.body) == versions_of(events), key
+
+
+# Instances that had been killed did not know which upstreams had been evacuated or outside the allowed regions before,
+# and inferred the version from all of them.
+@pytest.mark.parametrize("is_evacuated", [True, False])
+def test_stream_that_began_among_fewer_upstreams_is_lost_with_all_memory(served, is_evacuated):
+    add_two_versions(served)
+    resumes = id_that_begins_at(served, "v2")
+    bound = dataclasses.replace(ROUTE, allowed_regions=frozenset({"r1"}))
+    for each in served.fleet.members:
+        instance = each.instance
+        instance.options = dataclasses.replace(instance.options, region_by_domain={"a": "r1"})
+        for name in ("e-0", "e-1"):
+            entry = dataclasses.replace(instance.directory.upstream_by_id[name], domain="b")
+            instance.update_directory(upstream_directory.Changes({name: entry}, 1))
+        if is_evacuated:
+            instance.evacuation.apply(evacuation.Changes({"b": True}))
+        else:
+            each.configure(bound, revision=3)
+    served.fleet.exchange_reports()
+    served.prove()
+    assert versions_of(served.begin_and_break(resumes)) == {b"v1"}
+    if is_evacuated:
+        served.store.put(f"{names.EVACUATION_PREFIX}b", {})
+        served.store.delete(f"{names.EVACUATION_PREFIX}b")
+    served.kill_all()
+    for each in served.fleet.members:
+        if not is_evacuated:
+            each.configure(ROUTE, dataclasses.replace(bound, path_prefix="/x/"), revision=4)
+            each.instance.confirm_revision(4, served.fleet.clock.now_s())
+            # As if it had been the first one that the instance read.
+            each.instance.eligibility.lists_changed_s = float("-inf")
+    assert served.take_up(resumes, 1).status == 503
