Wait for readiness in the test of an instance that follows the store

The watcher applies the servers of a read before it confirms the configuration, so an instance is not ready for a moment then. It now waits for readiness as well, within the same bound.

--- a/tests/platform_side/test_store.py
+++ b/tests/platform_side/test_store.py
@@ -76,7 +76,8 @@
 def test_instance_follows_the_store(store):
     with instance_watching(store) as instance:
         stored_documents.wait_until(lambda: len(instance.directory.upstream_by_id) == 7)
-        assert instance.is_ready
+        # The watcher proves the configuration after it has applied the servers.
+        stored_documents.wait_until(lambda: instance.is_ready)
         stored_documents.put_server(store, 2, state="draining")
         stored_documents.wait_until(lambda: instance.directory.upstream_by_id["i-2"].is_leaving)
         store.delete(f"{names.SERVERS_PREFIX}i-2")
