Write down what a stream begins by, and vary it in the model of the ranking

The random histories of test_stream_ranking.py have lists of the age that routes without keys allow, and instances that reach all, half or a tenth of the upstreams.

--- a/src/carawaydoor/operating/probe_app.py
+++ b/src/carawaydoor/operating/probe_app.py
@@ -116,9 +116,10 @@
             "version": configuration.version,
             "revision": configuration.revision,
             "proven_age_s": round(instance.proof_age_s(), 3),
-            "list_age_s": _finite(instance.source.list_age_s()),
             "behind_s": round(instance.source.configuration_behind_s(), 3),
         },
+        "list_age_s": _finite(instance.source.list_age_s()),
+        "behind_peers_s": round(instance.source.behind_s(), 3),
         "evacuated": [
             {
                 "domain": each.domain,
--- a/src/carawaydoor/serving/caller_app.py
+++ b/src/carawaydoor/serving/caller_app.py
@@ -211,6 +211,8 @@
             revision=exchange.revision,
             proof_age_s=round(self._instance.proof_age_s(), 3),
             behind_s=round(self._instance.source.configuration_behind_s(), 3),
+            list_age_s=round(self._instance.source.list_age_s(), 3),
+            list_behind_s=round(self._instance.source.behind_s(), 3),
             attempts=exchange.attempts,
             upstream=upstream,
             status=status,
--- a/tests/policy/test_stream_ranking.py
+++ b/tests/policy/test_stream_ranking.py
@@ -41,12 +41,19 @@
 
 
 def begun(
-    key, current, log=None, past=None, since_s=NOW_S - 14.0, until_s=NOW_S, clock_error_s=0.0
+    key,
+    current,
+    log=None,
+    past=None,
+    since_s=NOW_S - 14.0,
+    until_s=NOW_S,
+    clock_error_s=0.0,
+    list_age_s=stream_ranking.MAX_LIST_AGE_S,
 ):
     """Return the version that is inferred for a stream that began at a time or later."""
     log = log or log_since(LONG_AGO_S)
     wall_s = EPOCH_S + clock_error_s
-    window = stream_ranking.Window(since_s, wall_s + since_s, wall_s + until_s)
+    window = stream_ranking.Window(since_s, wall_s + since_s, wall_s + until_s, list_age_s)
     found = stream_ranking.candidates("planner", DECODE, current, log, past, window)
     return None if found is None else stream_ranking.infer(key, found, window).version
 
@@ -91,6 +98,11 @@
     assert begun("", list_of(NEW), log, since_s=NOW_S - 60.0) is None
     assert begun("", list_of(NEW), log, since_s=NOW_S - 51.0) is None, "a list may be 5 s old"
     assert begun("", list_of(NEW), log, since_s=NOW_S - 44.0) == "v2"
+    assert begun("", list_of(NEW), log, since_s=NOW_S - 44.0, list_age_s=6.1) is None
+    assert begun("", list_of(NEW), log, since_s=NOW_S - 37.0, list_age_s=12.0) == "v2"
+    young = engine("young", "v2", born_s=NOW_S - 25.0)
+    key = next(each for each in RANKED if begun(each, list_of(OLD, young)) == "v2")
+    assert begun(key, list_of(OLD, young), list_age_s=12.0) is None, "it may not have been listed"
     known_later = log_since(NOW_S - 55.0)
     assert begun("", list_of(NEW), known_later, since_s=NOW_S - 60.0) is None
     assert begun("", list_of(NEW), known_later, since_s=NOW_S - 50.0) == "v2"
@@ -249,33 +261,56 @@
     return world.random.uniform(-0.5, 0.5) * stream_ranking.MAX_CLOCK_ERROR_S
 
 
-def begin(world, key, at_s):
-    """Return the version at which an instance with a list of some age begins a stream."""
-    listed = world.at(at_s - world.random.uniform(0.0, stream_ranking.MAX_LIST_AGE_S - 0.6))
+def begin(world, key, at_s, list_age_s=stream_ranking.MAX_LIST_AGE_S, unusable_share=0.0):
+    """Return the version at which an instance with a list of some age begins a stream.
+
+    :param unusable_share: part of the upstreams that it can't use, whether they refuse connections, are
+        full or suspended, or gave notice that they leave
+    :return: None if the stream is refused
+    """
+    listed = world.at(at_s - world.random.uniform(0.0, list_age_s - 0.6))
     usable = [
         each
         for each in listed.values()
         if each.stage is DECODE and not each.is_leaving and each.service == "planner"
     ]
     bound = stream_ranking.begin_version(key, usable, EPOCH_S + at_s + clock_error_s(world))
-    able = [each for each in usable if stream_versions.matches(each, bound)]
+    able = [
+        each
+        for each in usable
+        if stream_versions.matches(each, bound) and world.random.random() >= unusable_share
+    ]
     return world.random.choice(able).version if able else None
 
 
 @hypothesis.settings(deadline=None, derandomize=True, max_examples=300)
-@hypothesis.given(seed=st.integers(0, 1 << 30), changes=st.integers(0, 25))
-def test_inferred_version_is_always_the_one_that_began_the_stream(seed, changes):
-    """However servers change, and however often all instances are killed within a stream's life."""
+@hypothesis.given(
+    seed=st.integers(0, 1 << 30),
+    changes=st.integers(0, 25),
+    list_age_s=st.sampled_from([stream_ranking.MAX_LIST_AGE_S, 12.0]),
+    unusable_share=st.sampled_from([0.0, 0.5, 0.9]),
+)
+def test_inferred_version_is_always_the_one_that_began_the_stream(
+    seed, changes, list_age_s, unusable_share
+):
+    """However servers change, and however often all instances are killed within a stream's life.
+
+    Instances have different lists, of the age that is allowed where a stream begins, and reach different parts of
+    the upstreams.
+    """
     world = make_world(seed, changes)
+    history_s = HISTORY_S - stream_ranking.MAX_LIST_AGE_S + list_age_s
     for number in range(40):
         key = f"key-{number}"
         began_s = world.random.uniform(0.0, 60.0)
-        version = begin(world, key, began_s)
-        taken_up_s = began_s + world.random.uniform(0.0, 14.0)
+        version = begin(world, key, began_s, list_age_s, unusable_share)
+        # Often near the end of a stream's life, before which a list may have been old.
+        taken_up_s = began_s + 14.0 * world.random.choice([world.random.random(), 1.0])
         started_s = taken_up_s - world.random.choice([0.5, 3.0, 10.0, 100.0])
         log = world.log_at(taken_up_s, started_s)
         since_s = taken_up_s - 14.5
-        past = world.past_at(taken_up_s) if started_s > since_s - 5.0 else None
+        needs_past = started_s > since_s - list_age_s
+        past = world.past_at(taken_up_s, history_s) if needs_past else None
         inferred = begun(
             key,
             world.list_at(taken_up_s),
@@ -284,11 +319,28 @@
             since_s,
             taken_up_s,
             clock_error_s(world),
+            list_age_s,
         )
         if version is not None:
             assert inferred in (None, version), (key, began_s, taken_up_s, started_s)
 
 
+@pytest.mark.parametrize(
+    ("needs_key", "timeout_s", "history_s", "age_s"),
+    [
+        (True, 5.0, 20.0, stream_ranking.MAX_LIST_AGE_S),
+        (False, 5.0, 20.0, 12.75),
+        (False, 14.0, 20.0, stream_ranking.MAX_LIST_AGE_S),
+        (False, 14.0, 0.0, stream_ranking.MAX_LIST_AGE_S),
+        (False, 5.0, 3600.0, stream_ranking.MAX_OPEN_LIST_AGE_S),
+    ],
+)
+def test_lists_are_as_old_as_the_history_of_the_source_allows(
+    needs_key, timeout_s, history_s, age_s
+):
+    assert stream_ranking.max_list_age_s(needs_key, timeout_s, history_s) == age_s
+
+
 def test_most_streams_are_known_again_while_few_servers_change():
     """Two of six were replaced by another version 40 s ago, and one is replaced now."""
     world = World(random.Random(1))
