Name the watch of an outage for what it is

The constant of a watch that returns at once was named like the absence of a watch, and the comment at a continuation spoke of servers and ids without saying that another incarnation is meant. Nothing else changes.

--- a/src/carawaydoor/operating/source_watcher.py
+++ b/src/carawaydoor/operating/source_watcher.py
@@ -39,8 +39,8 @@
 # Several configurations in one response that took longer follow each other faster than the link
 # carries them.
 SLOW_TRANSFER_S: Final = 0.2
-# A watch that only asks for changes that have been made.
-_NO_WATCH_S: Final = 0.001
+# Length of a watch while the source does not respond: it only asks for changes that have been made.
+OUTAGE_WATCH_S: Final = 0.001
 # Part of the age up to which streams go on by a list, after which an instance that doesn't read the source asks
 # for a newer one, and reads the source if nobody has one.
 MAX_FOLLOWED_LIST_AGE_S: Final = 0.6 * stream_ranking.MAX_LIST_AGE_S
@@ -235,7 +235,7 @@
         """Return how long a watch lasts, and the delay after one with changes, in seconds."""
         if self._unreachable_since_s is not None:
             # A source that does not respond must not hold up what peers know.
-            return _NO_WATCH_S, MIN_WATCH_DELAY_S
+            return OUTAGE_WATCH_S, MIN_WATCH_DELAY_S
         if self._instance.source.has_followers():
             return self._timing.reader_watch_s, READER_WATCH_DELAY_S
         count = len(self._instance.membership.peer_by_instance) + 1
--- a/src/carawaydoor/serving/stream_relay.py
+++ b/src/carawaydoor/serving/stream_relay.py
@@ -278,7 +278,7 @@
         clock = self._instance.clock
         give_up_s = min(self._exchange.deadline_s, clock.now_s() + MAX_CONTINUATION_TIME_S)
         while self._may_continue() and not self._exchange.inbound.is_gone():
-            # Another server may have taken the id of one in an outdated list.
+            # In an outdated list, another incarnation may have taken the id of a server.
             if self._instance.source.is_list_current():
                 continuation = self._continue_once()
                 if continuation is not None:
