--- a/src/carawaydoor/fleet/report.thrift
+++ b/src/carawaydoor/fleet/report.thrift
@@ -32,7 +32,7 @@
   27: list<string> cut_off_services, 28: map<string, double> sound_age_s_by_request,
   29: bool ranks_streams, 30: bool bounds_attempts, 31: list<Capacity> capacities,
   32: list<Demand> demands, 34: bool reads_compressed, 35: double link_mbps,
-  36: bool ranks_by_age
+  36: bool ranks_by_age, 37: double list_age_s, 38: bool ranks_by_list
 }
 struct WorkReport {
   1: string instance, 2: i64 incarnation, 3: i64 sequence, 4: map<string, Work> work_by_upstream,
